Build the whole path thin, as separate processes

Cause: nothing existed. An operator's apply is accepted by one conditional transaction in the platform's table, reaches every node over QUIC with mutual TLS, an upstream announces itself to the node on its host, and a caller's HTTP request enters at any node and is served by the upstream of another one.

Ruled out for the request path: tiny_http. It does not tell of a caller that has gone, has no trailers, and its chunked encoder writes the terminating chunk when it is dropped, which passes a body cut short off as whole. The two proxy edges use hyper instead; the resource API and the admin port use tiny_http with TCP_NODELAY set on the listener.

--- /dev/null
+++ b/examples/standin/platform.rs
@@ -0,0 +1,213 @@
+//! A stand-in of the platform's transactional table service and object store, over HTTP, with
+//! switches for its faults: down, slow, and answers lost after the write took effect.
+
+use {
+    mulberryshelf::platform::{Row, Rows, Transaction},
+    serde::{Deserialize, Serialize},
+    serde_json::{Value, json},
+    socket2::SockRef,
+    std::{
+        collections::BTreeMap,
+        io::Cursor,
+        net::{SocketAddr, TcpListener},
+        sync::{Arc, Mutex, PoisonError},
+        thread,
+        time::Duration,
+    },
+    tiny_http::{Method, Request, Response, Server},
+};
+
+const THREADS: usize = 8;
+
+/// The faults that are switched on.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Every request is answered with an error, and nothing takes effect.
+    pub down: bool,
+    /// This many writes take effect, and their answers are lost.
+    pub lose_answers: u32,
+    /// Every request takes this much longer, in milliseconds.
+    pub slow_ms: u64,
+}
+
+#[derive(Default)]
+struct State {
+    faults: Faults,
+    objects: BTreeMap<String, Vec<u8>>,
+    reads: u64,
+    rows: BTreeMap<String, Value>,
+    writes: u64,
+}
+
+/// A running platform.
+#[derive(Clone)]
+pub struct Platform {
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    server: Arc<Server>,
+    state: Arc<Mutex<State>>,
+}
+
+type Reply = Response<Cursor<Vec<u8>>>;
+
+impl Platform {
+    /// Binds the port and starts to serve.
+    pub fn bind(address: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        SockRef::from(&listener).set_tcp_nodelay(true)?;
+        let address = listener.local_addr()?;
+        let server = Server::from_listener(listener, None).map_err(std::io::Error::other)?;
+        let platform = Self {
+            address,
+            server: Arc::new(server),
+            state: Arc::default(),
+        };
+        for _ in 0..THREADS {
+            let platform = platform.clone();
+            thread::spawn(move || platform.serve());
+        }
+        Ok(platform)
+    }
+
+    /// Gives the URL for nodes' settings.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Switches faults on and off.
+    pub fn fail(&self, faults: Faults) {
+        self.state().faults = faults;
+    }
+
+    /// Gives how many reads and writes took effect.
+    pub fn load(&self) -> (u64, u64) {
+        let state = self.state();
+        (state.reads, state.writes)
+    }
+
+    fn state(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn serve(self) {
+        while let Ok(mut request) = self.server.recv() {
+            if let Some(reply) = self.answer(&mut request) {
+                let _ = request.respond(reply);
+            } else {
+                // The answer is lost: the connection closes without one.
+                drop(request.into_writer());
+            }
+        }
+    }
+
+    fn answer(&self, request: &mut Request) -> Option<Reply> {
+        let url = request.url().to_string();
+        if request.method() == &Method::Post && url == "/v1/faults" {
+            return Some(self.switch(request));
+        }
+        let faults = self.state().faults.clone();
+        thread::sleep(Duration::from_millis(faults.slow_ms));
+        if faults.down {
+            return Some(reply(503, &json!({ "error": "down" })));
+        }
+        let (path, query) = url.split_once('?').unwrap_or((&url, ""));
+        match (request.method(), path) {
+            (Method::Get, "/v1/rows") => Some(self.rows(query)),
+            (Method::Post, "/v1/transact") => self.transact(request),
+            (Method::Get, _) if path.starts_with("/v1/objects/") => Some(self.object(path)),
+            (Method::Put, _) if path.starts_with("/v1/objects/") => Some(self.store(path, request)),
+            _ => Some(reply(404, &json!({ "error": "nothing here" }))),
+        }
+    }
+
+    fn switch(&self, request: &mut Request) -> Reply {
+        match serde_json::from_reader(request.as_reader()) {
+            Ok(faults) => {
+                self.fail(faults);
+                reply(200, &json!({}))
+            }
+            Err(error) => reply(400, &json!({ "error": error.to_string() })),
+        }
+    }
+
+    fn rows(&self, query: &str) -> Reply {
+        let parameter = |name: &str| {
+            query
+                .split('&')
+                .filter_map(|pair| pair.split_once('='))
+                .find(|(key, _)| *key == name)
+                .map(|(_, value)| value.to_string())
+        };
+        let prefix = parameter("prefix").unwrap_or_default();
+        let after = parameter("after").unwrap_or_default();
+        let limit = parameter("limit")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(100);
+        let mut state = self.state();
+        state.reads += 1;
+        let rows = state
+            .rows
+            .range(prefix.clone()..)
+            .take_while(|(key, _)| key.starts_with(&prefix))
+            .filter(|(key, _)| **key > after)
+            .take(limit)
+            .map(|(key, value)| Row {
+                key: key.clone(),
+                value: value.clone(),
+            })
+            .collect();
+        reply(200, &json!(Rows { rows }))
+    }
+
+    fn transact(&self, request: &mut Request) -> Option<Reply> {
+        let transaction: Transaction = match serde_json::from_reader(request.as_reader()) {
+            Ok(transaction) => transaction,
+            Err(error) => return Some(reply(400, &json!({ "error": error.to_string() }))),
+        };
+        let mut state = self.state();
+        for check in &transaction.checks {
+            let held = state.rows.get(&check.key).unwrap_or(&Value::Null);
+            if *held != check.value {
+                return Some(reply(409, &json!({ "failed": check.key })));
+            }
+        }
+        state.writes += 1;
+        for row in transaction.puts {
+            if row.value.is_null() {
+                state.rows.remove(&row.key);
+            } else {
+                state.rows.insert(row.key, row.value);
+            }
+        }
+        if state.faults.lose_answers > 0 {
+            state.faults.lose_answers -= 1;
+            return None;
+        }
+        Some(reply(200, &json!({})))
+    }
+
+    fn object(&self, path: &str) -> Reply {
+        let mut state = self.state();
+        state.reads += 1;
+        match state.objects.get(path) {
+            Some(bytes) => Response::from_data(bytes.clone()),
+            None => reply(404, &json!({ "error": "no such object" })),
+        }
+    }
+
+    fn store(&self, path: &str, request: &mut Request) -> Reply {
+        let mut bytes = Vec::new();
+        if let Err(error) = request.as_reader().read_to_end(&mut bytes) {
+            return reply(400, &json!({ "error": error.to_string() }));
+        }
+        let mut state = self.state();
+        state.writes += 1;
+        state.objects.entry(path.into()).or_insert(bytes);
+        reply(200, &json!({}))
+    }
+}
+
+fn reply(status: u16, body: &Value) -> Reply {
+    Response::from_string(body.to_string()).with_status_code(status)
+}
--- /dev/null
+++ b/examples/upstream.rs
@@ -0,0 +1,41 @@
+//! Runs the stand-in of an upstream: `upstream ADDR NAME SERVICE VERSION ADMIN`. It announces itself to
+//! the node whose admin port is ADMIN, again and again.
+
+#[allow(dead_code)]
+mod standin;
+
+use std::time::Duration;
+
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
+
+#[tokio::main(worker_threads = 2)]
+async fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let [address, name, service, version, admin] = arguments.as_slice() else {
+        eprintln!("usage: upstream ADDR NAME SERVICE VERSION ADMIN");
+        std::process::exit(2);
+    };
+    let address = address.parse().expect("an address and port");
+    let upstream = standin::upstream::Upstream::bind(address, name)
+        .await
+        .expect("a free port");
+    println!("upstream {name} at {}", upstream.address);
+    let offer = serde_json::json!({
+        "address": upstream.address,
+        "connections": 120,
+        "service": service,
+        "slots": 12,
+        "version": version,
+    });
+    let url = format!("http://{admin}/upstream");
+    tokio::task::spawn_blocking(move || {
+        loop {
+            if let Err(error) = ureq::put(&url).send(offer.to_string()) {
+                eprintln!("cannot announce to {url}: {error}");
+            }
+            std::thread::sleep(ANNOUNCE_INTERVAL);
+        }
+    })
+    .await
+    .expect("the announcements go on");
+}
--- /dev/null
+++ b/src/bin/mulberryd.rs
@@ -0,0 +1,6 @@
+//! The node that runs on each upstream host.
+
+fn main() -> miette::Result<()> {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    Ok(mulberryshelf::daemon::run(&arguments)?)
+}
--- /dev/null
+++ b/src/ctl/authority.rs
@@ -0,0 +1,78 @@
+//! `mulberryctl authority`: make a development authority and nodes' certificates.
+
+use {
+    super::{parse, usage},
+    crate::{
+        error::{Error, Result},
+        tls::Authority,
+        world::{Domain, Host},
+    },
+    getopts::Options,
+    std::{
+        fs,
+        path::{Path, PathBuf},
+    },
+};
+
+pub(super) fn run(arguments: &[String]) -> Result {
+    let mut options = Options::new();
+    options.optopt("o", "out", "the directory to write to", "DIR");
+    let brief = "Usage: mulberryctl authority --out DIR HOST.DOMAIN...
+
+Makes DIR/authority.pem unless it is there, and DIR/HOST.pem and DIR/HOST.key for each host.
+For development: the authority's key is left in DIR.";
+    let Some(matches) = parse(&mut options, brief, arguments)? else {
+        return Ok(());
+    };
+    let out = matches
+        .opt_str("out")
+        .map(PathBuf::from)
+        .ok_or_else(|| usage("--out DIR is needed".into()))?;
+    let authority = open(&out)?;
+    for name in &matches.free {
+        let (host, domain) = split(name)?;
+        let identity = authority.sign(&host, &domain)?;
+        write(&out.join(format!("{host}.pem")), &identity.certificate)?;
+        write(&out.join(format!("{host}.key")), &identity.key)?;
+    }
+    println!(
+        "wrote {} certificates to {}",
+        matches.free.len(),
+        out.display()
+    );
+    Ok(())
+}
+
+fn split(name: &str) -> Result<(Host, Domain)> {
+    let (host, domain) = name
+        .split_once('.')
+        .ok_or_else(|| usage(format!("`{name}` is not HOST.DOMAIN")))?;
+    let host = host.parse().map_err(|error| usage(format!("{error}")))?;
+    let domain = domain.parse().map_err(|error| usage(format!("{error}")))?;
+    Ok((host, domain))
+}
+
+fn open(out: &Path) -> Result<Authority> {
+    let (certificate, key) = (out.join("authority.pem"), out.join("authority.key"));
+    if let (Ok(certificate), Ok(key)) = (fs::read_to_string(&certificate), fs::read_to_string(&key))
+    {
+        return Ok(Authority::from_pem(certificate, key));
+    }
+    fs::create_dir_all(out).map_err(|source| Error::File {
+        step: "create",
+        path: out.into(),
+        source,
+    })?;
+    let authority = Authority::create()?;
+    write(&certificate, authority.certificate())?;
+    write(&key, authority.key())?;
+    Ok(authority)
+}
+
+fn write(path: &Path, text: &str) -> Result {
+    fs::write(path, text).map_err(|source| Error::File {
+        step: "write",
+        path: path.into(),
+        source,
+    })
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,121 @@
+//! The command line of `mulberryd`.
+
+use {
+    crate::{
+        error::{Error, Result},
+        node::Node,
+        settings::Settings,
+    },
+    getopts::Options,
+    std::path::PathBuf,
+};
+
+/// What the command line asks for.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Check the settings and exit.
+    Check(PathBuf),
+    /// Print a text and exit.
+    Print(String),
+    /// Run a node.
+    Run(PathBuf),
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("s", "settings", "the file of the node's settings", "FILE");
+    options.optflag("", "check", "check the settings and exit");
+    options.optflag("h", "help", "print this help");
+    options.optflag("V", "version", "print the version");
+    options
+}
+
+/// Reads the command line.
+///
+/// # Errors
+/// Fails with what is wrong with it.
+pub fn parse(arguments: &[String]) -> Result<Command> {
+    let options = options();
+    let usage = |message: String| Error::Usage { message };
+    let matches = options
+        .parse(arguments)
+        .map_err(|error| usage(error.to_string()))?;
+    if matches.opt_present("help") {
+        let brief = "Usage: mulberryd --settings FILE [--check]";
+        return Ok(Command::Print(options.usage(brief)));
+    }
+    if matches.opt_present("version") {
+        return Ok(Command::Print(format!(
+            "mulberryd {}\n",
+            env!("CARGO_PKG_VERSION")
+        )));
+    }
+    if let Some(extra) = matches.free.first() {
+        return Err(usage(format!("unexpected argument `{extra}`")));
+    }
+    let path = matches
+        .opt_str("settings")
+        .map(PathBuf::from)
+        .ok_or_else(|| usage("--settings FILE is needed; see --help".into()))?;
+    if matches.opt_present("check") {
+        return Ok(Command::Check(path));
+    }
+    Ok(Command::Run(path))
+}
+
+/// Runs `mulberryd`.
+///
+/// # Errors
+/// Fails if the command line, the settings or a port is unusable.
+pub fn run(arguments: &[String]) -> Result {
+    match parse(arguments)? {
+        Command::Check(path) => {
+            let settings = Settings::open(&path)?;
+            settings.identity()?;
+            println!("{}: the settings are valid", path.display());
+            Ok(())
+        }
+        Command::Print(text) => {
+            print!("{text}");
+            Ok(())
+        }
+        Command::Run(path) => serve(Settings::open(&path)?),
+    }
+}
+
+fn serve(settings: Settings) -> Result {
+    let identity = settings.identity()?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .map_err(Error::Telemetry)?;
+    runtime.block_on(async {
+        let host = settings.host.clone();
+        let node = Node::spawn(settings, &identity).await?;
+        spdlog::info!(
+            "host={host} state=started proxy={} api={}",
+            node.proxy(),
+            node.api()
+        );
+        terminated().await;
+        spdlog::info!("host={host} state=stopping");
+        node.stop().await;
+        spdlog::info!("host={host} state=stopped");
+        Ok(())
+    })
+}
+
+async fn terminated() {
+    use tokio::signal::unix::{SignalKind, signal};
+    let (Ok(mut terminate), Ok(mut interrupt)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,28 @@
+//! Mulberryshelf distributes the configuration of a service mesh: operators declare routes, versions,
+//! shares and deadlines, and every node runs what was accepted within seconds and never goes back.
+//!
+//! The decisions ([`control`], [`source`], [`traffic`], [`member`], [`snapshot`]) have no clock, socket or
+//! thread; the edges ([`link`], [`proxy`], [`api`], [`platform`]) decide nothing. See docs/design.md.
+
+pub mod api;
+pub mod body;
+pub mod control;
+pub mod ctl;
+pub mod daemon;
+pub mod error;
+pub mod link;
+pub mod member;
+pub mod node;
+pub mod platform;
+pub mod proxy;
+pub mod refusal;
+pub mod resource;
+pub mod settings;
+pub mod snapshot;
+pub mod source;
+pub mod telemetry;
+pub mod tls;
+pub mod traffic;
+pub mod validate;
+pub mod wire;
+pub mod world;
--- /dev/null
+++ b/src/link.rs
@@ -0,0 +1,269 @@
+//! QUIC connections between nodes: frames of the control traffic on unidirectional streams, requests
+//! on bidirectional ones. It decides nothing; what arrives becomes an event.
+
+use {
+    crate::{
+        error::{Error, Result},
+        telemetry::Telemetry,
+        tls::{self, Identity},
+        wire::{self, Frame},
+        world::Host,
+    },
+    quinn::{Connection, Endpoint, RecvStream, SendStream, TransportConfig, VarInt},
+    rustls_pki_types::CertificateDer,
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+    tokio::sync::mpsc::UnboundedSender,
+};
+
+const IDLE_TIMEOUT: Duration = Duration::from_secs(6);
+const KEEP_ALIVE: Duration = Duration::from_secs(2);
+const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
+const STREAMS_MAX: u32 = 1024;
+
+/// What a link reports.
+#[derive(Debug)]
+pub enum Event {
+    /// A node is connected.
+    Connected(Host),
+    /// A node is connected no more.
+    Disconnected(Host),
+    /// A node sent a frame.
+    Received(Host, Frame),
+    /// A node passes a request on.
+    Requested(Host, SendStream, RecvStream),
+}
+
+/// A node's QUIC endpoint.
+#[derive(Clone)]
+pub struct Link {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    connections: Mutex<HashMap<Host, Connection>>,
+    endpoint: Endpoint,
+    events: UnboundedSender<Event>,
+    telemetry: Telemetry,
+}
+
+impl Link {
+    /// Binds the endpoint and starts taking connections.
+    ///
+    /// # Errors
+    /// Fails if the port is taken or the identity unusable.
+    pub fn bind(
+        address: SocketAddr,
+        identity: &Identity,
+        telemetry: Telemetry,
+        events: UnboundedSender<Event>,
+    ) -> Result<Self> {
+        let transport = Arc::new(transport());
+        let mut server = quinn::ServerConfig::with_crypto(Arc::new(identity.server()?));
+        server.transport_config(transport.clone());
+        let mut client = quinn::ClientConfig::new(Arc::new(identity.client()?));
+        client.transport_config(transport);
+        let mut endpoint =
+            Endpoint::server(server, address).map_err(|source| Error::Bind { address, source })?;
+        endpoint.set_default_client_config(client);
+        let link = Self {
+            inner: Arc::new(Inner {
+                connections: Mutex::default(),
+                endpoint,
+                events,
+                telemetry,
+            }),
+        };
+        tokio::spawn(link.clone().accept());
+        Ok(link)
+    }
+
+    /// Gives the address that was bound.
+    ///
+    /// # Errors
+    /// Fails if the socket is gone.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.inner.endpoint.local_addr()
+    }
+
+    /// Connects to a node.
+    ///
+    /// # Errors
+    /// Fails if the node can't be reached or isn't of this mesh.
+    pub async fn connect(&self, address: SocketAddr) -> Result<(Host, Connection)> {
+        let fail = |message: String| {
+            self.inner.telemetry.count("link.connect.failed");
+            Error::Peer {
+                step: "connect to",
+                peer: address.to_string(),
+                message,
+            }
+        };
+        let connecting = self
+            .inner
+            .endpoint
+            .connect(address, tls::SERVER_NAME)
+            .map_err(|error| fail(error.to_string()))?;
+        let connection = connecting.await.map_err(|error| fail(error.to_string()))?;
+        let host = self
+            .adopt(connection.clone())
+            .ok_or_else(|| fail("its certificate names no host".into()))?;
+        Ok((host, connection))
+    }
+
+    /// Gives the connection to a host, making one if there is none.
+    ///
+    /// # Errors
+    /// Fails if the host can't be reached or another one answers.
+    pub async fn connection(&self, host: &Host, address: SocketAddr) -> Result<Connection> {
+        if let Some(connection) = self.current(host) {
+            return Ok(connection);
+        }
+        let (found, connection) = self.connect(address).await?;
+        if found == *host {
+            return Ok(connection);
+        }
+        Err(Error::Peer {
+            step: "connect to",
+            peer: host.to_string(),
+            message: format!("{found} answers at {address}"),
+        })
+    }
+
+    /// Sends a frame to a connected host, without waiting.
+    pub fn send(&self, host: &Host, frame: &Frame) {
+        let telemetry = self.inner.telemetry.clone();
+        let (Some(connection), Ok(bytes)) = (self.current(host), wire::encode(frame)) else {
+            telemetry.count("link.send.unconnected");
+            return;
+        };
+        tokio::spawn(async move {
+            telemetry.add("link.sent.bytes", bytes.len() as u64);
+            if write(&connection, &bytes).await.is_err() {
+                telemetry.count("link.send.failed");
+            }
+        });
+    }
+
+    /// Closes every connection.
+    pub async fn close(&self) {
+        self.inner.endpoint.close(VarInt::from_u32(0), b"stopping");
+        self.inner.endpoint.wait_idle().await;
+    }
+
+    fn current(&self, host: &Host) -> Option<Connection> {
+        self.connections()
+            .get(host)
+            .filter(|connection| connection.close_reason().is_none())
+            .cloned()
+    }
+
+    fn connections(&self) -> std::sync::MutexGuard<'_, HashMap<Host, Connection>> {
+        self.inner
+            .connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn accept(self) {
+        while let Some(incoming) = self.inner.endpoint.accept().await {
+            let link = self.clone();
+            tokio::spawn(async move {
+                match incoming.await {
+                    Ok(connection) => {
+                        link.adopt(connection);
+                    }
+                    Err(_) => link.inner.telemetry.count("link.accept.refused"),
+                }
+            });
+        }
+    }
+
+    fn adopt(&self, connection: Connection) -> Option<Host> {
+        let Some(host) = subject(&connection) else {
+            self.inner.telemetry.count("link.accept.unnamed");
+            connection.close(VarInt::from_u32(1), b"the certificate names no host");
+            return None;
+        };
+        self.connections().insert(host.clone(), connection.clone());
+        self.report(Event::Connected(host.clone()));
+        tokio::spawn(self.clone().frames(host.clone(), connection.clone()));
+        tokio::spawn(self.clone().requests(host.clone(), connection));
+        Some(host)
+    }
+
+    fn report(&self, event: Event) {
+        // The receiver is gone only while the node stops.
+        let _ = self.inner.events.send(event);
+    }
+
+    async fn frames(self, host: Host, connection: Connection) {
+        while let Ok(mut stream) = connection.accept_uni().await {
+            let link = self.clone();
+            let host = host.clone();
+            tokio::spawn(async move {
+                let Ok(bytes) = stream.read_to_end(wire::FRAME_MAX).await else {
+                    return link.inner.telemetry.count("link.frame.cut");
+                };
+                link.inner
+                    .telemetry
+                    .add("link.received.bytes", bytes.len() as u64);
+                match wire::decode(&bytes) {
+                    Ok(frame) => link.report(Event::Received(host, frame)),
+                    Err(_) => link.inner.telemetry.count("link.frame.malformed"),
+                }
+            });
+        }
+        self.forget(&host, &connection);
+    }
+
+    fn forget(&self, host: &Host, connection: &Connection) {
+        let mut connections = self.connections();
+        let current = connections
+            .get(host)
+            .is_some_and(|held| held.stable_id() == connection.stable_id());
+        if current {
+            connections.remove(host);
+            drop(connections);
+            self.report(Event::Disconnected(host.clone()));
+        }
+    }
+
+    async fn requests(self, host: Host, connection: Connection) {
+        while let Ok((send, recv)) = connection.accept_bi().await {
+            self.report(Event::Requested(host.clone(), send, recv));
+        }
+    }
+}
+
+async fn write(connection: &Connection, bytes: &[u8]) -> std::io::Result<()> {
+    let mut stream = connection.open_uni().await?;
+    stream.write_all(bytes).await?;
+    stream.finish()?;
+    Ok(())
+}
+
+fn transport() -> TransportConfig {
+    let mut transport = TransportConfig::default();
+    transport
+        .max_idle_timeout(Some(
+            IDLE_TIMEOUT
+                .try_into()
+                .unwrap_or(VarInt::from_u32(6_000).into()),
+        ))
+        .keep_alive_interval(Some(KEEP_ALIVE))
+        .max_concurrent_bidi_streams(VarInt::from_u32(STREAMS_MAX))
+        .max_concurrent_uni_streams(VarInt::from_u32(STREAMS_MAX))
+        .stream_receive_window(VarInt::from_u32(STREAM_WINDOW_BYTES));
+    transport
+}
+
+fn subject(connection: &Connection) -> Option<Host> {
+    let identity = connection.peer_identity()?;
+    let chain = identity.downcast::<Vec<CertificateDer<'static>>>().ok()?;
+    tls::subject(chain.first()?).map(|(host, _)| host)
+}
--- /dev/null
+++ b/src/member.rs
@@ -0,0 +1,99 @@
+//! Membership: which hosts there are, and which upstream each one offers. Every record carries its
+//! incarnation and sequence; the higher one wins, so crossed updates settle alike everywhere.
+
+use {
+    crate::world::{Domain, Host, Moment, Region, Service, Version},
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, net::SocketAddr},
+};
+
+/// Where a node is and how other nodes reach it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contact {
+    /// Where the node takes QUIC connections.
+    pub address: SocketAddr,
+    /// The failure domain of the host.
+    pub domain: Domain,
+    /// The host.
+    pub host: Host,
+    /// The region of the failure domain.
+    pub region: Region,
+}
+
+/// What an upstream tells the node on its host, and repeats to renew its lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Offer {
+    /// Where the upstream takes HTTP requests.
+    pub address: SocketAddr,
+    /// The most connections it takes.
+    pub connections: u32,
+    /// The service it is an endpoint of.
+    pub service: Service,
+    /// The most requests it runs at a time.
+    pub slots: u32,
+    /// The version it runs.
+    pub version: Version,
+}
+
+/// Whether a host takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum State {
+    /// It takes work.
+    Ready,
+    /// It finishes what it has and takes nothing new.
+    Leaving,
+    /// It has left.
+    Gone,
+}
+
+/// What is known of one host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Where its node is.
+    pub contact: Contact,
+    /// When its node was started; the later start wins.
+    pub incarnation: Moment,
+    /// What its upstream offers, if one has announced itself.
+    pub offer: Option<Offer>,
+    /// Counts the changes of one incarnation; the higher one wins.
+    pub sequence: u64,
+    /// Whether it takes new work.
+    pub state: State,
+}
+
+impl Record {
+    fn order(&self) -> (Moment, u64) {
+        (self.incarnation, self.sequence)
+    }
+}
+
+/// Every host that a node knows of.
+#[derive(Debug, Default)]
+pub struct Roster {
+    records: BTreeMap<Host, Record>,
+}
+
+impl Roster {
+    /// Takes a record in and says whether it was news.
+    pub fn merge(&mut self, record: Record) -> bool {
+        let host = &record.contact.host;
+        let held = self.records.get(host).map(Record::order);
+        let news = held.is_none_or(|held| record.order() > held);
+        if news {
+            self.records.insert(host.clone(), record);
+        }
+        news
+    }
+
+    /// Looks a host up.
+    #[must_use]
+    pub fn get(&self, host: &Host) -> Option<&Record> {
+        self.records.get(host)
+    }
+
+    /// Lists every record.
+    pub fn iter(&self) -> impl Iterator<Item = &Record> {
+        self.records.values()
+    }
+}
--- /dev/null
+++ b/src/proxy/parts.rs
@@ -0,0 +1,45 @@
+//! Reads and writes the parts of a request on a QUIC stream, each behind its length.
+
+use {
+    crate::wire::{self, PART_MAX, Part},
+    quinn::{RecvStream, SendStream},
+    std::io,
+};
+
+const LENGTH_BYTES: usize = 4;
+
+/// Writes one part.
+///
+/// # Errors
+/// Fails if the stream is lost or the peer reads no more.
+pub async fn write(stream: &mut SendStream, part: &Part) -> io::Result<()> {
+    let bytes = wire::encode(part).map_err(io::Error::other)?;
+    let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
+    let mut framed = Vec::with_capacity(LENGTH_BYTES + bytes.len());
+    framed.extend_from_slice(&length.to_be_bytes());
+    framed.extend_from_slice(&bytes);
+    stream.write_all(&framed).await?;
+    Ok(())
+}
+
+/// Reads one part.
+///
+/// # Errors
+/// Fails if the stream is lost, or holds anything but a part of allowed length.
+pub async fn read(stream: &mut RecvStream) -> io::Result<Part> {
+    let mut length = [0; LENGTH_BYTES];
+    stream
+        .read_exact(&mut length)
+        .await
+        .map_err(io::Error::other)?;
+    let length = u32::from_be_bytes(length) as usize;
+    if length > PART_MAX {
+        return Err(io::Error::other("the part is too long"));
+    }
+    let mut bytes = vec![0; length];
+    stream
+        .read_exact(&mut bytes)
+        .await
+        .map_err(io::Error::other)?;
+    wire::decode(&bytes).map_err(io::Error::other)
+}
--- /dev/null
+++ b/tests/lib.rs
@@ -0,0 +1,9 @@
+//! Tests of whole nodes and of their decisions. One file a feature, over the small `Test` builder.
+
+#[allow(dead_code)]
+#[path = "../examples/standin/mod.rs"]
+mod standin;
+
+mod path;
+mod snapshot;
+mod test;
