Settle acceptance by receipts, batches and fences

Cause: the thin acceptance answered "unknown" for every lost answer, applied an id again when it was asked again, refused on a state that could be stale, never trimmed the log, and had no bound on its calls.

Now each operation leaves a receipt row in the transaction that accepts it (checked to be absent there), one consistent read gives head, log page and receipts, a refusal needs the state at the head, and an operation whose earlier transaction may still arrive is refused only after an empty entry has moved the head past it.

Ruled out: ids found only in the log (a node that got its state from peers has no log to look in); refusing on local state (a node that lags refused a route to a version that existed).

--- a/examples/standin/platform.rs
+++ b/examples/standin/platform.rs
@@ -2,7 +2,7 @@
 //! switches for its faults: down, slow, and answers lost after the write took effect.
 
 use {
-    mulberryshelf::platform::{Row, Rows, Transaction},
+    mulberryshelf::platform::{Read, Row, Rows, Transaction},
     serde::{Deserialize, Serialize},
     serde_json::{Value, json},
     socket2::SockRef,
@@ -114,7 +114,9 @@
         let (path, query) = url.split_once('?').unwrap_or((&url, ""));
         match (request.method(), path) {
             (Method::Get, "/v1/rows") => Some(self.rows(query)),
+            (Method::Post, "/v1/read") => Some(self.read(request)),
             (Method::Post, "/v1/transact") => self.transact(request),
+            (Method::Delete, _) if path.starts_with("/v1/objects/") => Some(self.remove(path)),
             (Method::Get, _) if path.starts_with("/v1/objects/") => Some(self.object(path)),
             (Method::Put, _) if path.starts_with("/v1/objects/") => Some(self.store(path, request)),
             _ => Some(reply(404, &json!({ "error": "nothing here" }))),
@@ -144,20 +146,43 @@
         let limit = parameter("limit")
             .and_then(|text| text.parse().ok())
             .unwrap_or(100);
+        self.range(&Read {
+            after,
+            keys: Vec::new(),
+            limit,
+            prefix,
+        })
+    }
+
+    fn read(&self, request: &mut Request) -> Reply {
+        match serde_json::from_reader(request.as_reader()) {
+            Ok(read) => self.range(&read),
+            Err(error) => reply(400, &json!({ "error": error.to_string() })),
+        }
+    }
+
+    fn range(&self, read: &Read) -> Reply {
+        let row = |(key, value): (&String, &Value)| Row {
+            key: key.clone(),
+            value: value.clone(),
+        };
         let mut state = self.state();
         state.reads += 1;
+        let found = read
+            .keys
+            .iter()
+            .filter_map(|key| state.rows.get_key_value(key))
+            .map(row)
+            .collect();
         let rows = state
             .rows
-            .range(prefix.clone()..)
-            .take_while(|(key, _)| key.starts_with(&prefix))
-            .filter(|(key, _)| **key > after)
-            .take(limit)
-            .map(|(key, value)| Row {
-                key: key.clone(),
-                value: value.clone(),
-            })
+            .range(read.prefix.clone()..)
+            .take_while(|(key, _)| key.starts_with(&read.prefix))
+            .filter(|(key, _)| **key > read.after)
+            .take(read.limit)
+            .map(row)
             .collect();
-        reply(200, &json!(Rows { rows }))
+        reply(200, &json!(Rows { found, rows }))
     }
 
     fn transact(&self, request: &mut Request) -> Option<Reply> {
@@ -196,6 +221,13 @@
         }
     }
 
+    fn remove(&self, path: &str) -> Reply {
+        let mut state = self.state();
+        state.writes += 1;
+        state.objects.remove(path);
+        reply(200, &json!({}))
+    }
+
     fn store(&self, path: &str, request: &mut Request) -> Reply {
         let mut bytes = Vec::new();
         if let Err(error) = request.as_reader().read_to_end(&mut bytes) {
--- a/src/api.rs
+++ b/src/api.rs
@@ -114,11 +114,7 @@
         };
         match spec {
             Ok(spec) => Ok(Change::Put(key, spec)),
-            Err(error) => Err(Fault {
-                field: "spec".into(),
-                message: error.to_string(),
-                resource: key.to_string(),
-            }),
+            Err(error) => Err(Fault::new(key.to_string(), "spec", error.to_string())),
         }
     }
 }
@@ -287,7 +283,10 @@
         ),
         Verdict::Refused(faults) => problem(422, "refused", &faults),
         Verdict::Unavailable => problem(503, "not accepted: the platform can't be reached", &[]),
-        Verdict::Unknown => reply(504, &json!({ "operation": id, "outcome": "unknown" })),
+        Verdict::Busy => problem(503, "not accepted: too many operations wait here", &[]),
+        Verdict::Absent | Verdict::Unknown => {
+            reply(504, &json!({ "operation": id, "outcome": "unknown" }))
+        }
     }
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -5,7 +5,7 @@
     crate::{
         member::{Contact, Offer, Record, Roster, State},
         snapshot::{Delta, Snapshot},
-        source::{self, Entry, Operation, Outcome, Source, Ticket, Verdict},
+        source::{self, Entry, Operation, Outcome, Page, Source, Ticket, Verdict},
         wire::Frame,
         world::{Host, Moment, Revision},
     },
@@ -26,8 +26,10 @@
     Disconnected(Host),
     /// The upstream on this host takes no new work.
     Draining,
-    /// A reading of the log has ended; nothing if the platform could not be read.
-    Read(Option<Vec<Entry>>),
+    /// A client asks what became of an operation.
+    Looked(Ticket, String),
+    /// A read of the table has ended; nothing if the platform could not be read.
+    Read(Option<Page>),
     /// A frame from a node.
     Received(Host, Frame),
     /// A client wants an operation accepted.
@@ -90,6 +92,7 @@
         };
         let mut roster = Roster::default();
         roster.merge(me.clone());
+        let seed = xxhash_rust::xxh3::xxh3_64(start.contact.host.as_str().as_bytes());
         Self {
             announced_at: Moment::default(),
             contact: start.contact,
@@ -99,7 +102,7 @@
             roster,
             seeds: start.peers,
             snapshot: Arc::default(),
-            source: Source::default(),
+            source: Source::new(seed),
         }
     }
 
@@ -125,10 +128,15 @@
                 Vec::new()
             }
             Event::Draining => self.draining(),
-            Event::Read(entries) => self.read(entries),
+            Event::Read(page) => self.read(now, page.as_ref()),
             Event::Received(host, frame) => self.received(&host, frame),
+            Event::Looked(ticket, id) => {
+                let actions = self.source.look(now, &self.snapshot, ticket, id);
+                self.accept(now, actions)
+            }
             Event::Submitted(ticket, operation) => {
-                source_actions(self.source.submit(&self.snapshot, ticket, operation))
+                let actions = self.source.submit(now, &self.snapshot, ticket, operation);
+                self.accept(now, actions)
             }
             Event::Tick => self.tick(now),
             Event::Transacted(revision, outcome) => self.transacted(now, revision, outcome),
@@ -187,12 +195,33 @@
         actions
     }
 
-    fn read(&mut self, entries: Option<Vec<Entry>>) -> Vec<Action> {
+    fn read(&mut self, now: Moment, page: Option<&Page>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if let Some(page) = page {
+            if let Some(snapshot) = &page.snapshot {
+                actions.extend(self.whole((**snapshot).clone()));
+            }
+            for entry in &page.entries {
+                actions.extend(self.append(entry.clone()));
+            }
+        }
+        let wanted = self.source.caught_up(now, &self.snapshot, page);
+        actions.extend(self.accept(now, wanted));
+        actions
+    }
+
+    /// Takes committed entries into the state, and passes on what else the source wants.
+    fn accept(&mut self, now: Moment, wanted: Vec<source::Action>) -> Vec<Action> {
         let mut actions = Vec::new();
-        for entry in entries.unwrap_or_default() {
+        for action in wanted {
+            let source::Action::Append(entry) = action else {
+                actions.push(Action::Source(action));
+                continue;
+            };
             actions.extend(self.append(entry));
+            let more = self.source.pump(now, &self.snapshot);
+            actions.extend(source_actions(more));
         }
-        actions.extend(source_actions(self.source.caught_up(&self.snapshot)));
         actions
     }
 
@@ -269,7 +298,8 @@
     }
 
     fn tick(&mut self, now: Moment) -> Vec<Action> {
-        let mut actions = source_actions(self.source.tick(now, &self.snapshot));
+        let wanted = self.source.tick(now, &self.snapshot);
+        let mut actions = self.accept(now, wanted);
         if now.since(self.announced_at) < ANNOUNCE_INTERVAL {
             return actions;
         }
@@ -298,15 +328,10 @@
     }
 
     fn transacted(&mut self, now: Moment, revision: Revision, outcome: Outcome) -> Vec<Action> {
-        let mut actions =
-            source_actions(
-                self.source
-                    .transacted(now, &self.snapshot, revision, outcome),
-            );
-        if outcome == Outcome::Committed {
-            actions.push(Action::Source(source::Action::Read(self.snapshot.revision)));
-        }
-        actions
+        let wanted = self
+            .source
+            .transacted(now, &self.snapshot, revision, outcome);
+        self.accept(now, wanted)
     }
 }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -15,7 +15,7 @@
         telemetry::Telemetry,
         tls::Identity,
         traffic::Traffic,
-        world::{Moment, Revision},
+        world::Moment,
     },
     arc_swap::ArcSwap,
     std::{
@@ -88,15 +88,25 @@
     /// Has an operation accepted, and waits for what becomes of it.
     #[must_use]
     pub fn submit(&self, operation: Operation) -> Verdict {
+        self.wait(|ticket| control::Event::Submitted(ticket, operation))
+    }
+
+    fn wait(&self, event: impl FnOnce(Ticket) -> control::Event) -> Verdict {
         let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = mpsc::channel();
         self.waiting().insert(ticket, sender);
-        self.report(control::Event::Submitted(Ticket(ticket), operation));
+        self.report(event(Ticket(ticket)));
         let verdict = receiver.recv_timeout(SUBMIT_TIMEOUT);
         self.waiting().remove(&ticket);
         verdict.unwrap_or(Verdict::Unknown)
     }
 
+    /// Asks the platform what became of an operation.
+    #[must_use]
+    pub fn look(&self, id: String) -> Verdict {
+        self.wait(|ticket| control::Event::Looked(ticket, id))
+    }
+
     /// Takes an upstream's announcement.
     pub fn announce(&self, offer: Offer) {
         self.report(control::Event::Announced(offer));
@@ -248,14 +258,22 @@
 
 /// Calls the platform from threads of its own, so that a slow answer holds up nothing else.
 fn worker(base: &str, events: &UnboundedSender<control::Event>) -> mpsc::Sender<source::Action> {
-    let (reads, to_read) = mpsc::channel::<Revision>();
+    let (reads, to_read) = mpsc::channel::<source::Query>();
     let (writes, to_write) = mpsc::channel::<source::Entry>();
     let (sender, receiver) = mpsc::channel();
     let platform = Platform::open(base);
     let (reader, reported) = (platform.clone(), events.clone());
     thread::spawn(move || {
-        while let Ok(after) = to_read.recv() {
-            let _ = reported.send(control::Event::Read(reader.read(after)));
+        while let Ok(query) = to_read.recv() {
+            let _ = reported.send(control::Event::Read(reader.read(&query)));
+        }
+    });
+    let (stores, to_store) = mpsc::channel::<(Arc<Snapshot>, source::Base)>();
+    let objects = platform.clone();
+    thread::spawn(move || {
+        while let Ok((snapshot, base)) = to_store.recv() {
+            // A snapshot that was not stored is made up for by a later one.
+            let _: Outcome = objects.store(&snapshot, base, source::RETAINED);
         }
     });
     let reported = events.clone();
@@ -269,9 +287,10 @@
         while let Ok(action) = receiver.recv() {
             // The workers end only after this thread does.
             match action {
-                source::Action::Read(after) => drop(reads.send(after)),
+                source::Action::Read(query) => drop(reads.send(query)),
+                source::Action::Store(snapshot, base) => drop(stores.send((snapshot, base))),
                 source::Action::Transact(entry) => drop(writes.send(entry)),
-                source::Action::Reply(..) => {}
+                source::Action::Append(..) | source::Action::Reply(..) => {}
             }
         }
     });
@@ -308,6 +327,10 @@
 
     fn note(&self, event: &control::Event) {
         match event {
+            control::Event::Read(None) => self.handle.telemetry.count("source.read.failed"),
+            control::Event::Transacted(_, outcome) => {
+                self.handle.telemetry.count(&format!("source.{outcome}"));
+            }
             control::Event::Announced(offer) => self.proxy.offer(Some(offer.clone())),
             control::Event::Draining => self.proxy.offer(None),
             _ => {}
--- a/src/validate.rs
+++ b/src/validate.rs
@@ -2,24 +2,53 @@
 
 use {
     crate::{
-        resource::{Change, Kind, Route, Spec},
-        snapshot::Snapshot,
+        resource::{Change, Key, Kind, Limits, Resource, Rollout, Route, Spec},
+        snapshot::{self, Snapshot},
         source::Operation,
-        world::{Permille, Revision},
+        world::{Moment, Permille, Revision, Service},
     },
     serde::{Deserialize, Serialize},
-    std::fmt::{self, Display, Formatter},
+    std::{
+        collections::BTreeSet,
+        fmt::{self, Display, Formatter},
+    },
 };
 
+/// The longest operation id, in bytes.
+pub const ID_MAX: usize = 64;
+
 /// One thing that is wrong with an operation.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Fault {
+    /// The resource, as kind and name; empty for the request itself.
+    pub resource: String,
     /// The field, from the resource's root.
     pub field: String,
     /// What is wrong with it.
     pub message: String,
-    /// The resource, as kind and name.
-    pub resource: String,
+}
+
+impl Fault {
+    /// Names a field of a resource, and what is wrong with it.
+    #[must_use]
+    pub fn new(
+        resource: impl Into<String>,
+        field: impl Into<String>,
+        message: impl Into<String>,
+    ) -> Self {
+        Self {
+            resource: resource.into(),
+            field: field.into(),
+            message: message.into(),
+        }
+    }
+
+    /// Says that an id belongs to an operation with other changes.
+    #[must_use]
+    pub fn reused(id: &str, revision: Revision) -> Self {
+        let message = format!("`{id}` is the id of other changes, accepted as {revision}");
+        Self::new("", "operation", message)
+    }
 }
 
 impl Display for Fault {
@@ -28,90 +57,278 @@
     }
 }
 
-/// Gives the state that an operation leads to, as part of the revision that `state` is of.
+/// Tells whether a text may be an operation's id: it becomes part of a row's key.
+#[must_use]
+pub fn is_id(text: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    !text.is_empty() && text.len() <= ID_MAX && text.bytes().all(allowed)
+}
+
+/// Makes the changes of an operation as part of the revision that `state` is of.
 ///
 /// # Errors
 /// Names every fault of the operation; `state` is as it was.
-pub fn operation(state: &Snapshot, operation: &Operation) -> Result<Snapshot, Vec<Fault>> {
-    let mut faults = Vec::new();
-    let mut next = state.clone();
+pub fn apply(state: &mut Snapshot, operation: &Operation, now: Moment) -> Result<(), Vec<Fault>> {
+    let mut faults = BTreeSet::new();
+    let mut before = Vec::new();
+    let mut keys = BTreeSet::new();
     for (change, precondition) in &operation.changes {
-        faults.extend(precondition_fault(state, change, *precondition));
-        faults.extend(spec_faults(change));
-        next.change(next.revision, change);
-    }
-    faults.extend(next.dangling().map(|(key, field, target)| Fault {
-        field,
-        message: format!("refers to {target}, which does not exist"),
-        resource: key.to_string(),
-    }));
+        let key = change.key();
+        if !keys.insert(key) {
+            faults.insert(Fault::new(
+                key.to_string(),
+                "metadata.name",
+                "is given twice",
+            ));
+            continue;
+        }
+        let held = state.resources.get(key).cloned();
+        faults.extend(precondition_fault(held.as_ref(), change, *precondition));
+        faults.extend(own_faults(held.as_ref(), change, now));
+        before.push((key.clone(), held));
+        state.change(state.revision, change);
+    }
+    faults.extend(state_faults(state, &keys));
     if faults.is_empty() {
-        Ok(next)
-    } else {
-        Err(faults)
+        return Ok(());
+    }
+    for (key, held) in before {
+        restore(state, &key, held);
+    }
+    Err(faults.into_iter().collect())
+}
+
+fn restore(state: &mut Snapshot, key: &Key, held: Option<Resource>) {
+    match held {
+        Some(resource) => {
+            let put = Change::Put(key.clone(), resource.spec);
+            state.change(resource.revision, &put);
+        }
+        None => state.change(state.revision, &Change::Delete(key.clone())),
     }
 }
 
 fn precondition_fault(
-    state: &Snapshot,
+    held: Option<&Resource>,
     change: &Change,
     precondition: Option<Revision>,
 ) -> Option<Fault> {
-    let held = state
-        .resources
-        .get(change.key())
-        .map(|resource| resource.revision);
+    let held = held.map(|resource| resource.revision);
     let message = match (precondition, held, change) {
         (Some(Revision(0)), Some(held), _) => format!("exists already, at {held}"),
         (Some(stated), Some(held), _) if stated != held => {
             format!("is at {held}, not {stated}")
         }
         (Some(stated), None, _) if stated != Revision(0) => "does not exist".into(),
-        (None, None, Change::Delete(_)) => "does not exist".into(),
+        (_, None, Change::Delete(_)) => "does not exist".into(),
         _ => return None,
     };
-    Some(Fault {
-        field: "metadata.resourceVersion".into(),
+    Some(Fault::new(
+        change.key().to_string(),
+        "metadata.resourceVersion",
         message,
-        resource: change.key().to_string(),
-    })
+    ))
 }
 
-fn spec_faults(change: &Change) -> Vec<Fault> {
+/// Names what is wrong with a change whatever the state is.
+fn own_faults(held: Option<&Resource>, change: &Change, now: Moment) -> Vec<Fault> {
     let Change::Put(key, spec) = change else {
         return Vec::new();
     };
-    let fault = |field: &str, message: String| Fault {
-        field: field.into(),
-        message,
-        resource: key.to_string(),
-    };
     let mut faults = Vec::new();
+    let mut add = |field: &str, message: String| {
+        faults.push(Fault::new(key.to_string(), field, message));
+    };
     if spec.kind() != key.kind {
-        faults.push(fault(
-            "kind",
-            format!("the spec is of kind {}", spec.kind()),
-        ));
+        add("kind", format!("the spec is of kind {}", spec.kind()));
     }
-    if let Spec::Route(route) = spec {
-        faults.extend(route_fault(route).map(|(field, message)| fault(field, message)));
-    }
-    if let Spec::Rollout(rollout) = spec
-        && rollout.from == rollout.to
-    {
-        faults.push(fault("spec.to", "is the version that it moves from".into()));
+    match spec {
+        Spec::Limits(limits) => limits_faults(limits, &mut add),
+        Spec::Rollout(rollout) => {
+            let same = held.is_some_and(|held| held.spec == *spec);
+            rollout_faults(rollout, now, same, &mut add);
+        }
+        Spec::Route(route) => route_faults(route, &mut add),
+        Spec::Version(_) => {}
     }
-    debug_assert!(Kind::ALL.contains(&key.kind));
     faults
 }
 
-fn route_fault(route: &Route) -> Option<(&'static str, String)> {
+fn limits_faults(limits: &Limits, add: &mut impl FnMut(&str, String)) {
+    if limits.timeout_ms == Some(0) {
+        add("spec.timeout_ms", "must be at least 1".into());
+    }
+}
+
+fn rollout_faults(rollout: &Rollout, now: Moment, same: bool, add: &mut impl FnMut(&str, String)) {
+    if rollout.from == rollout.to {
+        add("spec.to", "is the version that it moves from".into());
+    }
+    if rollout.deadline <= now && !same {
+        add("spec.deadline", format!("{} has passed", rollout.deadline));
+    }
+}
+
+fn route_faults(route: &Route, add: &mut impl FnMut(&str, String)) {
+    if !route.path.starts_with('/') {
+        add("spec.path", "does not begin with `/`".into());
+    }
     let sum: u32 = route.shares.values().map(|share| u32::from(share.0)).sum();
     if sum != u32::from(Permille::WHOLE.0) {
-        return Some(("spec.shares", format!("add up to {sum}, not 1000")));
+        add("spec.shares", format!("add up to {sum}, not 1000"));
     }
-    if !route.path.starts_with('/') {
-        return Some(("spec.path", "does not begin with `/`".into()));
+}
+
+/// Names what is wrong with how resources fit together, as far as the keys that changed matter.
+fn state_faults(state: &Snapshot, changed: &BTreeSet<&Key>) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    for resource in state.resources.values() {
+        let own = changed.contains(&resource.key);
+        for (field, target) in snapshot::references(&resource.spec) {
+            if own || changed.contains(&target) {
+                faults.extend(reference_fault(state, resource, &field, &target, own));
+            }
+        }
+        if let Spec::Limits(_) = resource.spec {
+            faults.extend(limits_fault(state, resource, own, changed));
+        }
+    }
+    faults.extend(path_faults(state, changed));
+    faults
+}
+
+fn reference_fault(
+    state: &Snapshot,
+    resource: &Resource,
+    field: &str,
+    target: &Key,
+    own: bool,
+) -> Option<Fault> {
+    let key = &resource.key;
+    let Some(found) = state.resources.get(target) else {
+        return Some(if own {
+            Fault::new(
+                key.to_string(),
+                field,
+                format!("refers to {target}, which does not exist"),
+            )
+        } else {
+            Fault::new(
+                target.to_string(),
+                "metadata.name",
+                format!("is referred to by {field} of {key}"),
+            )
+        });
+    };
+    let (wanted, has) = (
+        service(state, &resource.spec)?,
+        service(state, &found.spec)?,
+    );
+    if wanted == has {
+        return None;
+    }
+    Some(if own {
+        Fault::new(
+            key.to_string(),
+            field,
+            format!("refers to {target}, which is of service {has}, not {wanted}"),
+        )
+    } else {
+        Fault::new(
+            target.to_string(),
+            "spec.service",
+            format!("must stay {wanted}: {field} of {key} refers to it"),
+        )
+    })
+}
+
+/// Gives the service that a specification is about; a rollout's is its route's.
+fn service<'a>(state: &'a Snapshot, spec: &'a Spec) -> Option<&'a Service> {
+    match spec {
+        Spec::Limits(_) => None,
+        Spec::Rollout(rollout) => match &state.get(Kind::Route, &rollout.route)?.spec {
+            Spec::Route(route) => Some(&route.service),
+            _ => None,
+        },
+        Spec::Route(route) => Some(&route.service),
+        Spec::Version(version) => Some(&version.service),
+    }
+}
+
+fn limits_fault(
+    state: &Snapshot,
+    resource: &Resource,
+    own: bool,
+    changed: &BTreeSet<&Key>,
+) -> Option<Fault> {
+    let version = changed.iter().find(|key| key.kind == Kind::Version);
+    if !own && version.is_none() {
+        return None;
+    }
+    let name = &resource.key.name;
+    let known = state.resources.values().any(|other| {
+        matches!(&other.spec, Spec::Version(version) if version.service.as_str() == name.as_str())
+    });
+    if known {
+        return None;
+    }
+    Some(Fault::new(
+        resource.key.to_string(),
+        "metadata.name",
+        format!("no version of service {name} exists"),
+    ))
+}
+
+fn path_faults(state: &Snapshot, changed: &BTreeSet<&Key>) -> Vec<Fault> {
+    let routes = || {
+        state
+            .resources
+            .values()
+            .filter_map(|resource| match &resource.spec {
+                Spec::Route(route) => Some((&resource.key, route)),
+                _ => None,
+            })
+    };
+    let mut faults = Vec::new();
+    for (key, route) in routes().filter(|(key, _)| changed.contains(key)) {
+        let other = routes().find(|(other, held)| {
+            *other != key && held.service == route.service && held.path == route.path
+        });
+        if let Some((other, _)) = other {
+            faults.push(Fault::new(
+                key.to_string(),
+                "spec.path",
+                format!("`{}` is the path of {other} already", route.path),
+            ));
+        }
+    }
+    faults
+}
+
+/// Gives the candidate that a misspelt word was most likely meant to be.
+#[must_use]
+pub fn nearest<'a>(word: &str, candidates: &[&'a str]) -> Option<&'a str> {
+    let allowed = (word.len() / 3).max(1);
+    candidates
+        .iter()
+        .map(|candidate| (distance(word, candidate), *candidate))
+        .filter(|(distance, _)| *distance <= allowed)
+        .min()
+        .map(|(_, candidate)| candidate)
+}
+
+/// Counts the letters to insert, delete or replace to get from one word to the other.
+fn distance(left: &str, right: &str) -> usize {
+    let right: Vec<char> = right.chars().collect();
+    let mut row: Vec<usize> = (0..=right.len()).collect();
+    for (index, letter) in left.chars().take(64).enumerate() {
+        let mut diagonal = row[0];
+        row[0] = index + 1;
+        for (column, other) in right.iter().enumerate() {
+            let replaced = diagonal + usize::from(letter != *other);
+            diagonal = row[column + 1];
+            row[column + 1] = replaced.min(diagonal + 1).min(row[column] + 1);
+        }
     }
-    None
+    row[right.len()]
 }
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -6,4 +6,5 @@
 
 mod path;
 mod snapshot;
+mod source;
 mod test;
--- /dev/null
+++ b/tests/source.rs
@@ -0,0 +1,782 @@
+//! What is accepted is accepted once, in one order, and the client's answer is the truth.
+
+use {
+    crate::standin::platform::{Faults, Platform as Standin},
+    mulberryshelf::{
+        platform::Platform,
+        resource::{Change, Key, Kind, Route, Spec, VersionSpec},
+        snapshot::{Delta, Snapshot},
+        source::{
+            Action, BATCH_MAX, Base, Entry, Operation, Outcome, PAGE, Page, QUEUE_MAX, Query,
+            Receipt, SNAPSHOT_EVERY, Source, Ticket, Verdict, WAIT_MAX,
+        },
+        world::{Moment, Permille, Revision},
+    },
+    proptest::prelude::*,
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+};
+
+const TICK: Duration = Duration::from_millis(50);
+
+fn key(kind: Kind, name: &str) -> Key {
+    let name = name.parse().unwrap();
+    Key { kind, name }
+}
+
+fn version(name: &str) -> Change {
+    let service = "desk".parse().unwrap();
+    let spec = Spec::Version(VersionSpec { service });
+    Change::Put(key(Kind::Version, name), spec)
+}
+
+fn route(to: &str) -> Change {
+    let spec = Route {
+        path: "/".into(),
+        service: "desk".parse().unwrap(),
+        shares: [(to.parse().unwrap(), Permille::WHOLE)].into(),
+    };
+    Change::Put(key(Kind::Route, "desk"), Spec::Route(spec))
+}
+
+fn operation(id: &str, changes: impl IntoIterator<Item = Change>) -> Operation {
+    Operation {
+        changes: changes.into_iter().map(|change| (change, None)).collect(),
+        id: id.into(),
+    }
+}
+
+fn create(id: &str, change: Change) -> Operation {
+    Operation {
+        changes: vec![(change, Some(Revision(0)))],
+        id: id.into(),
+    }
+}
+
+/// The platform's table in memory, with its faults.
+#[derive(Default)]
+struct Table {
+    base: Base,
+    /// Nothing is answered, and nothing takes effect.
+    down: bool,
+    head: Revision,
+    /// Transactions on their way that take effect only later.
+    late: Vec<Entry>,
+    /// This many transactions are late.
+    lag: u32,
+    log: BTreeMap<Revision, Entry>,
+    /// This many transactions take effect, and their answers are lost.
+    lose: u32,
+    reads: u64,
+    receipts: BTreeMap<String, Receipt>,
+    writes: u64,
+}
+
+impl Table {
+    fn read(&mut self, query: &Query) -> Option<Page> {
+        self.reads += 1;
+        if self.down {
+            return None;
+        }
+        let after = query.after.next()..;
+        Some(Page {
+            base: self.base,
+            entries: self
+                .log
+                .range(after)
+                .take(PAGE)
+                .map(|(_, entry)| entry.clone())
+                .collect(),
+            head: self.head,
+            receipts: query
+                .ids
+                .iter()
+                .filter_map(|id| Some((id.clone(), *self.receipts.get(id)?)))
+                .collect(),
+            snapshot: None,
+        })
+    }
+
+    fn commit(&mut self, entry: &Entry) -> Outcome {
+        let twice = entry
+            .operations
+            .iter()
+            .any(|operation| self.receipts.contains_key(&operation.id));
+        if twice || self.head.next() != entry.revision {
+            return Outcome::Conflict;
+        }
+        self.head = entry.revision;
+        for operation in &entry.operations {
+            let receipt = Receipt {
+                hash: operation.hash(),
+                revision: entry.revision,
+            };
+            self.receipts.insert(operation.id.clone(), receipt);
+        }
+        self.log.insert(entry.revision, entry.clone());
+        Outcome::Committed
+    }
+
+    fn transact(&mut self, entry: &Entry) -> Outcome {
+        self.writes += 1;
+        if self.lag > 0 {
+            self.lag -= 1;
+            self.late.push(entry.clone());
+            return Outcome::Unknown;
+        }
+        if self.down {
+            return Outcome::Unknown;
+        }
+        let outcome = self.commit(entry);
+        if self.lose > 0 {
+            self.lose -= 1;
+            return Outcome::Unknown;
+        }
+        outcome
+    }
+
+    fn arrive(&mut self) {
+        for entry in std::mem::take(&mut self.late) {
+            self.commit(&entry);
+        }
+    }
+}
+
+/// One node's source with the state that it follows.
+struct Node {
+    replies: BTreeMap<Ticket, Verdict>,
+    snapshot: Arc<Snapshot>,
+    source: Source,
+    stores: Vec<(Arc<Snapshot>, Base)>,
+}
+
+impl Node {
+    fn new(seed: u64) -> Self {
+        Self {
+            replies: BTreeMap::new(),
+            snapshot: Arc::default(),
+            source: Source::new(seed),
+            stores: Vec::new(),
+        }
+    }
+
+    fn append(&mut self, entry: &Entry) {
+        let delta = Delta {
+            changes: entry.changes().collect(),
+            digest: entry.digest,
+            from: Revision(entry.revision.0 - 1),
+            to: entry.revision,
+        };
+        if let Ok(next) = self.snapshot.apply(&delta) {
+            self.snapshot = Arc::new(next);
+        }
+    }
+
+    fn submit(&mut self, table: &mut Table, now: Moment, ticket: u64, operation: Operation) {
+        let snapshot = self.snapshot.clone();
+        let actions = self
+            .source
+            .submit(now, &snapshot, Ticket(ticket), operation);
+        self.run(table, now, actions);
+    }
+
+    fn look(&mut self, table: &mut Table, now: Moment, ticket: u64, id: &str) {
+        let snapshot = self.snapshot.clone();
+        let actions = self
+            .source
+            .look(now, &snapshot, Ticket(ticket), id.to_string());
+        self.run(table, now, actions);
+    }
+
+    fn tick(&mut self, table: &mut Table, now: Moment) {
+        let snapshot = self.snapshot.clone();
+        let actions = self.source.tick(now, &snapshot);
+        self.run(table, now, actions);
+    }
+
+    fn run(&mut self, table: &mut Table, now: Moment, actions: Vec<Action>) {
+        for action in actions {
+            let more = match action {
+                Action::Append(entry) => {
+                    self.append(&entry);
+                    self.source.pump(now, &self.snapshot)
+                }
+                Action::Read(query) => {
+                    let page = table.read(&query);
+                    for entry in page.iter().flat_map(|page| &page.entries) {
+                        self.append(entry);
+                    }
+                    self.source.caught_up(now, &self.snapshot, page.as_ref())
+                }
+                Action::Reply(ticket, verdict) => {
+                    let before = self.replies.insert(ticket, verdict);
+                    assert_eq!(before, None, "{ticket:?} is answered twice");
+                    Vec::new()
+                }
+                Action::Store(snapshot, base) => {
+                    self.stores.push((snapshot, base));
+                    Vec::new()
+                }
+                Action::Transact(entry) => {
+                    let outcome = table.transact(&entry);
+                    let snapshot = self.snapshot.clone();
+                    self.source
+                        .transacted(now, &snapshot, entry.revision, outcome)
+                }
+            };
+            self.run(table, now, more);
+        }
+    }
+
+    fn verdict(&self, ticket: u64) -> Option<&Verdict> {
+        self.replies.get(&Ticket(ticket))
+    }
+
+    fn accepted(&self, ticket: u64) -> Revision {
+        match self.verdict(ticket) {
+            Some(Verdict::Accepted(revision)) => *revision,
+            other => panic!("not accepted: {other:?}"),
+        }
+    }
+
+    fn refused(&self, ticket: u64) -> Vec<String> {
+        match self.verdict(ticket) {
+            Some(Verdict::Refused(faults)) => faults.iter().map(ToString::to_string).collect(),
+            other => panic!("not refused: {other:?}"),
+        }
+    }
+}
+
+/// Nodes over one table, in virtual time.
+struct Mesh {
+    nodes: Vec<Node>,
+    now: Moment,
+    table: Table,
+}
+
+impl Mesh {
+    fn new(nodes: u64) -> Self {
+        Self {
+            nodes: (0..nodes).map(Node::new).collect(),
+            now: Moment(1_000_000_000_000_000),
+            table: Table::default(),
+        }
+    }
+
+    fn submit(&mut self, node: usize, ticket: u64, operation: Operation) {
+        self.nodes[node].submit(&mut self.table, self.now, ticket, operation);
+    }
+
+    fn look(&mut self, node: usize, ticket: u64, id: &str) {
+        self.nodes[node].look(&mut self.table, self.now, ticket, id);
+    }
+
+    fn pass(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = self.now + TICK;
+            for node in &mut self.nodes {
+                node.tick(&mut self.table, self.now);
+            }
+        }
+    }
+
+    /// Counts the entries that hold an operation.
+    fn times(&self, id: &str) -> usize {
+        let operations = self.table.log.values().flat_map(|entry| &entry.operations);
+        operations.filter(|operation| operation.id == id).count()
+    }
+}
+
+#[test]
+fn same_id_at_two_nodes_is_applied_once() {
+    let mut mesh = Mesh::new(2);
+    let operation = create("a", version("desk-1"));
+    mesh.submit(0, 1, operation.clone());
+    mesh.submit(1, 1, operation);
+    mesh.pass(Duration::from_secs(2));
+    assert_eq!(mesh.nodes[0].accepted(1), mesh.nodes[1].accepted(1));
+    assert_eq!(mesh.times("a"), 1);
+}
+
+#[test]
+fn same_id_asked_again_gives_its_revision_after_later_changes() {
+    let mut mesh = Mesh::new(2);
+    mesh.submit(0, 1, create("a", version("desk-1")));
+    mesh.pass(Duration::from_secs(1));
+    mesh.submit(
+        0,
+        2,
+        operation("b", [Change::Delete(key(Kind::Version, "desk-1"))]),
+    );
+    mesh.pass(Duration::from_secs(1));
+    mesh.submit(1, 3, create("a", version("desk-1")));
+    mesh.pass(Duration::from_secs(1));
+    assert_eq!(mesh.nodes[1].accepted(3), mesh.nodes[0].accepted(1));
+    assert!(mesh.nodes[1].snapshot.resources.is_empty());
+}
+
+#[test]
+fn id_of_other_changes_is_refused() {
+    let mut mesh = Mesh::new(1);
+    mesh.submit(0, 1, operation("a", [version("desk-1")]));
+    mesh.pass(Duration::from_secs(1));
+    mesh.submit(0, 2, operation("a", [version("desk-2")]));
+    mesh.pass(Duration::from_secs(1));
+    assert_eq!(
+        mesh.nodes[0].refused(2),
+        [" operation: `a` is the id of other changes, accepted as 1"]
+    );
+}
+
+#[test]
+fn answer_lost_after_the_write_is_settled_as_accepted() {
+    let mut mesh = Mesh::new(1);
+    mesh.table.lose = 1;
+    mesh.submit(0, 1, create("a", version("desk-1")));
+    mesh.pass(Duration::from_secs(2));
+    assert_eq!(mesh.nodes[0].accepted(1), Revision(1));
+    assert_eq!(mesh.times("a"), 1);
+    assert_eq!(mesh.nodes[0].snapshot.revision, Revision(1));
+}
+
+#[test]
+fn transaction_that_arrives_after_it_was_sent_again_is_applied_once() {
+    let mut mesh = Mesh::new(1);
+    mesh.table.lag = 1;
+    mesh.submit(0, 1, create("a", version("desk-1")));
+    mesh.pass(Duration::from_secs(2));
+    mesh.table.arrive();
+    mesh.pass(Duration::from_secs(1));
+    assert_eq!(mesh.nodes[0].accepted(1), Revision(1));
+    assert_eq!((mesh.times("a"), mesh.table.head), (1, Revision(1)));
+}
+
+#[test]
+fn refused_operation_cannot_take_effect_by_an_older_transaction() {
+    let mut mesh = Mesh::new(1);
+    mesh.table.down = true;
+    mesh.pass(Duration::from_secs(1));
+    mesh.submit(0, 1, operation("a", [version("desk-1")]));
+    mesh.pass(Duration::from_secs(3));
+    mesh.submit(0, 2, operation("b", [route("desk-1")]));
+    // Both are sent in one transaction, which is late; then the first is given up, and without it
+    // the second is dangling.
+    (mesh.table.down, mesh.table.lag) = (false, u32::MAX);
+    mesh.pass(Duration::from_millis(3_500));
+    mesh.table.late.truncate(1);
+    mesh.table.lag = 0;
+    mesh.pass(Duration::from_secs(2));
+    mesh.table.arrive();
+    mesh.pass(Duration::from_secs(5));
+    assert_eq!(mesh.nodes[0].verdict(1), Some(&Verdict::Unknown));
+    assert_eq!(mesh.nodes[0].refused(2).len(), 1);
+    assert_eq!(mesh.times("b"), 0);
+}
+
+#[test]
+fn outcome_is_unknown_only_while_the_table_is_away_and_the_id_settles_it() {
+    let mut mesh = Mesh::new(2);
+    mesh.pass(TICK);
+    mesh.table.lag = 1;
+    mesh.table.down = true;
+    mesh.submit(0, 1, create("a", version("desk-1")));
+    mesh.pass(WAIT_MAX);
+    assert_eq!(mesh.nodes[0].verdict(1), Some(&Verdict::Unknown));
+    mesh.table.down = false;
+    mesh.table.arrive();
+    mesh.look(1, 2, "a");
+    mesh.pass(Duration::from_secs(5));
+    assert_eq!(mesh.nodes[1].accepted(2), Revision(1));
+    mesh.look(1, 3, "b");
+    mesh.pass(Duration::from_secs(1));
+    assert_eq!(mesh.nodes[1].verdict(3), Some(&Verdict::Absent));
+}
+
+#[test]
+fn nothing_is_sent_while_the_table_is_known_to_be_down() {
+    let mut mesh = Mesh::new(1);
+    mesh.table.down = true;
+    mesh.pass(Duration::from_secs(2));
+    mesh.submit(0, 1, operation("a", [version("desk-1")]));
+    mesh.pass(WAIT_MAX);
+    assert_eq!(mesh.nodes[0].verdict(1), Some(&Verdict::Unavailable));
+    assert_eq!(mesh.table.writes, 0);
+    mesh.table.down = false;
+    mesh.pass(Duration::from_secs(5));
+    assert_eq!(mesh.times("a"), 0, "answered as not accepted, it never is");
+}
+
+#[test]
+fn operation_outlives_a_short_outage() {
+    let mut mesh = Mesh::new(1);
+    mesh.table.down = true;
+    mesh.pass(Duration::from_secs(1));
+    mesh.submit(0, 1, operation("a", [version("desk-1")]));
+    mesh.pass(Duration::from_secs(1));
+    mesh.table.down = false;
+    mesh.pass(Duration::from_secs(4));
+    assert_eq!(mesh.nodes[0].accepted(1), Revision(1));
+}
+
+#[test]
+fn reference_that_loses_the_race_against_a_deletion_is_refused() {
+    let mut mesh = Mesh::new(2);
+    mesh.submit(0, 1, operation("a", [version("desk-1")]));
+    mesh.pass(Duration::from_secs(1));
+    mesh.submit(
+        0,
+        2,
+        operation("b", [Change::Delete(key(Kind::Version, "desk-1"))]),
+    );
+    // This node has not seen the deletion: its own state would let the route through.
+    mesh.submit(1, 3, operation("c", [route("desk-1")]));
+    mesh.pass(Duration::from_secs(2));
+    assert_eq!(mesh.nodes[0].accepted(2), Revision(2));
+    assert_eq!(
+        mesh.nodes[1].refused(3),
+        ["route/desk spec.shares.desk-1: refers to version/desk-1, which does not exist"]
+    );
+}
+
+#[test]
+fn deletion_that_loses_the_race_against_a_reference_is_refused() {
+    let mut mesh = Mesh::new(2);
+    mesh.submit(0, 1, operation("a", [version("desk-1")]));
+    mesh.pass(Duration::from_secs(1));
+    mesh.submit(0, 2, operation("b", [route("desk-1")]));
+    mesh.submit(
+        1,
+        3,
+        operation("c", [Change::Delete(key(Kind::Version, "desk-1"))]),
+    );
+    mesh.pass(Duration::from_secs(2));
+    assert_eq!(mesh.nodes[0].accepted(2), Revision(2));
+    assert_eq!(
+        mesh.nodes[1].refused(3),
+        ["version/desk-1 metadata.name: is referred to by spec.shares.desk-1 of route/desk"]
+    );
+}
+
+#[test]
+fn node_that_lags_behind_refuses_nothing_that_the_table_allows() {
+    let mut mesh = Mesh::new(2);
+    mesh.nodes[1].source.set_polling(false);
+    mesh.submit(0, 1, operation("a", [version("desk-1")]));
+    mesh.pass(Duration::from_secs(1));
+    assert_eq!(mesh.nodes[1].snapshot.revision, Revision(0));
+    mesh.submit(1, 2, operation("b", [route("desk-1")]));
+    mesh.pass(Duration::from_secs(1));
+    assert_eq!(mesh.nodes[1].accepted(2), Revision(2));
+}
+
+#[test]
+fn faulty_operation_of_a_batch_is_refused_alone_and_whole() {
+    let mut mesh = Mesh::new(1);
+    mesh.pass(Duration::from_secs(1));
+    mesh.submit(0, 0, operation("first", [version("desk-0")]));
+    mesh.submit(0, 1, operation("a", [version("desk-1")]));
+    mesh.submit(0, 2, operation("b", [version("desk-2"), route("desk-9")]));
+    mesh.submit(0, 3, operation("c", [version("desk-3")]));
+    mesh.pass(Duration::from_secs(2));
+    let node = &mesh.nodes[0];
+    assert_eq!(node.accepted(1), node.accepted(3), "one transaction");
+    assert_eq!(
+        node.refused(2),
+        ["route/desk spec.shares.desk-9: refers to version/desk-9, which does not exist"]
+    );
+    assert!(
+        !node
+            .snapshot
+            .resources
+            .contains_key(&key(Kind::Version, "desk-2"))
+    );
+}
+
+#[test]
+fn refusal_comes_while_others_keep_the_table_busy() {
+    let mut mesh = Mesh::new(1);
+    mesh.submit(0, 0, operation("bad", [route("desk-9")]));
+    for ticket in 1..40 {
+        mesh.submit(
+            0,
+            ticket,
+            operation(&format!("good-{ticket}"), [version("desk-1")]),
+        );
+        mesh.pass(TICK);
+    }
+    assert_eq!(mesh.nodes[0].refused(0).len(), 1);
+}
+
+#[test]
+fn concurrent_operations_share_transactions() {
+    let mut mesh = Mesh::new(1);
+    for ticket in 0..500 {
+        let id = format!("id-{ticket}");
+        mesh.submit(
+            0,
+            ticket,
+            operation(&id, [version(&format!("desk-{ticket}"))]),
+        );
+    }
+    mesh.pass(Duration::from_secs(1));
+    assert_eq!(mesh.nodes[0].replies.len(), 500);
+    let least = 500_u64.div_ceil(BATCH_MAX as u64);
+    assert!(
+        mesh.table.writes <= least + 1,
+        "{} writes",
+        mesh.table.writes
+    );
+}
+
+#[test]
+fn full_queue_refuses_at_once() {
+    let mut mesh = Mesh::new(1);
+    mesh.table.down = true;
+    mesh.pass(Duration::from_secs(1));
+    for ticket in 0..=QUEUE_MAX as u64 {
+        mesh.submit(
+            0,
+            ticket,
+            operation(&format!("id-{ticket}"), [version("desk-1")]),
+        );
+    }
+    assert_eq!(
+        mesh.nodes[0].verdict(QUEUE_MAX as u64),
+        Some(&Verdict::Busy)
+    );
+    assert_eq!(mesh.nodes[0].replies.len(), 1);
+}
+
+#[test]
+fn calls_in_an_outage_and_in_a_race_stay_in_bounds() {
+    let mut mesh = Mesh::new(10);
+    mesh.table.down = true;
+    mesh.submit(0, 0, operation("first", [version("desk-0")]));
+    mesh.pass(Duration::from_mins(1));
+    // With a wait of 3 s at most a node that is backing off stays under two calls a second.
+    let calls = mesh.table.reads + mesh.table.writes;
+    assert!(calls < 10 * 60 * 2, "{calls} calls in a minute of outage");
+    mesh.table.down = false;
+    mesh.pass(Duration::from_secs(5));
+    let before = (mesh.table.reads, mesh.table.writes);
+    for ticket in 1..=200 {
+        for node in 0..10 {
+            let id = format!("{node}-{ticket}");
+            mesh.submit(
+                node,
+                ticket,
+                operation(&id, [version(&format!("v-{node}"))]),
+            );
+        }
+        mesh.pass(TICK);
+    }
+    let seconds = 10;
+    assert!(mesh.table.reads - before.0 <= 10 * 21 * seconds);
+    assert!(mesh.table.writes - before.1 <= 10 * 21 * seconds);
+    mesh.pass(WAIT_MAX);
+    for node in &mesh.nodes {
+        let accepted = |verdict: &&Verdict| matches!(verdict, Verdict::Accepted(_));
+        let count = node.replies.values().filter(accepted).count();
+        assert!(count >= 200, "{count} of 200 in time");
+    }
+}
+
+#[test]
+fn only_polling_nodes_read_when_nothing_is_asked() {
+    let mut mesh = Mesh::new(1);
+    mesh.nodes[0].source.set_polling(false);
+    mesh.pass(Duration::from_mins(1));
+    assert_eq!(mesh.table.reads, 0);
+    mesh.nodes[0].source.set_polling(true);
+    mesh.pass(Duration::from_mins(1));
+    assert!(
+        (100..=121).contains(&mesh.table.reads),
+        "{}",
+        mesh.table.reads
+    );
+}
+
+#[test]
+fn log_of_several_pages_is_followed_to_its_head() {
+    let mut mesh = Mesh::new(2);
+    mesh.nodes[1].source.set_polling(false);
+    let revisions = PAGE as u64 * 2 + 10;
+    for ticket in 0..revisions {
+        mesh.submit(
+            0,
+            ticket,
+            operation(&format!("id-{ticket}"), [version("desk-1")]),
+        );
+        mesh.pass(TICK);
+    }
+    assert_eq!(mesh.table.head, Revision(revisions));
+    mesh.submit(1, 0, create("last", version("desk-1")));
+    mesh.pass(Duration::from_secs(1));
+    assert_eq!(
+        mesh.nodes[1].refused(0),
+        [format!(
+            "version/desk-1 metadata.resourceVersion: exists already, at {revisions}"
+        )]
+    );
+}
+
+#[test]
+fn snapshot_is_stored_when_the_log_has_grown() {
+    let mut mesh = Mesh::new(1);
+    for ticket in 0..SNAPSHOT_EVERY + 10 {
+        mesh.submit(
+            0,
+            ticket,
+            operation(&format!("id-{ticket}"), [version("desk-1")]),
+        );
+        mesh.pass(TICK);
+    }
+    let (snapshot, base) = mesh.nodes[0].stores.first().expect("a snapshot");
+    assert!(snapshot.revision.0 >= SNAPSHOT_EVERY);
+    assert_eq!(*base, Base::default());
+}
+
+fn entry(state: &mut Snapshot, id: &str, change: Change) -> Entry {
+    state.revision = state.revision.next();
+    state.change(state.revision, &change);
+    Entry {
+        digest: state.digest,
+        operations: vec![operation(id, [change])],
+        revision: state.revision,
+    }
+}
+
+#[test]
+fn reader_behind_the_trimmed_log_takes_the_newest_snapshot() {
+    let standin = Standin::bind(crate::test::ANY).unwrap();
+    let platform = Platform::open(&standin.url());
+    let mut state = Snapshot::default();
+    for number in 1..=20 {
+        let entry = entry(&mut state, &format!("id-{number}"), version("desk-1"));
+        assert_eq!(platform.transact(&entry), Outcome::Committed);
+    }
+    let base = Base::default();
+    assert_eq!(platform.store(&state, base, 5), Outcome::Committed);
+    assert_eq!(
+        platform.store(&state, base, 5),
+        Outcome::Conflict,
+        "a second one that stores the same snapshot changes nothing"
+    );
+    let last = entry(&mut state, "id-21", version("desk-2"));
+    assert_eq!(platform.transact(&last), Outcome::Committed);
+    let query = Query {
+        after: Revision(0),
+        ids: vec!["id-3".into(), "id-18".into()],
+    };
+    let page = platform.read(&query).unwrap();
+    let snapshot = page.snapshot.expect("the log begins after revision 15");
+    assert_eq!((snapshot.revision, page.head), (Revision(20), Revision(21)));
+    assert_eq!(page.entries, [last]);
+    assert_eq!(page.receipts.len(), 1, "the receipts go with their entries");
+    let close = Query {
+        after: Revision(18),
+        ids: Vec::new(),
+    };
+    let page = platform.read(&close).unwrap();
+    assert_eq!((page.snapshot, page.entries.len()), (None, 3));
+}
+
+#[test]
+fn client_tells_what_was_not_sent_from_what_is_unknown() {
+    let standin = Standin::bind(crate::test::ANY).unwrap();
+    let platform = Platform::open(&standin.url());
+    let first = entry(&mut Snapshot::default(), "a", version("desk-1"));
+    standin.fail(Faults {
+        lose_answers: 1,
+        ..Faults::default()
+    });
+    assert_eq!(platform.transact(&first), Outcome::Unknown);
+    assert_eq!(platform.transact(&first), Outcome::Conflict);
+    standin.fail(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    assert_eq!(platform.read(&Query::default()), None);
+    let nobody = Platform::open("http://127.0.0.1:1");
+    assert_eq!(nobody.transact(&first), Outcome::Unsent);
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Arrive,
+    Down(bool),
+    Lag,
+    Lose,
+    Pass(u64),
+    Submit(usize, u8),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        1 => Just(Step::Arrive),
+        1 => any::<bool>().prop_map(Step::Down),
+        1 => Just(Step::Lag),
+        1 => Just(Step::Lose),
+        4 => (1_u64..40).prop_map(Step::Pass),
+        6 => (0_usize..3, 0_u8..12).prop_map(|(node, id)| Step::Submit(node, id)),
+    ]
+}
+
+/// The change that belongs to an id: three versions and one route come and go.
+fn change(id: u8) -> Change {
+    let name = format!("desk-{}", id % 3);
+    match id / 3 {
+        0 => version(&name),
+        1 => route(&name),
+        2 => Change::Delete(key(Kind::Route, "desk")),
+        _ => Change::Delete(key(Kind::Version, &name)),
+    }
+}
+
+proptest! {
+    #[test]
+    fn every_verdict_is_the_truth(steps in proptest::collection::vec(step(), 1..40)) {
+        let mut mesh = Mesh::new(3);
+        let mut asked = Vec::new();
+        for (ticket, step) in steps.into_iter().enumerate() {
+            let ticket = ticket as u64;
+            match step {
+                Step::Arrive => mesh.table.arrive(),
+                Step::Down(down) => mesh.table.down = down,
+                Step::Lag => mesh.table.lag = 1,
+                Step::Lose => mesh.table.lose = 1,
+                Step::Pass(ticks) => mesh.pass(TICK * u32::try_from(ticks).unwrap()),
+                Step::Submit(node, id) => {
+                    let name = format!("id-{id}");
+                    mesh.submit(node, ticket, operation(&name, [change(id)]));
+                    asked.push((node, ticket, name));
+                }
+            }
+        }
+        mesh.pass(WAIT_MAX + TICK);
+        mesh.table.arrive();
+        mesh.table.down = false;
+        mesh.pass(WAIT_MAX);
+        let revisions: Vec<u64> = mesh.table.log.keys().map(|revision| revision.0).collect();
+        prop_assert_eq!(&revisions, &(1..=mesh.table.head.0).collect::<Vec<_>>());
+        for node in &mesh.nodes {
+            prop_assert_eq!(node.snapshot.revision, mesh.table.head);
+            prop_assert_eq!(node.snapshot.dangling().count(), 0);
+        }
+        for (node, ticket, id) in &asked {
+            prop_assert!(mesh.times(id) <= 1);
+            let accepted = mesh.table.receipts.get(id).map(|receipt| receipt.revision);
+            let alone = asked.iter().filter(|(_, _, other)| other == id).count() == 1;
+            match mesh.nodes[*node].verdict(*ticket) {
+                Some(Verdict::Accepted(revision)) => {
+                    prop_assert_eq!(Some(*revision), accepted);
+                }
+                Some(Verdict::Refused(_) | Verdict::Unavailable) if alone => {
+                    prop_assert_eq!(accepted, None);
+                }
+                Some(Verdict::Refused(_) | Verdict::Unavailable | Verdict::Unknown) => {}
+                other => prop_assert!(false, "{:?}", other),
+            }
+        }
+    }
+}
