Report each failure domain's coverage and the node's role

Status has to name the version in force in each failure domain, and the rollouts need the topology and a way to carry their messages. Checked by request_is_served_across_nodes, which waits for both domains.

--- a/src/control.rs
+++ b/src/control.rs
@@ -6,8 +6,9 @@
         member::{Contact, Offer, Record, Roster, State},
         snapshot::{Delta, Snapshot},
         source::{self, Entry, Operation, Outcome, Source, Ticket, Verdict},
+        spread::{Coverage, Role},
         wire::Frame,
-        world::{Host, Moment, Revision},
+        world::{Domain, Host, Moment, Revision},
     },
     std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
 };
@@ -43,8 +44,14 @@
 pub enum Action {
     /// Connect to a node.
     Connect(SocketAddr),
+    /// The coverage of failure domains has changed; this is all of it.
+    Cover(BTreeMap<Domain, Coverage>),
     /// Run a new configuration, by one swap.
     Install(Arc<Snapshot>),
+    /// This node's place among the others has changed.
+    Role(Role),
+    /// A node sent a message about rollouts.
+    Rollout(Host, Vec<u8>),
     /// Send a frame to a connected node.
     Send(Host, Frame),
     /// Act towards the platform or a client.
@@ -68,9 +75,11 @@
 pub struct Control {
     announced_at: Moment,
     contact: Contact,
+    coverage: BTreeMap<Domain, Coverage>,
     entries: Vec<Entry>,
     me: Record,
     peers: BTreeMap<Host, Revision>,
+    role: Role,
     roster: Roster,
     seeds: Vec<SocketAddr>,
     snapshot: Arc<Snapshot>,
@@ -93,9 +102,11 @@
         Self {
             announced_at: Moment::default(),
             contact: start.contact,
+            coverage: BTreeMap::new(),
             entries: Vec::new(),
             me,
             peers: BTreeMap::new(),
+            role: Role::default(),
             roster,
             seeds: start.peers,
             snapshot: Arc::default(),
@@ -117,6 +128,13 @@
 
     /// Takes an event and says what to do.
     pub fn handle(&mut self, now: Moment, event: Event) -> Vec<Action> {
+        let mut actions = self.decide(now, event);
+        actions.extend(self.place());
+        actions.extend(self.cover());
+        actions
+    }
+
+    fn decide(&mut self, now: Moment, event: Event) -> Vec<Action> {
         match event {
             Event::Announced(offer) => self.announced(offer),
             Event::Connected(host) => self.connected(host),
@@ -135,6 +153,55 @@
         }
     }
 
+    fn place(&mut self) -> Option<Action> {
+        let (children, siblings) = self
+            .peers
+            .keys()
+            .cloned()
+            .partition(|host| self.domain(host).as_ref() == Some(&self.contact.domain));
+        let role = Role {
+            children,
+            parent: None,
+            relay: true,
+            siblings,
+        };
+        (role != self.role).then(|| {
+            self.role = role.clone();
+            Action::Role(role)
+        })
+    }
+
+    fn cover(&mut self) -> Option<Action> {
+        let mut coverage = self.coverage.clone();
+        for held in coverage.values_mut() {
+            held.reached = false;
+        }
+        let own = Some((self.contact.domain.clone(), self.snapshot.revision));
+        let others = self
+            .peers
+            .iter()
+            .filter_map(|(host, revision)| Some((self.domain(host)?, *revision)));
+        for (domain, revision) in others.chain(own) {
+            let held = coverage.entry(domain).or_insert(Coverage {
+                reached: false,
+                revision,
+            });
+            if !held.reached || revision < held.revision {
+                held.revision = revision;
+            }
+            held.reached = true;
+        }
+        (coverage != self.coverage).then(|| {
+            self.coverage = coverage.clone();
+            Action::Cover(coverage)
+        })
+    }
+
+    fn domain(&self, host: &Host) -> Option<Domain> {
+        let record = self.roster.get(host)?;
+        Some(record.contact.domain.clone())
+    }
+
     fn announced(&mut self, offer: Offer) -> Vec<Action> {
         if self.me.offer.as_ref() == Some(&offer) && self.me.state == State::Ready {
             return Vec::new();
@@ -234,6 +301,7 @@
             Frame::Delta(delta) => self.delta(host, &delta),
             Frame::Snapshot(snapshot) => self.whole(snapshot),
             Frame::Members(records) => self.merge(Some(host), records),
+            Frame::Rollout(message) => vec![Action::Rollout(host.clone(), message)],
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,8 @@
 //! Mulberryshelf distributes the configuration of a service mesh: operators declare routes, versions,
 //! shares and deadlines, and every node runs what was accepted within seconds and never goes back.
 //!
-//! The decisions ([`control`], [`source`], [`traffic`], [`member`], [`snapshot`]) have no clock, socket or
+//! The decisions ([`control`], [`source`], [`traffic`], [`member`], [`snapshot`],
+//! [`spread`]) have no clock, socket or
 //! thread; the edges ([`link`], [`proxy`], [`api`], [`platform`]) decide nothing. See docs/design.md.
 
 pub mod api;
@@ -20,6 +21,7 @@
 pub mod settings;
 pub mod snapshot;
 pub mod source;
+pub mod spread;
 pub mod telemetry;
 pub mod tls;
 pub mod traffic;
--- a/src/node.rs
+++ b/src/node.rs
@@ -12,14 +12,15 @@
         settings::Settings,
         snapshot::Snapshot,
         source::{self, Operation, Outcome, Ticket, Verdict},
+        spread::Coverage,
         telemetry::Telemetry,
         tls::Identity,
         traffic::Traffic,
-        world::{Moment, Revision},
+        world::{Domain, Moment, Revision},
     },
     arc_swap::ArcSwap,
     std::{
-        collections::HashMap,
+        collections::{BTreeMap, HashMap},
         net::SocketAddr,
         sync::{
             Arc, Mutex, PoisonError,
@@ -65,6 +66,7 @@
 /// What the API reaches a node by.
 #[derive(Clone)]
 pub struct Handle {
+    coverage: Arc<ArcSwap<BTreeMap<Domain, Coverage>>>,
     events: UnboundedSender<control::Event>,
     snapshot: Arc<ArcSwap<Snapshot>>,
     telemetry: Telemetry,
@@ -79,6 +81,12 @@
         self.snapshot.load_full()
     }
 
+    /// Gives how far each failure domain has come.
+    #[must_use]
+    pub fn coverage(&self) -> Arc<BTreeMap<Domain, Coverage>> {
+        self.coverage.load_full()
+    }
+
     /// Gives the counters.
     #[must_use]
     pub fn telemetry(&self) -> &Telemetry {
@@ -145,6 +153,7 @@
         let proxy = Proxy::new(link.clone(), traffic, telemetry.clone());
         let (events, from_edges) = unbounded_channel();
         let handle = Handle {
+            coverage: Arc::default(),
             events: events.clone(),
             snapshot: Arc::default(),
             telemetry,
@@ -321,10 +330,13 @@
                 // A failure is counted by the link, and the next tick tries again.
                 tokio::spawn(async move { drop(link.connect(address).await) });
             }
+            control::Action::Cover(coverage) => self.handle.coverage.store(Arc::new(coverage)),
             control::Action::Install(snapshot) => {
                 self.handle.snapshot.store(snapshot.clone());
                 self.proxy.traffic().install(snapshot);
             }
+            // Nothing in this node judges rollouts yet.
+            control::Action::Role(_) | control::Action::Rollout(..) => {}
             control::Action::Send(host, frame) => self.link.send(&host, &frame),
             control::Action::Source(source::Action::Reply(ticket, verdict)) => {
                 if let Some(waiting) = self.handle.waiting().remove(&ticket.0) {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -30,6 +30,8 @@
     Snapshot(Snapshot),
     /// What the sender knows of hosts.
     Members(Vec<Record>),
+    /// A message about rollouts, which `rollout` encodes and decodes.
+    Rollout(Vec<u8>),
 }
 
 /// One part of a proxied request or answer.
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -17,6 +17,14 @@
         panic!("{verdict:?}");
     };
     test.converged(revision).await;
+    eventually(|| {
+        let coverage = test.hosts[0].node.handle().coverage();
+        coverage.len() == 2
+            && coverage
+                .values()
+                .all(|domain| domain.reached && domain.revision >= revision)
+    })
+    .await;
     let proxy = test.hosts[0].node.proxy();
     let mut answer = call(proxy, "dispatch-hub", "crew 7").await;
     if answer.0 == 503 {
