Split the node and the admin port into files of their own

Four jobs stood in node.rs: the clock, the handle that the API reaches a node by, the loop and the platform's threads. Each has a file now, and the admin port's handlers leave the resource API's file.

--- a/src/api.rs
+++ b/src/api.rs
@@ -1,9 +1,8 @@
-//! The resource API and the admin port, over HTTP. See docs/api.md.
+//! The resource API, over HTTP. See docs/api.md.
 
 use {
     crate::{
         error::{Error, Result},
-        member::Offer,
         node::Handle,
         resource::{Change, Key, Kind, Resource, Spec},
         settings::Tokens,
@@ -73,7 +72,7 @@
     pub resources: Vec<Document>,
 }
 
-type Reply = Response<Cursor<Vec<u8>>>;
+pub(crate) type Reply = Response<Cursor<Vec<u8>>>;
 
 impl Document {
     /// Shows an accepted resource.
@@ -132,15 +131,7 @@
         Self::bind(address, move |request| api(&tokens, &handle, request))
     }
 
-    /// Serves the admin port.
-    ///
-    /// # Errors
-    /// Fails if the port is taken.
-    pub fn admin(address: SocketAddr, handle: Handle) -> Result<Self> {
-        Self::bind(address, move |request| admin(&handle, request))
-    }
-
-    fn bind(
+    pub(crate) fn bind(
         address: SocketAddr,
         serve: impl Fn(&mut Request) -> Reply + Clone + Send + 'static,
     ) -> Result<Self> {
@@ -175,7 +166,7 @@
     }
 }
 
-fn reply(status: u16, body: &Value) -> Reply {
+pub(crate) fn reply(status: u16, body: &Value) -> Reply {
     let text = format!("{body}\n");
     let reply = Response::from_string(text).with_status_code(status);
     match tiny_http::Header::from_bytes("content-type", "application/json") {
@@ -184,14 +175,14 @@
     }
 }
 
-fn problem(status: u16, title: &str, faults: &[Fault]) -> Reply {
+pub(crate) fn problem(status: u16, title: &str, faults: &[Fault]) -> Reply {
     reply(
         status,
         &json!({ "status": status, "title": title, "faults": faults }),
     )
 }
 
-fn body<T: for<'de> Deserialize<'de>>(request: &mut Request) -> Result<T, Reply> {
+pub(crate) fn body<T: for<'de> Deserialize<'de>>(request: &mut Request) -> Result<T, Reply> {
     let mut text = String::new();
     let mut reader = std::io::Read::take(request.as_reader(), BODY_MAX);
     std::io::Read::read_to_string(&mut reader, &mut text)
@@ -290,26 +281,3 @@
         Verdict::Unknown => reply(504, &json!({ "operation": id, "outcome": "unknown" })),
     }
 }
-
-fn admin(handle: &Handle, request: &mut Request) -> Reply {
-    let url = request.url().to_string();
-    match (request.method(), url.as_str()) {
-        (Method::Get, "/health") => reply(
-            200,
-            &json!({ "resourceVersion": handle.snapshot().revision }),
-        ),
-        (Method::Get, "/counters") => reply(200, &json!(handle.telemetry().totals())),
-        (Method::Put, "/upstream") => match body::<Offer>(request) {
-            Ok(offer) => {
-                handle.announce(offer);
-                reply(200, &json!({}))
-            }
-            Err(reply) => reply,
-        },
-        (Method::Post, "/drain") => {
-            handle.drain();
-            reply(200, &json!({}))
-        }
-        _ => problem(404, "there is nothing here", &[]),
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! The decisions ([`control`], [`source`], [`traffic`], [`member`], [`snapshot`]) have no clock, socket or
 //! thread; the edges ([`link`], [`proxy`], [`api`], [`platform`]) decide nothing. See docs/design.md.
 
+pub mod admin;
 pub mod api;
 pub mod body;
 pub mod control;
--- a/src/node.rs
+++ b/src/node.rs
@@ -2,120 +2,28 @@
 
 use {
     crate::{
+        admin,
         api::Port,
         control::{self, Control, Start},
         error::{Error, Result},
         link::{self, Link},
-        member::Offer,
-        platform::Platform,
         proxy::{Proxy, egress, ingress::Ingress},
         settings::Settings,
-        snapshot::Snapshot,
-        source::{self, Operation, Outcome, Ticket, Verdict},
         telemetry::Telemetry,
         tls::Identity,
         traffic::Traffic,
-        world::{Moment, Revision},
-    },
-    arc_swap::ArcSwap,
-    std::{
-        collections::HashMap,
-        net::SocketAddr,
-        sync::{
-            Arc, Mutex, PoisonError,
-            atomic::{AtomicU64, Ordering},
-            mpsc,
-        },
-        thread,
-        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
+    driver::Driver,
+    std::{net::SocketAddr, sync::Arc},
     tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
 };
 
-const SUBMIT_TIMEOUT: Duration = Duration::from_secs(10);
-const TICK: Duration = Duration::from_millis(50);
-
-/// Tells the time: the wall clock's at the start, advanced by a monotonic clock.
-#[derive(Debug, Clone, Copy)]
-pub struct Clock {
-    start: Moment,
-    started: Instant,
-}
-
-impl Clock {
-    /// Reads the wall clock once.
-    #[must_use]
-    pub fn open() -> Self {
-        let since = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
-        Self {
-            start: Moment::default() + since,
-            started: Instant::now(),
-        }
-    }
-
-    /// Gives the time.
-    #[must_use]
-    pub fn now(&self) -> Moment {
-        self.start + self.started.elapsed()
-    }
-}
-
-/// What the API reaches a node by.
-#[derive(Clone)]
-pub struct Handle {
-    events: UnboundedSender<control::Event>,
-    snapshot: Arc<ArcSwap<Snapshot>>,
-    telemetry: Telemetry,
-    tickets: Arc<AtomicU64>,
-    waiting: Arc<Mutex<HashMap<u64, mpsc::Sender<Verdict>>>>,
-}
-
-impl Handle {
-    /// Gives the configuration in force.
-    #[must_use]
-    pub fn snapshot(&self) -> Arc<Snapshot> {
-        self.snapshot.load_full()
-    }
-
-    /// Gives the counters.
-    #[must_use]
-    pub fn telemetry(&self) -> &Telemetry {
-        &self.telemetry
-    }
-
-    /// Has an operation accepted, and waits for what becomes of it.
-    #[must_use]
-    pub fn submit(&self, operation: Operation) -> Verdict {
-        let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
-        let (sender, receiver) = mpsc::channel();
-        self.waiting().insert(ticket, sender);
-        self.report(control::Event::Submitted(Ticket(ticket), operation));
-        let verdict = receiver.recv_timeout(SUBMIT_TIMEOUT);
-        self.waiting().remove(&ticket);
-        verdict.unwrap_or(Verdict::Unknown)
-    }
-
-    /// Takes an upstream's announcement.
-    pub fn announce(&self, offer: Offer) {
-        self.report(control::Event::Announced(offer));
-    }
+mod clock;
+mod driver;
+mod handle;
+mod worker;
 
-    /// Has the upstream on this host take no new work.
-    pub fn drain(&self) {
-        self.report(control::Event::Draining);
-    }
-
-    fn report(&self, event: control::Event) {
-        // The loop is gone only while the node stops.
-        let _ = self.events.send(event);
-    }
-
-    fn waiting(&self) -> std::sync::MutexGuard<'_, HashMap<u64, mpsc::Sender<Verdict>>> {
-        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
+pub use {clock::Clock, handle::Handle};
 
 /// A running node.
 pub struct Node {
@@ -152,7 +60,7 @@
             waiting: Arc::default(),
         };
         let api = Port::api(settings.api, settings.tokens.clone(), handle.clone())?;
-        let admin = Port::admin(settings.admin, handle.clone())?;
+        let admin = admin::bind(settings.admin, handle.clone())?;
         let ingress = Ingress::bind(settings.proxy, proxy.clone()).await?;
         let mut contact = settings.contact();
         contact.address = link.address().map_err(|source| Error::Bind {
@@ -170,7 +78,7 @@
             control,
             handle: handle.clone(),
             link: link.clone(),
-            platform: worker(&settings.platform, &events),
+            platform: worker::spawn(&settings.platform, &events),
             proxy: proxy.clone(),
         };
         tokio::spawn(driver.run(from_edges));
@@ -245,95 +153,3 @@
         }
     }
 }
-
-/// Calls the platform from threads of its own, so that a slow answer holds up nothing else.
-fn worker(base: &str, events: &UnboundedSender<control::Event>) -> mpsc::Sender<source::Action> {
-    let (reads, to_read) = mpsc::channel::<Revision>();
-    let (writes, to_write) = mpsc::channel::<source::Entry>();
-    let (sender, receiver) = mpsc::channel();
-    let platform = Platform::open(base);
-    let (reader, reported) = (platform.clone(), events.clone());
-    thread::spawn(move || {
-        while let Ok(after) = to_read.recv() {
-            let _ = reported.send(control::Event::Read(reader.read(after)));
-        }
-    });
-    let reported = events.clone();
-    thread::spawn(move || {
-        while let Ok(entry) = to_write.recv() {
-            let outcome: Outcome = platform.transact(&entry);
-            let _ = reported.send(control::Event::Transacted(entry.revision, outcome));
-        }
-    });
-    thread::spawn(move || {
-        while let Ok(action) = receiver.recv() {
-            // The workers end only after this thread does.
-            match action {
-                source::Action::Read(after) => drop(reads.send(after)),
-                source::Action::Transact(entry) => drop(writes.send(entry)),
-                source::Action::Reply(..) => {}
-            }
-        }
-    });
-    sender
-}
-
-struct Driver {
-    clock: Clock,
-    control: Control,
-    handle: Handle,
-    link: Link,
-    platform: mpsc::Sender<source::Action>,
-    proxy: Proxy,
-}
-
-impl Driver {
-    async fn run(mut self, mut events: UnboundedReceiver<control::Event>) {
-        let mut ticks = tokio::time::interval(TICK);
-        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        loop {
-            let event = tokio::select! {
-                event = events.recv() => match event {
-                    Some(event) => event,
-                    None => return,
-                },
-                _ = ticks.tick() => control::Event::Tick,
-            };
-            self.note(&event);
-            for action in self.control.handle(self.clock.now(), event) {
-                self.act(action);
-            }
-        }
-    }
-
-    fn note(&self, event: &control::Event) {
-        match event {
-            control::Event::Announced(offer) => self.proxy.offer(Some(offer.clone())),
-            control::Event::Draining => self.proxy.offer(None),
-            _ => {}
-        }
-    }
-
-    fn act(&mut self, action: control::Action) {
-        match action {
-            control::Action::Connect(address) => {
-                let link = self.link.clone();
-                // A failure is counted by the link, and the next tick tries again.
-                tokio::spawn(async move { drop(link.connect(address).await) });
-            }
-            control::Action::Install(snapshot) => {
-                self.handle.snapshot.store(snapshot.clone());
-                self.proxy.traffic().install(snapshot);
-            }
-            control::Action::Send(host, frame) => self.link.send(&host, &frame),
-            control::Action::Source(source::Action::Reply(ticket, verdict)) => {
-                if let Some(waiting) = self.handle.waiting().remove(&ticket.0) {
-                    // A client that waits no more asks again with the same id.
-                    let _ = waiting.send(verdict);
-                }
-            }
-            control::Action::Source(action) => drop(self.platform.send(action)),
-            control::Action::Update(records) => self.proxy.traffic().update(records),
-        }
-    }
-}
--- /dev/null
+++ b/src/node/driver.rs
@@ -0,0 +1,77 @@
+//! The loop that drives the decisions: events in, actions out.
+
+use {
+    super::{Clock, Handle},
+    crate::{
+        control::{self, Control},
+        link::Link,
+        proxy::Proxy,
+        source,
+    },
+    std::{sync::mpsc, time::Duration},
+    tokio::sync::mpsc::UnboundedReceiver,
+};
+
+const TICK: Duration = Duration::from_millis(50);
+
+/// What the loop holds.
+pub(super) struct Driver {
+    pub(super) clock: Clock,
+    pub(super) control: Control,
+    pub(super) handle: Handle,
+    pub(super) link: Link,
+    pub(super) platform: mpsc::Sender<source::Action>,
+    pub(super) proxy: Proxy,
+}
+
+impl Driver {
+    /// Drives the decisions until the node is gone.
+    pub(super) async fn run(mut self, mut events: UnboundedReceiver<control::Event>) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            let event = tokio::select! {
+                event = events.recv() => match event {
+                    Some(event) => event,
+                    None => return,
+                },
+                _ = ticks.tick() => control::Event::Tick,
+            };
+            self.note(&event);
+            for action in self.control.handle(self.clock.now(), event) {
+                self.act(action);
+            }
+        }
+    }
+
+    fn note(&self, event: &control::Event) {
+        match event {
+            control::Event::Announced(offer) => self.proxy.offer(Some(offer.clone())),
+            control::Event::Draining => self.proxy.offer(None),
+            _ => {}
+        }
+    }
+
+    fn act(&mut self, action: control::Action) {
+        match action {
+            control::Action::Connect(address) => {
+                let link = self.link.clone();
+                // A failure is counted by the link, and the next tick tries again.
+                tokio::spawn(async move { drop(link.connect(address).await) });
+            }
+            control::Action::Install(snapshot) => {
+                self.handle.snapshot.store(snapshot.clone());
+                self.proxy.traffic().install(snapshot);
+            }
+            control::Action::Send(host, frame) => self.link.send(&host, &frame),
+            control::Action::Source(source::Action::Reply(ticket, verdict)) => {
+                if let Some(waiting) = self.handle.waiting().remove(&ticket.0) {
+                    // A client that waits no more asks again with the same id.
+                    let _ = waiting.send(verdict);
+                }
+            }
+            control::Action::Source(action) => drop(self.platform.send(action)),
+            control::Action::Update(records) => self.proxy.traffic().update(records),
+        }
+    }
+}
