Check the settings whole, and every file that they name

Cause: settings were read by a derived visitor, which ends at the first fault, names no path and lets two ports, two equal tokens or a missing file through until something half-started fails. Now each setting is read by its path from a table of rules, every fault is gathered, and nothing is bound before all hold. The page's table is held to the code's by a test, its sample is run through the check. Tokens are compared in constant time and have no Debug output. The certificate is checked against authority, key, host, domain and time; the development authority's certificates hold 90 days, its own 365 (they held until the year 4096 before).

--- a/src/api.rs
+++ b/src/api.rs
@@ -5,7 +5,7 @@
         error::{Error, Result},
         node::Handle,
         resource::{Change, Key, Kind, Resource, Spec},
-        settings::Tokens,
+        settings::{Right, Tokens},
         source::{Operation, Verdict},
         validate::Fault,
         world::{Name, Revision},
@@ -201,11 +201,10 @@
 }
 
 fn api(tokens: &Tokens, handle: &Handle, request: &mut Request) -> Reply {
-    let token = bearer(request);
-    let writes = token.as_ref() == Some(&tokens.write);
-    if !writes && token.as_ref() != Some(&tokens.read) {
+    let Some(right) = bearer(request).and_then(|token| tokens.right(&token)) else {
         return problem(401, "a bearer token is needed", &[]);
-    }
+    };
+    let writes = right == Right::Write;
     let url = request.url().to_string();
     let path: Vec<&str> = url.trim_start_matches('/').split('/').collect();
     match (request.method(), path.as_slice()) {
--- a/src/bin/mulberryd.rs
+++ b/src/bin/mulberryd.rs
@@ -1,6 +1,7 @@
 //! The node that runs on each upstream host.
 
 fn main() -> miette::Result<()> {
+    mulberryshelf::error::install_report();
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     Ok(mulberryshelf::daemon::run(&arguments)?)
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -5,9 +5,10 @@
         error::{Error, Result},
         node::Node,
         settings::Settings,
+        tls::Identity,
     },
     getopts::Options,
-    std::path::PathBuf,
+    std::path::{Path, PathBuf},
 };
 
 /// What the command line asks for.
@@ -70,8 +71,7 @@
 pub fn run(arguments: &[String]) -> Result {
     match parse(arguments)? {
         Command::Check(path) => {
-            let settings = Settings::open(&path)?;
-            settings.identity()?;
+            check(&path)?;
             println!("{}: the settings are valid", path.display());
             Ok(())
         }
@@ -79,12 +79,25 @@
             print!("{text}");
             Ok(())
         }
-        Command::Run(path) => serve(Settings::open(&path)?),
+        Command::Run(path) => {
+            let (settings, identity) = check(&path)?;
+            serve(settings, &identity)
+        }
     }
 }
 
-fn serve(settings: Settings) -> Result {
+/// Reads the settings and the files that they name, and checks all of them.
+///
+/// # Errors
+/// Fails with every fault of the settings, or else the first fault of the files.
+pub fn check(path: &Path) -> Result<(Settings, Identity)> {
+    let settings = Settings::open(path)?;
     let identity = settings.identity()?;
+    identity.check(&settings.host, &settings.domain)?;
+    Ok((settings, identity))
+}
+
+fn serve(settings: Settings, identity: &Identity) -> Result {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
         .enable_all()
@@ -92,7 +105,7 @@
         .map_err(Error::Telemetry)?;
     runtime.block_on(async {
         let host = settings.host.clone();
-        let node = Node::spawn(settings, &identity).await?;
+        let node = Node::spawn(settings, identity).await?;
         spdlog::info!(
             "host={host} state=started proxy={} api={}",
             node.proxy(),
--- a/src/error.rs
+++ b/src/error.rs
@@ -42,10 +42,13 @@
         source: io::Error,
     },
     /// The settings are unusable.
-    #[error("the settings are unusable: {}", faults.join("; "))]
+    #[error("the settings in {} have {} faults:{}", path.display(), faults.len(), lines(faults))]
+    #[diagnostic(help("see docs/operators/settings.md"))]
     Settings {
-        /// Every fault, with its path.
-        faults: Vec<String>,
+        /// Every fault.
+        faults: Vec<crate::settings::Fault>,
+        /// The file.
+        path: PathBuf,
     },
     /// The counters can't be opened.
     #[error("cannot open the counters: {0}")]
@@ -70,5 +73,17 @@
     },
 }
 
+fn lines(faults: &[crate::settings::Fault]) -> String {
+    faults.iter().map(|fault| format!("\n  {fault}")).collect()
+}
+
 /// The result of a step that can fail.
 pub type Result<T = (), E = Error> = std::result::Result<T, E>;
+
+/// Has errors that end a program shown in plain sentences, with everything that belongs to them.
+pub fn install_report() {
+    // Only the first program of a process decides how its errors are shown.
+    let _ = miette::set_hook(Box::new(|_| {
+        Box::new(miette::NarratableReportHandler::new())
+    }));
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,4 +1,5 @@
-//! What a node is started with. See docs/operators/settings.md.
+//! What a node is started with: JSON, checked whole before anything is started. See
+//! docs/operators/settings.md.
 
 use {
     crate::{
@@ -7,17 +8,24 @@
         tls::Identity,
         world::{Domain, Host, Region},
     },
-    serde::Deserialize,
     std::{
+        fmt::{self, Debug, Formatter},
         fs,
         net::SocketAddr,
         path::{Path, PathBuf},
+        time::Duration,
     },
 };
 
+mod check;
+pub mod fault;
+pub mod key;
+mod reader;
+
+pub use {fault::Fault, key::Key};
+
 /// The settings of a node.
-#[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Debug, Clone)]
 pub struct Settings {
     /// Where the upstream announces itself and operators look at this node; loopback as a rule.
     pub admin: SocketAddr,
@@ -33,8 +41,9 @@
     pub host: Host,
     /// The file of this node's private key, in PEM.
     pub key: PathBuf,
+    /// How long an upstream's announcement holds unless it is repeated.
+    pub lease: Duration,
     /// Where a few other nodes take QUIC connections.
-    #[serde(default)]
     pub peers: Vec<SocketAddr>,
     /// The URL of the platform's table service and object store.
     pub platform: String,
@@ -45,15 +54,42 @@
     /// The region of the failure domain.
     pub region: Region,
     /// Where counters are sent in statsd's protocol.
-    #[serde(default)]
     pub statsd: Option<SocketAddr>,
+    /// How a planned stop goes.
+    pub stop: Stop,
     /// The bearer tokens of operators.
     pub tokens: Tokens,
 }
 
+/// How a planned stop goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Stop {
+    /// How long new work is still taken after other nodes are told to send none.
+    pub spread: Duration,
+    /// How long requests in flight may then take to finish.
+    pub timeout: Duration,
+}
+
+impl Default for Stop {
+    fn default() -> Self {
+        Self {
+            spread: Duration::from_secs(1),
+            timeout: Duration::from_secs(30),
+        }
+    }
+}
+
+/// What a bearer token permits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Right {
+    /// To read.
+    Read,
+    /// To read and write.
+    Write,
+}
+
 /// The bearer tokens of operators.
-#[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone)]
 pub struct Tokens {
     /// May read.
     pub read: String,
@@ -61,18 +97,56 @@
     pub write: String,
 }
 
+impl Debug for Tokens {
+    fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+        f.write_str("Tokens")
+    }
+}
+
+impl Tokens {
+    /// Says what a token permits; nothing if it is unknown. The time that this takes tells nothing of
+    /// the tokens but their lengths.
+    #[must_use]
+    pub fn right(&self, token: &str) -> Option<Right> {
+        let write = same(&self.write, token);
+        let read = same(&self.read, token);
+        match (write, read) {
+            (true, _) => Some(Right::Write),
+            (false, true) => Some(Right::Read),
+            (false, false) => None,
+        }
+    }
+}
+
+fn same(held: &str, given: &str) -> bool {
+    let differing = held
+        .bytes()
+        .zip(given.bytes())
+        .fold(0, |differing, (held, given)| differing | (held ^ given));
+    held.len() == given.len() && differing == 0
+}
+
 impl Settings {
     /// Reads settings from a file.
     ///
     /// # Errors
-    /// Fails if the file can't be read or holds anything but valid settings.
+    /// Fails if the file can't be read or holds anything but valid settings; every fault is named.
     pub fn open(path: &Path) -> Result<Self> {
         let text = read(path)?;
-        serde_json::from_str(&text).map_err(|error| Error::Settings {
-            faults: vec![error.to_string()],
+        Self::parse(&text).map_err(|faults| Error::Settings {
+            faults,
+            path: path.into(),
         })
     }
 
+    /// Reads settings from JSON text.
+    ///
+    /// # Errors
+    /// Gives every fault, in the order of the text's paths.
+    pub fn parse(text: &str) -> Result<Self, Vec<Fault>> {
+        check::settings(text)
+    }
+
     /// Reads the certificates and key that the settings name.
     ///
     /// # Errors
--- a/src/tls.rs
+++ b/src/tls.rs
@@ -9,10 +9,14 @@
     rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair, KeyUsagePurpose},
     rustls_pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject},
     std::sync::Arc,
+    time::OffsetDateTime,
 };
 
 /// The name that every node's certificate carries beside its own.
 pub const SERVER_NAME: &str = "node.mulberryshelf";
+const AUTHORITY_DAYS: i64 = 365;
+const BACKDATED_DAYS: i64 = 2;
+const NODE_DAYS: i64 = 90;
 const SUFFIX: &str = ".mulberryshelf";
 const PROTOCOL: &[u8] = b"mulberryshelf/1";
 
@@ -48,6 +52,7 @@
         let mut params = CertificateParams::new(Vec::new()).map_err(fail)?;
         params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
         params.key_usages = vec![KeyUsagePurpose::KeyCertSign];
+        limit(&mut params, AUTHORITY_DAYS);
         let certificate = params.self_signed(&key).map_err(fail)?;
         Ok(Self {
             certificate: certificate.pem(),
@@ -78,11 +83,20 @@
     /// # Errors
     /// Fails if the authority is unusable.
     pub fn sign(&self, host: &Host, domain: &Domain) -> Result<Identity> {
+        let names = vec![SERVER_NAME.into(), format!("{host}.{domain}{SUFFIX}")];
+        self.issue(names, NODE_DAYS)
+    }
+
+    /// Signs a new key for any names, valid until so many days from now.
+    ///
+    /// # Errors
+    /// Fails if the authority is unusable.
+    pub fn issue(&self, names: Vec<String>, days: i64) -> Result<Identity> {
         let fail = |error: rcgen::Error| unusable("authority")(error.to_string());
         let signer = KeyPair::from_pem(&self.key).map_err(fail)?;
         let issuer = Issuer::from_ca_cert_pem(&self.certificate, signer).map_err(fail)?;
-        let names = vec![SERVER_NAME.into(), format!("{host}.{domain}{SUFFIX}")];
-        let params = CertificateParams::new(names).map_err(fail)?;
+        let mut params = CertificateParams::new(names).map_err(fail)?;
+        limit(&mut params, days);
         let key = KeyPair::generate().map_err(fail)?;
         let certificate = params.signed_by(&key, &issuer).map_err(fail)?;
         Ok(Identity {
@@ -93,7 +107,52 @@
     }
 }
 
+/// Has a certificate hold from before now, as clocks differ, until so many days from now.
+fn limit(params: &mut CertificateParams, days: i64) {
+    let now = OffsetDateTime::now_utc();
+    params.not_before = now - time::Duration::days(BACKDATED_DAYS);
+    params.not_after = now + time::Duration::days(days);
+}
+
 impl Identity {
+    /// Checks that the files fit each other and the host: that the certificate is signed by the
+    /// authority, holds now, and names the host and its failure domain.
+    ///
+    /// # Errors
+    /// Names the first that does not fit.
+    pub fn check(&self, host: &Host, domain: &Domain) -> Result {
+        self.server()?;
+        let chain = self.chain()?;
+        let (leaf, between) = chain
+            .split_first()
+            .ok_or_else(|| unusable("certificate")("the file holds none".into()))?;
+        let authorities = self.authorities()?;
+        let anchors: Vec<_> = authorities
+            .iter()
+            .filter_map(|authority| webpki::anchor_from_trusted_cert(authority).ok())
+            .collect();
+        let fail = |error: webpki::Error| unusable("certificate")(error.to_string());
+        webpki::EndEntityCert::try_from(leaf)
+            .map_err(fail)?
+            .verify_for_usage(
+                webpki::ALL_VERIFICATION_ALGS,
+                &anchors,
+                between,
+                rustls_pki_types::UnixTime::now(),
+                webpki::KeyUsage::client_auth(),
+                None,
+                None,
+            )
+            .map_err(fail)?;
+        match subject(leaf) {
+            Some((named, within)) if named == *host && within == *domain => Ok(()),
+            Some((named, within)) => Err(unusable("certificate")(format!(
+                "it names {named} in {within}, and the settings {host} in {domain}"
+            ))),
+            None => Err(unusable("certificate")("it names no host".into())),
+        }
+    }
+
     fn chain(&self) -> Result<Vec<CertificateDer<'static>>> {
         CertificateDer::pem_slice_iter(self.certificate.as_bytes())
             .collect::<Result<_, _>>()
@@ -105,11 +164,15 @@
             .map_err(|error| unusable("private key")(error.to_string()))
     }
 
+    fn authorities(&self) -> Result<Vec<CertificateDer<'static>>> {
+        CertificateDer::pem_slice_iter(self.authority.as_bytes())
+            .collect::<Result<_, _>>()
+            .map_err(|error| unusable("authority")(error.to_string()))
+    }
+
     fn roots(&self) -> Result<Arc<rustls::RootCertStore>> {
         let mut roots = rustls::RootCertStore::empty();
-        for certificate in CertificateDer::pem_slice_iter(self.authority.as_bytes()) {
-            let certificate =
-                certificate.map_err(|error| unusable("authority")(error.to_string()))?;
+        for certificate in self.authorities()? {
             roots
                 .add(certificate)
                 .map_err(|error| unusable("authority")(error.to_string()))?;
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -5,5 +5,6 @@
 mod standin;
 
 mod path;
+mod settings;
 mod snapshot;
 mod test;
--- a/tests/test.rs
+++ b/tests/test.rs
@@ -6,7 +6,7 @@
         api::Apply,
         member::Offer,
         node::Node,
-        settings::{Settings, Tokens},
+        settings::{Settings, Stop, Tokens},
         source::{Operation, Verdict},
         tls::Authority,
         world::Revision,
@@ -57,12 +57,17 @@
             domain,
             host,
             key: "unused".into(),
+            lease: Duration::from_secs(60),
             peers: self.hosts.iter().map(|host| host.node.quic()).collect(),
             platform: self.platform.url(),
             proxy: ANY,
             quic: ANY,
             region: "luzon".parse().unwrap(),
             statsd: None,
+            stop: Stop {
+                spread: Duration::from_millis(200),
+                ..Stop::default()
+            },
             tokens: Tokens {
                 read: "read".into(),
                 write: "write".into(),
