--- a/src/error.rs
+++ b/src/error.rs
@@ -74,7 +74,9 @@
 }
 
 fn lines(faults: &[crate::settings::Fault]) -> String {
-    faults.iter().map(|fault| format!("\n  {fault}")).collect()
+    faults.iter().fold(String::new(), |lines, fault| {
+        lines + "\n  " + &fault.to_string()
+    })
 }
 
 /// The result of a step that can fail.
