Choose versions by the request's id, with ramps and outcomes

The rollouts need to move a share of a route's traffic and to see how each attempt ended. Traffic::ramp overrides the declared shares of two versions; a hash of the request's id decides, so a growing share moves requests one way only (a property test; with the random choice before, a request sent twice could meet both versions). Traffic::outcomes drains one record for each finished attempt. Routes are indexed by service when a configuration is installed, instead of a scan of every resource for each request.

--- a/src/node.rs
+++ b/src/node.rs
@@ -142,7 +142,7 @@
             settings.region.clone(),
             rand::random(),
         );
-        let proxy = Proxy::new(link.clone(), traffic, telemetry.clone());
+        let proxy = Proxy::new(clock, link.clone(), traffic, telemetry.clone());
         let (events, from_edges) = unbounded_channel();
         let handle = Handle {
             events: events.clone(),
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -1,7 +1,9 @@
 //! The path of a request: a caller's HTTP request enters at any node, crosses by QUIC to the node at
 //! the chosen upstream, and the answer comes back whole. See docs/requests.md.
 
-use crate::{link::Link, member::Offer, telemetry::Telemetry, traffic::Traffic};
+use crate::{
+    link::Link, member::Offer, node::Clock, telemetry::Telemetry, traffic::Traffic, world::Moment,
+};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 pub mod egress;
@@ -13,6 +15,7 @@
 /// What both sides of the path share.
 #[derive(Clone)]
 pub struct Proxy {
+    clock: Clock,
     link: Link,
     offer: Arc<Mutex<Option<Offer>>>,
     pool: pool::Pool,
@@ -23,8 +26,9 @@
 impl Proxy {
     /// Makes the shared part of the path.
     #[must_use]
-    pub fn new(link: Link, traffic: Traffic, telemetry: Telemetry) -> Self {
+    pub fn new(clock: Clock, link: Link, traffic: Traffic, telemetry: Telemetry) -> Self {
         Self {
+            clock,
             link,
             offer: Arc::default(),
             pool: pool::Pool::default(),
@@ -43,6 +47,10 @@
         *self.offer.lock().unwrap_or_else(PoisonError::into_inner) = offer;
     }
 
+    fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
     fn offered(&self) -> Option<Offer> {
         self.offer
             .lock()
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -6,7 +6,7 @@
         body::{Body, Writer},
         error::{Error, Result},
         refusal::Reason,
-        traffic::Choice,
+        traffic::{Choice, outcome::Kind},
         wire::{Answer, Failure, Part, Request as Head},
         world::Service,
     },
@@ -162,9 +162,30 @@
     let service = service(&request).ok_or(not_run(Reason::BadRequest))?;
     let choice = proxy
         .traffic()
-        .choose(&service, request.uri().path())
+        .choose(proxy.now(), &service, request.uri().path(), id)
         .map_err(not_run)?;
-    let (mut send, mut recv) = open(proxy, &choice).await.map_err(not_run)?;
+    let result = attempt(proxy, request, id, service, &choice).await;
+    let kind = match &result {
+        Ok(response) if response.status().is_server_error() => Kind::Failure,
+        Ok(_) => Kind::Success,
+        Err(Failure::Unknown(Reason::Deadline)) => Kind::Late,
+        Err(Failure::Unknown(_)) => Kind::Lost,
+        Err(Failure::NotRun(Reason::Unreachable)) => Kind::Unreachable,
+        Err(Failure::NotRun(_)) => Kind::Refused,
+    };
+    proxy.traffic().finish(proxy.now(), &choice, kind);
+    result
+}
+
+async fn attempt(
+    proxy: &Proxy,
+    request: Request<Incoming>,
+    id: &str,
+    service: Service,
+    choice: &Choice,
+) -> Result<Response<Body>, Failure> {
+    let not_run = Failure::NotRun;
+    let (mut send, mut recv) = open(proxy, choice).await.map_err(not_run)?;
     let (parts, body) = request.into_parts();
     let head = Head {
         budget: u64::try_from(REQUEST_TIMEOUT.as_micros()).unwrap_or(u64::MAX),
@@ -186,7 +207,7 @@
     let begun = tokio::time::timeout(REQUEST_TIMEOUT, parts::read(&mut recv)).await;
     match begun {
         Err(_) => Err(Failure::Unknown(Reason::Deadline)),
-        Ok(Ok(Part::Answer(answer))) if answer.id == id => Ok(respond(&choice, &answer, recv)),
+        Ok(Ok(Part::Answer(answer))) if answer.id == id => Ok(respond(choice, &answer, recv)),
         Ok(Ok(Part::Failure(failure))) => Err(failure),
         Ok(_) => Err(lost),
     }
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -1,23 +1,34 @@
 //! Decides where a request goes. It has no clock, socket or thread: the daemon, the tests and the
-//! benches drive it. See docs/requests.md.
+//! benches drive it. See docs/design/requests.md.
 
 use {
     crate::{
         member::{Record, State},
         refusal::Reason,
-        resource::{Route, Spec},
         snapshot::Snapshot,
-        world::{Domain, Host, Region, Service, Version},
+        world::{Domain, Host, Moment, Name, Region, Service, Version},
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::{collections::BTreeMap, sync::Arc},
 };
 
+pub mod outcome;
+pub mod route;
+
+pub use {
+    outcome::Outcome,
+    route::{Ramp, Route},
+};
+
 /// Where a request is sent.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Choice {
+    /// When it was chosen.
+    pub at: Moment,
     /// The host whose upstream runs it.
     pub host: Host,
+    /// The route that was found.
+    pub route: Arc<Route>,
     /// The version that was chosen.
     pub version: Version,
 }
@@ -25,9 +36,12 @@
 /// The state that a node routes requests by.
 pub struct Traffic {
     domain: Domain,
+    outcomes: outcome::Log,
+    ramps: BTreeMap<Name, Ramp>,
     records: BTreeMap<Host, Record>,
     region: Region,
     rng: StdRng,
+    routes: route::Index,
     snapshot: Arc<Snapshot>,
 }
 
@@ -37,18 +51,32 @@
     pub fn new(domain: Domain, region: Region, seed: u64) -> Self {
         Self {
             domain,
+            outcomes: outcome::Log::default(),
+            ramps: BTreeMap::new(),
             records: BTreeMap::new(),
             region,
             rng: StdRng::seed_from_u64(seed),
+            routes: route::Index::default(),
             snapshot: Arc::default(),
         }
     }
 
     /// Takes a configuration over.
     pub fn install(&mut self, snapshot: Arc<Snapshot>) {
+        self.routes = route::Index::new(&snapshot, &self.ramps);
         self.snapshot = snapshot;
     }
 
+    /// Takes the shares of the running rollouts over, by the rollouts' names. They override what the
+    /// routes declare for the two versions of each.
+    pub fn ramp(&mut self, ramps: BTreeMap<Name, Ramp>) {
+        if ramps == self.ramps {
+            return;
+        }
+        self.routes = route::Index::new(&self.snapshot, &ramps);
+        self.ramps = ramps;
+    }
+
     /// Takes changes of the membership over.
     pub fn update(&mut self, records: Vec<Record>) {
         for record in records {
@@ -62,40 +90,46 @@
         self.records.get(host)
     }
 
-    /// Chooses an upstream for a request.
+    /// Chooses an upstream for the request with an id.
     ///
     /// # Errors
     /// Gives the reason if there is no route or no endpoint; the request has then not run.
-    pub fn choose(&mut self, service: &Service, path: &str) -> Result<Choice, Reason> {
-        let route = self.route(service, path).ok_or(Reason::NoRoute)?.clone();
-        let version = self.version(&route).ok_or(Reason::NoRoute)?;
+    pub fn choose(
+        &mut self,
+        now: Moment,
+        service: &Service,
+        path: &str,
+        id: &str,
+    ) -> Result<Choice, Reason> {
+        let route = self.routes.find(service, path).ok_or(Reason::NoRoute)?;
+        let route = route.clone();
+        let version = route.version(id).ok_or(Reason::NoRoute)?.clone();
         let hosts = self.endpoints(&version);
         let picked = hosts.get(self.rng.random_range(0..hosts.len().max(1)));
         let host = picked.cloned().ok_or(Reason::NoEndpoint)?;
-        Ok(Choice { host, version })
+        Ok(Choice {
+            at: now,
+            host,
+            route,
+            version,
+        })
     }
 
-    fn route(&self, service: &Service, path: &str) -> Option<&Route> {
-        self.snapshot
-            .resources
-            .values()
-            .filter_map(|resource| match &resource.spec {
-                Spec::Route(route) => Some(route),
-                _ => None,
-            })
-            .filter(|route| route.service == *service && path.starts_with(&route.path))
-            .max_by_key(|route| route.path.len())
+    /// Takes in how the attempt at a choice ended.
+    pub fn finish(&mut self, now: Moment, choice: &Choice, kind: outcome::Kind) {
+        self.outcomes.push(Outcome {
+            at: now,
+            host: choice.host.clone(),
+            kind,
+            latency: now.since(choice.at),
+            route: choice.route.name.clone(),
+            version: choice.version.clone(),
+        });
     }
 
-    fn version(&mut self, route: &Route) -> Option<Version> {
-        let mut point = self.rng.random_range(0..1000);
-        for (version, share) in &route.shares {
-            if point < share.0 {
-                return Some(version.clone());
-            }
-            point -= share.0;
-        }
-        None
+    /// Takes out every outcome since the last call, oldest first; the judge of rollouts calls this.
+    pub fn outcomes(&mut self) -> Vec<Outcome> {
+        self.outcomes.drain()
     }
 
     fn endpoints(&self, version: &Version) -> Vec<Host> {
--- /dev/null
+++ b/src/traffic/route.rs
@@ -0,0 +1,139 @@
+//! Routes, indexed by service and path, and the choice of a version by share. A request's id decides,
+//! so the same request gets the same version, and a growing share moves requests one way only.
+
+use {
+    crate::{
+        resource::{self, Kind, Limits, Spec},
+        snapshot::Snapshot,
+        world::{Name, Permille, Service, Version},
+    },
+    std::{collections::BTreeMap, collections::HashMap, sync::Arc},
+    xxhash_rust::xxh3::xxh3_64_with_seed,
+};
+
+const SHARE_SEED: u64 = 1;
+const RAMP_SEED: u64 = 2;
+
+/// How far a rollout has moved a route's traffic.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ramp {
+    /// The version that has the traffic.
+    pub from: Version,
+    /// The route whose traffic moves.
+    pub route: Name,
+    /// The share that `to` takes of what the route gives to both versions together.
+    pub share: Permille,
+    /// The version that takes the traffic over.
+    pub to: Version,
+}
+
+/// A route as requests meet it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Route {
+    /// The limits of its service.
+    pub limits: Limits,
+    /// Its name.
+    pub name: Name,
+    /// The prefix of the paths that it serves.
+    pub path: String,
+    /// The rollouts that move its traffic, in order of their names.
+    pub ramps: Vec<Ramp>,
+    /// The declared share of each version.
+    pub shares: BTreeMap<Version, Permille>,
+}
+
+impl Route {
+    fn new(name: &Name, route: &resource::Route, limits: Limits, ramps: &[Ramp]) -> Self {
+        Self {
+            limits,
+            name: name.clone(),
+            path: route.path.clone(),
+            ramps: ramps
+                .iter()
+                .filter(|ramp| ramp.route == *name)
+                .cloned()
+                .collect(),
+            shares: route.shares.clone(),
+        }
+    }
+
+    /// Chooses the version for the request with an id; nothing if the route has no shares.
+    #[must_use]
+    pub fn version(&self, id: &str) -> Option<&Version> {
+        let mut version = self.declared(point(id, SHARE_SEED))?;
+        for ramp in &self.ramps {
+            if *version == ramp.from || *version == ramp.to {
+                version = if point(id, RAMP_SEED) < ramp.share.0 {
+                    &ramp.to
+                } else {
+                    &ramp.from
+                };
+            }
+        }
+        Some(version)
+    }
+
+    fn declared(&self, mut point: u16) -> Option<&Version> {
+        for (version, share) in &self.shares {
+            if point < share.0 {
+                return Some(version);
+            }
+            point -= share.0;
+        }
+        None
+    }
+}
+
+/// Every route, by service.
+#[derive(Debug, Default)]
+pub struct Index(HashMap<Service, Vec<Arc<Route>>>);
+
+impl Index {
+    /// Indexes the routes of a configuration, with the rollouts that move them.
+    #[must_use]
+    pub fn new(snapshot: &Snapshot, ramps: &BTreeMap<Name, Ramp>) -> Self {
+        let ramps: Vec<Ramp> = ramps.values().cloned().collect();
+        let mut index: HashMap<Service, Vec<Arc<Route>>> = HashMap::new();
+        for resource in snapshot.resources.values() {
+            if let Spec::Route(route) = &resource.spec {
+                let limits = limits(snapshot, &route.service);
+                let indexed = Route::new(&resource.key.name, route, limits, &ramps);
+                let routes = index.entry(route.service.clone()).or_default();
+                routes.push(Arc::new(indexed));
+            }
+        }
+        for routes in index.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path.len()));
+        }
+        Self(index)
+    }
+
+    /// Finds the route of a service with the longest prefix of a path.
+    #[must_use]
+    pub fn find(&self, service: &Service, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.0.get(service)?;
+        routes.iter().find(|route| covers(&route.path, path))
+    }
+}
+
+/// A prefix covers whole segments only: `/crew` covers `/crew/7` and not `/crews`.
+fn covers(prefix: &str, path: &str) -> bool {
+    path.strip_prefix(prefix)
+        .is_some_and(|rest| rest.is_empty() || prefix.ends_with('/') || rest.starts_with('/'))
+}
+
+fn limits(snapshot: &Snapshot, service: &Service) -> Limits {
+    match snapshot.get(Kind::Limits, &service.clone().into()) {
+        Some(resource) => match &resource.spec {
+            Spec::Limits(limits) => limits.clone(),
+            _ => Limits::default(),
+        },
+        None => Limits::default(),
+    }
+}
+
+fn point(id: &str, seed: u64) -> u16 {
+    let hash = xxh3_64_with_seed(id.as_bytes(), seed);
+    let scaled = (u128::from(hash) * u128::from(Permille::WHOLE.0)) >> 64;
+    u16::try_from(scaled).unwrap_or(0)
+}
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -5,5 +5,6 @@
 mod standin;
 
 mod path;
+mod requests;
 mod snapshot;
 mod test;
