--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -5,6 +5,7 @@
 mod standin;
 
 mod path;
+mod requests;
 mod settings;
 mod snapshot;
 mod test;
