--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -5,6 +5,8 @@
 mod standin;
 
 mod path;
+mod requests;
+mod settings;
 mod snapshot;
 mod source;
 mod test;
