Complete the resource API

Cause: the API could only apply, get and list; it stopped at the first fault of a document, cut long bodies silently, and showed no status.

Now: create, replace and delete under preconditions, apply all or none, watches that resume from a resource version (410 where they can't), look-up of operations, status by failure domain, and one answer that names every fault at its field. A body is read into a tree that keeps keys given twice and holds at most 100,000 values, so its memory is bounded.

Ruled out: serde's own errors (they stop at the first one and lose the path); a thread of the port for each watch (four watches would have stopped the API).

--- a/src/api.rs
+++ b/src/api.rs
@@ -2,120 +2,62 @@
 
 use {
     crate::{
-        error::{Error, Result},
-        node::Handle,
-        resource::{Change, Key, Kind, Resource, Spec},
+        error::Result,
+        node::{Clock, Handle},
+        resource::{Change, Key, Kind},
         settings::{Right, Tokens},
         source::{Operation, Verdict},
-        validate::Fault,
+        validate::{self, Fault},
         world::{Name, Revision},
     },
-    serde::{Deserialize, Serialize},
     serde_json::{Value, json},
-    socket2::SockRef,
     std::{
-        io::Cursor,
-        net::{SocketAddr, TcpListener},
-        sync::Arc,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicUsize, Ordering},
+        },
         thread,
+        time::Duration,
     },
-    tiny_http::{Method, Request, Response, Server},
+    tiny_http::{Method, Request},
 };
 
-const BODY_MAX: u64 = 1024 * 1024;
-const THREADS: usize = 4;
+pub use self::{
+    document::{Apply, RESOURCES_MAX},
+    feed::{DELETIONS_MAX, Feed},
+    json::VALUES_MAX,
+    port::{BODY_MAX, Port},
+    show::Document,
+    target::{BadTarget, Target},
+    watch::HEARTBEAT,
+};
 
-/// A running HTTP port.
-pub struct Port {
-    /// Where it takes requests.
-    pub address: SocketAddr,
-    server: Arc<Server>,
-}
+pub(crate) use self::port::{Reply, body, problem, reply};
 
-/// A resource as operators write and read it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Document {
-    /// The kind.
-    pub kind: Kind,
-    /// The name and, if one is stated, the resource version.
-    pub metadata: Metadata,
-    /// What is declared.
-    pub spec: Value,
-    /// What the mesh reports; ignored in writes.
-    #[serde(default, skip_serializing_if = "Value::is_null")]
-    pub status: Value,
-}
+mod document;
+mod feed;
+mod fields;
+mod json;
+mod port;
+mod show;
+mod target;
+mod watch;
 
-/// What identifies a resource.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, rename_all = "camelCase")]
-pub struct Metadata {
-    /// The name, unique within the kind.
-    pub name: Name,
-    /// The revision that last changed it; in writes the one that is replaced.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub resource_version: Option<Revision>,
-}
+/// The most watches that one node serves at a time.
+pub const WATCHES_MAX: usize = 64;
 
-/// A set of resources to accept together.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Apply {
-    /// What to delete.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub delete: Vec<Key>,
-    /// Chosen by the client, so that asking again never applies twice.
-    pub operation: String,
-    /// What to create or replace.
-    #[serde(default)]
-    pub resources: Vec<Document>,
+#[derive(Clone)]
+struct Api {
+    handle: Handle,
+    stopping: Arc<AtomicBool>,
+    tokens: Tokens,
+    watches: Arc<AtomicUsize>,
 }
 
-pub(crate) type Reply = Response<Cursor<Vec<u8>>>;
-
-impl Document {
-    /// Shows an accepted resource.
-    #[must_use]
-    pub fn show(resource: &Resource) -> Self {
-        let spec = match &resource.spec {
-            Spec::Limits(spec) => serde_json::to_value(spec),
-            Spec::Rollout(spec) => serde_json::to_value(spec),
-            Spec::Route(spec) => serde_json::to_value(spec),
-            Spec::Version(spec) => serde_json::to_value(spec),
-        };
-        Self {
-            kind: resource.key.kind,
-            metadata: Metadata {
-                name: resource.key.name.clone(),
-                resource_version: Some(resource.revision),
-            },
-            spec: spec.unwrap_or_default(),
-            status: Value::Null,
-        }
-    }
-
-    /// Reads the change that this document declares.
-    ///
-    /// # Errors
-    /// Names the field that can't be read.
-    pub fn change(&self) -> Result<Change, Fault> {
-        let spec = self.spec.clone();
-        let spec = match self.kind {
-            Kind::Limits => serde_json::from_value(spec).map(Spec::Limits),
-            Kind::Rollout => serde_json::from_value(spec).map(Spec::Rollout),
-            Kind::Route => serde_json::from_value(spec).map(Spec::Route),
-            Kind::Version => serde_json::from_value(spec).map(Spec::Version),
-        };
-        let key = Key {
-            kind: self.kind,
-            name: self.metadata.name.clone(),
-        };
-        match spec {
-            Ok(spec) => Ok(Change::Put(key, spec)),
-            Err(error) => Err(Fault::new(key.to_string(), "spec", error.to_string())),
-        }
-    }
+enum Answer {
+    Reply(Reply),
+    Watch(watch::Watch),
 }
 
 impl Port {
@@ -124,67 +66,257 @@
     /// # Errors
     /// Fails if the port is taken.
     pub fn api(address: SocketAddr, tokens: Tokens, handle: Handle) -> Result<Self> {
-        Self::bind(address, move |request| api(&tokens, &handle, request))
+        let stopping = Arc::new(AtomicBool::new(false));
+        let api = Api {
+            handle,
+            stopping: stopping.clone(),
+            tokens,
+            watches: Arc::default(),
+        };
+        Self::spawn(address, stopping, move |request| api.serve(request))
     }
+}
 
-    pub(crate) fn bind(
-        address: SocketAddr,
-        serve: impl Fn(&mut Request) -> Reply + Clone + Send + 'static,
-    ) -> Result<Self> {
-        let fail = |source| Error::Bind { address, source };
-        let listener = TcpListener::bind(address).map_err(fail)?;
-        SockRef::from(&listener)
-            .set_tcp_nodelay(true)
-            .map_err(fail)?;
-        let address = listener.local_addr().map_err(fail)?;
-        let server = Server::from_listener(listener, None)
-            .map_err(|error| fail(std::io::Error::other(error)))?;
-        let server = Arc::new(server);
-        for _ in 0..THREADS {
-            let server = server.clone();
-            let serve = serve.clone();
-            thread::spawn(move || {
-                while let Ok(mut request) = server.recv() {
-                    let reply = serve(&mut request);
-                    // A client that has gone needs no answer.
-                    let _ = request.respond(reply);
-                }
-            });
+impl Api {
+    fn serve(&self, mut request: Request) {
+        let answer = self.answer(&mut request).unwrap_or_else(Answer::Reply);
+        match answer {
+            Answer::Reply(reply) => self.respond(request, reply),
+            Answer::Watch(watch) => self.stream(request, watch),
         }
-        Ok(Self { address, server })
     }
 
-    /// Takes no more requests.
-    pub fn stop(&self) {
-        for _ in 0..THREADS {
-            self.server.unblock();
+    fn respond(&self, request: Request, reply: Reply) {
+        let status = reply.status_code().0;
+        if status >= 400 {
+            let name = format!("api.refused.{status}");
+            self.handle.telemetry().count(&name);
         }
+        // A client that has gone needs no answer.
+        let _ = request.respond(reply);
     }
-}
 
-pub(crate) fn reply(status: u16, body: &Value) -> Reply {
-    let text = format!("{body}\n");
-    let reply = Response::from_string(text).with_status_code(status);
-    match tiny_http::Header::from_bytes("content-type", "application/json") {
-        Ok(header) => reply.with_header(header),
-        Err(()) => reply,
+    fn stream(&self, request: Request, watch: watch::Watch) {
+        if self.watches.fetch_add(1, Ordering::Relaxed) >= WATCHES_MAX {
+            self.watches.fetch_sub(1, Ordering::Relaxed);
+            let title = format!("{WATCHES_MAX} watches run here: watch at another node");
+            self.respond(request, problem(503, &title, &[]));
+            return;
+        }
+        let api = self.clone();
+        thread::spawn(move || {
+            // A watch ends by an error whenever its client has gone.
+            let _ = watch.run(&api.handle, request.into_writer(), &api.stopping);
+            api.watches.fetch_sub(1, Ordering::Relaxed);
+        });
     }
-}
 
-pub(crate) fn problem(status: u16, title: &str, faults: &[Fault]) -> Reply {
-    reply(
-        status,
-        &json!({ "status": status, "title": title, "faults": faults }),
-    )
-}
+    fn answer(&self, request: &mut Request) -> Result<Answer, Reply> {
+        let right = bearer(request)
+            .and_then(|token| self.tokens.right(&token))
+            .ok_or_else(|| problem(401, "a bearer token is needed", &[]))?;
+        if request.method() != &Method::Get && right == Right::Read {
+            return Err(problem(403, "the token may only read", &[]));
+        }
+        let target =
+            Target::parse(request.url()).map_err(|error| problem(400, &error.to_string(), &[]))?;
+        let path: Vec<&str> = target.path.iter().map(String::as_str).collect();
+        let method = request.method().clone();
+        match (method, path.as_slice()) {
+            (Method::Get, ["v1", "status"]) => Ok(Answer::Reply(self.status())),
+            (Method::Get, ["v1", "operations", id]) => Ok(Answer::Reply(self.look(id))),
+            (Method::Get, ["v1", kind]) => self.list(parse_kind(kind)?, &target),
+            (Method::Get, ["v1", kind, name]) => self.get(&parse_key(kind, name)?, &target),
+            (Method::Post, ["v1", "apply"]) => self.apply(&target, request).map(Answer::Reply),
+            (Method::Post, ["v1", "drain"]) => Ok(Answer::Reply(self.drain())),
+            (Method::Post, ["v1", kind]) => {
+                let kind = parse_kind(kind)?;
+                self.create(kind, &target, request).map(Answer::Reply)
+            }
+            (Method::Put, ["v1", kind, name]) => {
+                let key = parse_key(kind, name)?;
+                self.replace(&key, &target, request).map(Answer::Reply)
+            }
+            (Method::Delete, ["v1", kind, name]) => {
+                let key = parse_key(kind, name)?;
+                self.delete(key, &target).map(Answer::Reply)
+            }
+            (_, ["v1", kind] | ["v1", kind, _]) if kind.parse::<Kind>().is_ok() => {
+                Err(problem(405, "the method is not allowed here", &[]))
+            }
+            _ => Err(problem(404, "there is nothing here", &[])),
+        }
+    }
+
+    fn status(&self) -> Reply {
+        let body = json!({
+            "domains": *self.handle.coverage(),
+            "resourceVersion": self.handle.snapshot().revision,
+        });
+        reply(200, &body)
+    }
+
+    fn drain(&self) -> Reply {
+        self.handle.drain();
+        reply(200, &json!({ "state": "draining" }))
+    }
+
+    fn list(&self, kind: Kind, target: &Target) -> Result<Answer, Reply> {
+        if let Some(watch) = self.watch(kind, None, target)? {
+            return Ok(Answer::Watch(watch));
+        }
+        let snapshot = self.handle.snapshot();
+        let coverage = self.handle.coverage();
+        let items: Vec<Document> = snapshot
+            .resources
+            .values()
+            .filter(|resource| resource.key.kind == kind)
+            .map(|resource| Document::new(resource, &coverage))
+            .collect();
+        let body = json!({ "items": items, "resourceVersion": snapshot.revision });
+        Ok(Answer::Reply(reply(200, &body)))
+    }
+
+    fn get(&self, key: &Key, target: &Target) -> Result<Answer, Reply> {
+        if let Some(watch) = self.watch(key.kind, Some(key.name.clone()), target)? {
+            return Ok(Answer::Watch(watch));
+        }
+        let snapshot = self.handle.snapshot();
+        let resource = snapshot
+            .resources
+            .get(key)
+            .ok_or_else(|| problem(404, &format!("there is no {key}"), &[]))?;
+        let document = Document::new(resource, &self.handle.coverage());
+        Ok(Answer::Reply(reply(200, &json!(document))))
+    }
+
+    fn watch(
+        &self,
+        kind: Kind,
+        name: Option<Name>,
+        target: &Target,
+    ) -> Result<Option<watch::Watch>, Reply> {
+        known(target, &["watch", "resourceVersion", "timeoutSeconds"])?;
+        match target.parameter("watch") {
+            None | Some("false") => return Ok(None),
+            Some("" | "true") => {}
+            Some(_) => return Err(bad_parameter("watch", "must be `true` or `false`")),
+        }
+        let since: Option<Revision> = number(target, "resourceVersion")?.map(Revision);
+        let longest = watch::WATCH_MAX.as_secs();
+        let time = number(target, "timeoutSeconds")?.unwrap_or(longest);
+        if let Some(since) = since {
+            let until = self.handle.snapshot().revision;
+            let floor = self.handle.feed().deleted(since, until).err();
+            if let Some(floor) = floor {
+                return Err(reply(410, &watch::gone(floor)));
+            }
+        }
+        Ok(Some(watch::Watch {
+            kind,
+            name,
+            since,
+            time: Duration::from_secs(time.min(longest)),
+        }))
+    }
+
+    fn look(&self, id: &str) -> Reply {
+        if !validate::is_id(id) {
+            return problem(404, "there is no such operation", &[]);
+        }
+        match self.handle.look(id.into()) {
+            Verdict::Accepted(revision) => accepted(200, id, revision),
+            Verdict::Absent => {
+                let title = "no operation of this id is accepted up to now";
+                let body = json!({ "status": 404, "title": title, "operation": id });
+                reply(404, &body)
+            }
+            Verdict::Busy => busy(),
+            Verdict::Refused(_) | Verdict::Unavailable | Verdict::Unknown => unknown(id),
+        }
+    }
 
-pub(crate) fn body<T: for<'de> Deserialize<'de>>(request: &mut Request) -> Result<T, Reply> {
-    let mut text = String::new();
-    let mut reader = std::io::Read::take(request.as_reader(), BODY_MAX);
-    std::io::Read::read_to_string(&mut reader, &mut text)
-        .map_err(|error| problem(400, &format!("the body can't be read: {error}"), &[]))?;
-    serde_json::from_str(&text)
-        .map_err(|error| problem(400, &format!("the body is malformed: {error}"), &[]))
+    fn apply(&self, target: &Target, request: &mut Request) -> Result<Reply, Reply> {
+        known(target, &[])?;
+        let text = port::text(request)?;
+        let apply = Apply::parse(&text).map_err(|error| malformed(&error))?;
+        Ok(self.submit(apply, 200))
+    }
+
+    fn create(&self, kind: Kind, target: &Target, request: &mut Request) -> Result<Reply, Reply> {
+        let mut apply = one(target, request)?;
+        for (change, precondition) in &mut apply.changes {
+            let key = change.key();
+            if key.kind != kind {
+                apply.faults.push(Fault::new(
+                    key.to_string(),
+                    "kind",
+                    format!("must be {kind} here"),
+                ));
+            }
+            *precondition = Some(Revision(0));
+        }
+        Ok(self.submit(apply, 201))
+    }
+
+    fn replace(&self, key: &Key, target: &Target, request: &mut Request) -> Result<Reply, Reply> {
+        let mut apply = one(target, request)?;
+        for (change, _) in &apply.changes {
+            let stated = change.key();
+            if stated != key {
+                apply.faults.push(Fault::new(
+                    stated.to_string(),
+                    "metadata.name",
+                    format!("must be that of {key} here"),
+                ));
+            }
+        }
+        Ok(self.submit(apply, 200))
+    }
+
+    fn delete(&self, key: Key, target: &Target) -> Result<Reply, Reply> {
+        known(target, &["operation", "resourceVersion"])?;
+        let precondition = number(target, "resourceVersion")?.map(Revision);
+        let apply = Apply {
+            changes: vec![(Change::Delete(key), precondition)],
+            operation: operation(target)?,
+            ..Apply::default()
+        };
+        Ok(self.submit(apply, 200))
+    }
+
+    fn submit(&self, mut apply: Apply, done: u16) -> Reply {
+        let id = apply
+            .operation
+            .take()
+            .unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()));
+        let operation = Operation {
+            changes: apply.changes,
+            id: id.clone(),
+        };
+        if !apply.faults.is_empty() {
+            // What could be read is checked too, so that one answer names every fault.
+            let mut state = (*self.handle.snapshot()).clone();
+            let now = Clock::open().now();
+            let more = validate::check(&mut state, &operation, now, &apply.unread);
+            for fault in more.err().into_iter().flatten() {
+                if !apply.faults.contains(&fault) {
+                    apply.faults.push(fault);
+                }
+            }
+            return refused(&apply.faults);
+        }
+        match self.handle.submit(operation) {
+            Verdict::Accepted(revision) => accepted(done, &id, revision),
+            Verdict::Refused(faults) => refused(&faults),
+            Verdict::Busy => busy(),
+            Verdict::Unavailable => {
+                let title = "not accepted: the platform can't be reached, and nothing was sent";
+                problem(503, title, &[])
+            }
+            Verdict::Absent | Verdict::Unknown => unknown(&id),
+        }
+    }
 }
 
 fn bearer(request: &Request) -> Option<String> {
@@ -196,86 +328,94 @@
         .map(String::from)
 }
 
-fn api(tokens: &Tokens, handle: &Handle, request: &mut Request) -> Reply {
-    let Some(right) = bearer(request).and_then(|token| tokens.right(&token)) else {
-        return problem(401, "a bearer token is needed", &[]);
-    };
-    let writes = right == Right::Write;
-    let url = request.url().to_string();
-    let path: Vec<&str> = url.trim_start_matches('/').split('/').collect();
-    match (request.method(), path.as_slice()) {
-        (Method::Get, ["v1", kind]) => list(handle, kind),
-        (Method::Get, ["v1", kind, name]) => get(handle, kind, name),
-        (Method::Post, ["v1", "apply"]) if writes => apply(handle, request),
-        (Method::Post, ["v1", "apply"]) => problem(403, "the token may only read", &[]),
-        _ => problem(404, "there is nothing here", &[]),
-    }
+fn parse_kind(text: &str) -> Result<Kind, Reply> {
+    text.parse()
+        .map_err(|error: String| problem(404, &error, &[]))
 }
 
-fn list(handle: &Handle, kind: &str) -> Reply {
-    let Ok(kind) = kind.parse::<Kind>() else {
-        return problem(404, "there is no such kind", &[]);
-    };
-    let snapshot = handle.snapshot();
-    let items: Vec<Document> = snapshot
-        .resources
-        .values()
-        .filter(|resource| resource.key.kind == kind)
-        .map(Document::show)
-        .collect();
-    reply(
-        200,
-        &json!({ "items": items, "resourceVersion": snapshot.revision }),
-    )
+fn parse_key(kind: &str, name: &str) -> Result<Key, Reply> {
+    let kind = parse_kind(kind)?;
+    let name = name
+        .parse()
+        .map_err(|error: crate::world::BadName| problem(404, &error.to_string(), &[]))?;
+    Ok(Key { kind, name })
 }
 
-fn get(handle: &Handle, kind: &str, name: &str) -> Reply {
-    let (Ok(kind), Ok(name)) = (kind.parse::<Kind>(), name.parse::<Name>()) else {
-        return problem(404, "there is no such kind or name", &[]);
-    };
-    match handle.snapshot().get(kind, &name) {
-        Some(resource) => reply(200, &json!(Document::show(resource))),
-        None => problem(404, &format!("there is no {kind}/{name}"), &[]),
-    }
+fn bad_parameter(name: &str, message: &str) -> Reply {
+    let fault = Fault::new("", format!("?{name}"), message);
+    problem(400, "the query is malformed", &[fault])
 }
 
-fn apply(handle: &Handle, request: &mut Request) -> Reply {
-    let apply: Apply = match body(request) {
-        Ok(apply) => apply,
-        Err(reply) => return reply,
+fn known(target: &Target, parameters: &[&str]) -> Result<(), Reply> {
+    let Some(name) = target.unknown(parameters) else {
+        return Ok(());
     };
-    let mut changes = Vec::new();
-    let mut faults = Vec::new();
-    for document in &apply.resources {
-        match document.change() {
-            Ok(change) => changes.push((change, document.metadata.resource_version)),
-            Err(fault) => faults.push(fault),
-        }
-    }
-    if !faults.is_empty() {
-        return problem(422, "refused", &faults);
+    let hint = validate::nearest(name, parameters)
+        .map_or_else(String::new, |near| format!(": did you mean `{near}`?"));
+    Err(bad_parameter(name, &format!("is no parameter here{hint}")))
+}
+
+fn number(target: &Target, name: &str) -> Result<Option<u64>, Reply> {
+    target
+        .parameter(name)
+        .map(str::parse)
+        .transpose()
+        .map_err(|_| bad_parameter(name, "must be a whole number"))
+}
+
+fn operation(target: &Target) -> Result<Option<String>, Reply> {
+    let id = target.parameter("operation");
+    if id.is_some_and(|id| !validate::is_id(id)) {
+        return Err(bad_parameter("operation", "is no operation id"));
     }
-    changes.extend(
-        apply
-            .delete
-            .into_iter()
-            .map(|key| (Change::Delete(key), None)),
-    );
-    let id = apply.operation;
-    let operation = Operation {
-        changes,
-        id: id.clone(),
+    Ok(id.map(String::from))
+}
+
+fn one(target: &Target, request: &mut Request) -> Result<Apply, Reply> {
+    known(target, &["operation"])?;
+    let id = operation(target)?;
+    let text = port::text(request)?;
+    let mut apply = Apply::parse_one(&text).map_err(|error| malformed(&error))?;
+    apply.operation = id;
+    Ok(apply)
+}
+
+fn malformed(error: &serde_json::Error) -> Reply {
+    problem(400, &format!("the body is not JSON: {error}"), &[])
+}
+
+fn accepted(status: u16, id: &str, revision: Revision) -> Reply {
+    let body = json!({ "operation": id, "outcome": "accepted", "resourceVersion": revision });
+    reply(status, &body)
+}
+
+fn busy() -> Reply {
+    problem(503, "not accepted: too many operations wait here", &[])
+}
+
+fn unknown(id: &str) -> Reply {
+    let body = json!({
+        "status": 504,
+        "title": "the outcome is unknown",
+        "detail": "ask again with the same operation id: it is never applied twice",
+        "operation": id,
+        "outcome": "unknown",
+    });
+    reply(504, &body)
+}
+
+/// A precondition that failed is a conflict; everything else is the request's own fault.
+fn refused(faults: &[Fault]) -> Reply {
+    let conflict = faults
+        .iter()
+        .all(|fault| fault.field == "metadata.resourceVersion");
+    let (status, title) = if conflict {
+        (409, "refused: the resource is at another version")
+    } else {
+        (422, "refused")
     };
-    match handle.submit(operation) {
-        Verdict::Accepted(revision) => reply(
-            200,
-            &json!({ "operation": id, "outcome": "accepted", "resourceVersion": revision }),
-        ),
-        Verdict::Refused(faults) => problem(422, "refused", &faults),
-        Verdict::Unavailable => problem(503, "not accepted: the platform can't be reached", &[]),
-        Verdict::Busy => problem(503, "not accepted: too many operations wait here", &[]),
-        Verdict::Absent | Verdict::Unknown => {
-            reply(504, &json!({ "operation": id, "outcome": "unknown" }))
-        }
-    }
+    let body: Value = json!({
+        "status": status, "title": title, "faults": faults, "outcome": "refused",
+    });
+    reply(status, &body)
 }
--- /dev/null
+++ b/src/api/fields.rs
@@ -0,0 +1,161 @@
+//! Reads the fields of one JSON object, and notes everything that is wrong with them.
+
+use {
+    super::json::Json,
+    crate::validate::{self, Fault},
+    std::{fmt::Display, str::FromStr},
+};
+
+/// Where faults are noted: the resource that they belong to, and the field so far.
+#[derive(Debug, Clone)]
+pub(super) struct Place {
+    pub(super) path: String,
+    pub(super) resource: String,
+}
+
+impl Place {
+    pub(super) fn new(resource: impl Into<String>, path: impl Into<String>) -> Self {
+        Self {
+            path: path.into(),
+            resource: resource.into(),
+        }
+    }
+
+    pub(super) fn field(&self, name: &str) -> Self {
+        let dot = if self.path.is_empty() { "" } else { "." };
+        Self::new(self.resource.clone(), format!("{}{dot}{name}", self.path))
+    }
+
+    pub(super) fn fault(&self, message: impl Into<String>) -> Fault {
+        Fault::new(self.resource.clone(), self.path.clone(), message)
+    }
+}
+
+/// The fields of one object.
+pub(super) struct Fields<'j, 'f> {
+    faults: &'f mut Vec<Fault>,
+    members: &'j [(String, Json)],
+    place: Place,
+}
+
+impl<'j, 'f> Fields<'j, 'f> {
+    /// Opens an object: notes unknown keys, with the nearest known one, and keys that come twice.
+    pub(super) fn open(
+        json: &'j Json,
+        place: Place,
+        known: &[&str],
+        faults: &'f mut Vec<Fault>,
+    ) -> Option<Self> {
+        let members = object(json, &place, faults)?;
+        for (name, _) in members {
+            if known.contains(&name.as_str()) {
+                continue;
+            }
+            let hint = validate::nearest(name, known).map_or_else(
+                || format!("one of {}", known.join(", ")),
+                |near| format!("did you mean `{near}`?"),
+            );
+            faults.push(place.field(name).fault(format!("is no field here: {hint}")));
+        }
+        Some(Self {
+            faults,
+            members,
+            place,
+        })
+    }
+
+    /// Gives a field that may be left out.
+    pub(super) fn get(&self, name: &str) -> Option<&'j Json> {
+        self.members
+            .iter()
+            .find(|(key, json)| key == name && *json != Json::Null)
+            .map(|(_, json)| json)
+    }
+
+    pub(super) fn place(&self, name: &str) -> Place {
+        self.place.field(name)
+    }
+
+    pub(super) fn faults(&mut self) -> &mut Vec<Fault> {
+        self.faults
+    }
+
+    /// Gives a field that has to be there.
+    pub(super) fn need(&mut self, name: &str) -> Option<&'j Json> {
+        let json = self.get(name);
+        if json.is_none() {
+            self.faults.push(self.place.field(name).fault("is missing"));
+        }
+        json
+    }
+
+    /// Reads a text that has to be there.
+    pub(super) fn text<T: FromStr<Err: Display>>(&mut self, name: &str) -> Option<T> {
+        let json = self.need(name)?;
+        self.parse(name, json)
+    }
+
+    /// Reads a text that may be left out.
+    pub(super) fn optional_text<T: FromStr<Err: Display>>(&mut self, name: &str) -> Option<T> {
+        let json = self.get(name)?;
+        self.parse(name, json)
+    }
+
+    /// Reads a whole number that may be left out.
+    pub(super) fn number<T: TryFrom<u64>>(&mut self, name: &str) -> Option<T> {
+        let json = self.get(name)?;
+        number(json, &self.place.field(name), self.faults)
+    }
+
+    fn parse<T: FromStr<Err: Display>>(&mut self, name: &str, json: &Json) -> Option<T> {
+        let place = self.place.field(name);
+        let parsed = match json {
+            Json::Text(text) => text.parse().map_err(|error: T::Err| error.to_string()),
+            other => Err(format!("must be a string, not {}", other.name())),
+        };
+        parsed
+            .map_err(|message| self.faults.push(place.fault(message)))
+            .ok()
+    }
+}
+
+/// Gives the members of an object, and notes keys that come twice.
+pub(super) fn object<'a>(
+    json: &'a Json,
+    place: &Place,
+    faults: &mut Vec<Fault>,
+) -> Option<&'a [(String, Json)]> {
+    let Json::Object(members) = json else {
+        faults.push(place.fault(format!("must be an object, not {}", json.name())));
+        return None;
+    };
+    let mut names: Vec<&str> = members.iter().map(|(name, _)| name.as_str()).collect();
+    names.sort_unstable();
+    let mut twice: Vec<&str> = names
+        .windows(2)
+        .filter(|pair| pair[0] == pair[1])
+        .map(|pair| pair[0])
+        .collect();
+    twice.dedup();
+    for name in twice {
+        faults.push(place.field(name).fault("is given more than once"));
+    }
+    Some(members)
+}
+
+/// Reads a whole number.
+pub(super) fn number<T: TryFrom<u64>>(
+    json: &Json,
+    place: &Place,
+    faults: &mut Vec<Fault>,
+) -> Option<T> {
+    let message = match json {
+        Json::Whole(value) => match T::try_from(*value) {
+            Ok(number) => return Some(number),
+            Err(_) => format!("{value} is too large"),
+        },
+        other => format!("must be a whole number, not {}", other.name()),
+    };
+    faults.push(place.fault(message));
+    None
+}
--- /dev/null
+++ b/src/api/json.rs
@@ -0,0 +1,120 @@
+//! JSON as an operator wrote it: keys that are given twice stay visible, and its size is bounded.
+
+use {
+    serde::de::{self, DeserializeSeed, MapAccess, SeqAccess, Visitor},
+    std::{cell::Cell, fmt},
+};
+
+/// The most values that a body may hold, which bounds the memory that it takes.
+pub const VALUES_MAX: u32 = 100_000;
+
+/// A JSON value.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) enum Json {
+    Bool(bool),
+    List(Vec<Json>),
+    Null,
+    /// A number that is no whole one, or not above zero.
+    Number,
+    Object(Vec<(String, Json)>),
+    Text(String),
+    Whole(u64),
+}
+
+impl Json {
+    /// Reads exactly one value.
+    pub(super) fn parse(text: &str) -> Result<Self, serde_json::Error> {
+        let left = Cell::new(VALUES_MAX);
+        let mut deserializer = serde_json::Deserializer::from_str(text);
+        let json = Seed(&left).deserialize(&mut deserializer)?;
+        deserializer.end()?;
+        Ok(json)
+    }
+
+    /// Names the type, for a message.
+    pub(super) fn name(&self) -> &'static str {
+        match self {
+            Self::Bool(_) => "a boolean",
+            Self::List(_) => "a list",
+            Self::Null => "null",
+            Self::Number => "a negative or fractional number",
+            Self::Object(_) => "an object",
+            Self::Text(_) => "a string",
+            Self::Whole(_) => "a number",
+        }
+    }
+
+    /// Gives the text at a path of keys, if there is one.
+    pub(super) fn peek(&self, path: &[&str]) -> Option<&str> {
+        match (self, path.split_first()) {
+            (Self::Text(text), None) => Some(text),
+            (Self::Object(members), Some((key, rest))) => members
+                .iter()
+                .find(|(name, _)| name == key)
+                .and_then(|(_, value)| value.peek(rest)),
+            _ => None,
+        }
+    }
+}
+
+struct Seed<'a>(&'a Cell<u32>);
+
+impl<'de> DeserializeSeed<'de> for Seed<'_> {
+    type Value = Json;
+
+    fn deserialize<D: de::Deserializer<'de>>(self, deserializer: D) -> Result<Json, D::Error> {
+        let left = self.0.get().checked_sub(1);
+        self.0.set(left.ok_or_else(|| {
+            de::Error::custom(format_args!("it holds more than {VALUES_MAX} values"))
+        })?);
+        deserializer.deserialize_any(self)
+    }
+}
+
+impl<'de> Visitor<'de> for Seed<'_> {
+    type Value = Json;
+
+    fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("a JSON value")
+    }
+
+    fn visit_bool<E>(self, value: bool) -> Result<Json, E> {
+        Ok(Json::Bool(value))
+    }
+
+    fn visit_f64<E>(self, _: f64) -> Result<Json, E> {
+        Ok(Json::Number)
+    }
+
+    fn visit_i64<E>(self, value: i64) -> Result<Json, E> {
+        Ok(u64::try_from(value).map_or(Json::Number, Json::Whole))
+    }
+
+    fn visit_u64<E>(self, value: u64) -> Result<Json, E> {
+        Ok(Json::Whole(value))
+    }
+
+    fn visit_str<E>(self, value: &str) -> Result<Json, E> {
+        Ok(Json::Text(value.into()))
+    }
+
+    fn visit_unit<E>(self) -> Result<Json, E> {
+        Ok(Json::Null)
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut sequence: A) -> Result<Json, A::Error> {
+        let mut list = Vec::new();
+        while let Some(value) = sequence.next_element_seed(Seed(self.0))? {
+            list.push(value);
+        }
+        Ok(Json::List(list))
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Json, A::Error> {
+        let mut members = Vec::new();
+        while let Some(key) = map.next_key()? {
+            members.push((key, map.next_value_seed(Seed(self.0))?));
+        }
+        Ok(Json::Object(members))
+    }
+}
--- /dev/null
+++ b/src/api/port.rs
@@ -0,0 +1,142 @@
+//! An HTTP port, and the answers that are given on it.
+
+use {
+    crate::{
+        error::{Error, Result},
+        validate::Fault,
+    },
+    serde::Deserialize,
+    serde_json::{Value, json},
+    socket2::SockRef,
+    std::{
+        io::{Cursor, Read},
+        net::{SocketAddr, TcpListener},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        thread,
+    },
+    tiny_http::{Header, Request, Response, Server},
+};
+
+/// The longest body of a request, in bytes.
+pub const BODY_MAX: u64 = 1024 * 1024;
+const THREADS: usize = 4;
+
+/// A whole answer.
+pub(crate) type Reply = Response<Cursor<Vec<u8>>>;
+
+/// A running HTTP port.
+pub struct Port {
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    server: Arc<Server>,
+    stopping: Arc<AtomicBool>,
+}
+
+impl Port {
+    /// Answers each request with what `serve` makes of it.
+    pub(crate) fn bind(
+        address: SocketAddr,
+        serve: impl Fn(&mut Request) -> Reply + Clone + Send + 'static,
+    ) -> Result<Self> {
+        Self::spawn(address, Arc::default(), move |mut request| {
+            let reply = serve(&mut request);
+            // A client that has gone needs no answer.
+            let _ = request.respond(reply);
+        })
+    }
+
+    /// Hands each request to `take`; `stopping` is set when the port stops.
+    pub(super) fn spawn(
+        address: SocketAddr,
+        stopping: Arc<AtomicBool>,
+        take: impl Fn(Request) + Clone + Send + 'static,
+    ) -> Result<Self> {
+        let fail = |source| Error::Bind { address, source };
+        let listener = TcpListener::bind(address).map_err(fail)?;
+        SockRef::from(&listener)
+            .set_tcp_nodelay(true)
+            .map_err(fail)?;
+        let address = listener.local_addr().map_err(fail)?;
+        let server = Server::from_listener(listener, None)
+            .map_err(|error| fail(std::io::Error::other(error)))?;
+        let server = Arc::new(server);
+        for _ in 0..THREADS {
+            let server = server.clone();
+            let take = take.clone();
+            thread::spawn(move || {
+                while let Ok(request) = server.recv() {
+                    take(request);
+                }
+            });
+        }
+        Ok(Self {
+            address,
+            server,
+            stopping,
+        })
+    }
+
+    /// Takes no more requests, and ends the streams.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+        for _ in 0..THREADS {
+            self.server.unblock();
+        }
+    }
+}
+
+pub(crate) fn reply(status: u16, body: &Value) -> Reply {
+    let kind = if status < 400 {
+        "application/json"
+    } else {
+        "application/problem+json"
+    };
+    let reply = Response::from_string(format!("{body}\n")).with_status_code(status);
+    match Header::from_bytes("content-type", kind) {
+        Ok(header) => reply.with_header(header),
+        Err(()) => reply,
+    }
+}
+
+pub(crate) fn problem(status: u16, title: &str, faults: &[Fault]) -> Reply {
+    reply(
+        status,
+        &json!({ "status": status, "title": title, "faults": faults }),
+    )
+}
+
+/// Reads the body of a request as text.
+pub(super) fn text(request: &mut Request) -> Result<String, Reply> {
+    let too_large = || {
+        problem(
+            413,
+            &format!("the body is longer than {BODY_MAX} bytes"),
+            &[],
+        )
+    };
+    let stated = request.body_length().unwrap_or_default();
+    if stated as u64 > BODY_MAX {
+        return Err(too_large());
+    }
+    let mut bytes = Vec::new();
+    request
+        .as_reader()
+        .take(BODY_MAX + 1)
+        .read_to_end(&mut bytes)
+        .map_err(|error| problem(400, &format!("the body can't be read: {error}"), &[]))?;
+    if bytes.len() as u64 > BODY_MAX {
+        return Err(too_large());
+    }
+    if bytes.len() < stated {
+        return Err(problem(400, "the body ends early", &[]));
+    }
+    String::from_utf8(bytes).map_err(|_| problem(400, "the body is not UTF-8", &[]))
+}
+
+pub(crate) fn body<T: for<'de> Deserialize<'de>>(request: &mut Request) -> Result<T, Reply> {
+    serde_json::from_str(&text(request)?)
+        .map_err(|error| problem(400, &format!("the body is malformed: {error}"), &[]))
+}
--- /dev/null
+++ b/src/api/watch.rs
@@ -0,0 +1,188 @@
+//! A watch: a stream of changes that resumes from a resource version. See docs/api.md.
+
+use {
+    super::show::Document,
+    crate::{
+        node::Handle,
+        resource::{Key, Kind},
+        world::{Name, Revision},
+    },
+    serde_json::{Value, json},
+    std::{
+        collections::BTreeMap,
+        io::{self, Write},
+        sync::atomic::{AtomicBool, Ordering},
+        time::{Duration, Instant},
+    },
+};
+
+/// The longest time between two lines of a watch.
+pub const HEARTBEAT: Duration = Duration::from_secs(5);
+/// The longest that a watch goes on.
+pub const WATCH_MAX: Duration = Duration::from_secs(60 * 60);
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\
+                    cache-control: no-store\r\ntransfer-encoding: chunked\r\n\r\n";
+
+/// What is watched.
+#[derive(Debug, Clone)]
+pub(super) struct Watch {
+    pub(super) kind: Kind,
+    pub(super) name: Option<Name>,
+    /// Only what comes after this revision is sent; without it the state is sent first.
+    pub(super) since: Option<Revision>,
+    pub(super) time: Duration,
+}
+
+/// One line of a watch.
+enum Line {
+    Bookmark(Revision),
+    Delete(Revision, Key),
+    Gone(Revision),
+    Put(Box<Document>),
+}
+
+impl Line {
+    fn json(&self) -> Value {
+        match self {
+            Self::Bookmark(revision) => {
+                json!({ "type": "BOOKMARK", "resourceVersion": revision })
+            }
+            Self::Delete(revision, key) => {
+                let metadata = json!({ "name": key.name, "resourceVersion": revision });
+                json!({ "type": "DELETE", "object": { "kind": key.kind, "metadata": metadata } })
+            }
+            Self::Gone(floor) => json!({ "type": "ERROR", "problem": gone(*floor) }),
+            Self::Put(document) => json!({ "type": "PUT", "object": document }),
+        }
+    }
+}
+
+/// Says that a watch can't resume, and how to go on.
+pub(super) fn gone(floor: Revision) -> Value {
+    json!({
+        "status": 410,
+        "title": "the resource version is too old to resume from",
+        "detail": "list again, and watch from the list's resourceVersion",
+        "oldestResourceVersion": floor,
+    })
+}
+
+struct Stream<'a> {
+    handle: &'a Handle,
+    seen: Revision,
+    shown: BTreeMap<Key, Document>,
+    watch: &'a Watch,
+    writer: Box<dyn Write + Send>,
+}
+
+impl Watch {
+    /// Streams until the time is up, the client has gone or the node stops.
+    pub(super) fn run(
+        &self,
+        handle: &Handle,
+        writer: Box<dyn Write + Send>,
+        stopping: &AtomicBool,
+    ) -> io::Result<()> {
+        let mut stream = Stream {
+            handle,
+            seen: self.since.unwrap_or_default(),
+            shown: BTreeMap::new(),
+            watch: self,
+            writer,
+        };
+        stream.writer.write_all(HEAD.as_bytes())?;
+        stream.follow(stopping)?;
+        stream.writer.write_all(b"0\r\n\r\n")?;
+        stream.writer.flush()
+    }
+
+    fn covers(&self, key: &Key) -> bool {
+        key.kind == self.kind && self.name.as_ref().is_none_or(|name| *name == key.name)
+    }
+
+    /// Whether changes of status are sent as well as those of the specification.
+    fn follows_status(&self) -> bool {
+        self.name.is_some() || self.kind == Kind::Rollout
+    }
+}
+
+impl Stream<'_> {
+    fn follow(&mut self, stopping: &AtomicBool) -> io::Result<()> {
+        let start = Instant::now();
+        let mut spoken = start;
+        let mut first = true;
+        while !stopping.load(Ordering::Relaxed) && start.elapsed() < self.watch.time {
+            let quiet = spoken.elapsed() >= HEARTBEAT;
+            let lines = self.lines(first, first || quiet);
+            let ends = matches!(lines.last(), Some(Line::Gone(_)));
+            if !lines.is_empty() {
+                self.send(&lines)?;
+                spoken = Instant::now();
+            }
+            if ends {
+                return Ok(());
+            }
+            first = false;
+            self.handle.feed().wait(LOOK_INTERVAL);
+        }
+        Ok(())
+    }
+
+    fn lines(&mut self, first: bool, bookmark: bool) -> Vec<Line> {
+        let snapshot = self.handle.snapshot();
+        let whole = first && self.watch.since.is_none();
+        if snapshot.revision < self.seen {
+            // This node lags behind the one that the client watched before.
+            return Vec::from_iter(bookmark.then_some(Line::Bookmark(self.seen)));
+        }
+        let deleted = match self.handle.feed().deleted(self.seen, snapshot.revision) {
+            Ok(deleted) => deleted,
+            Err(_) if whole => Vec::new(),
+            Err(floor) => return vec![Line::Gone(floor)],
+        };
+        let mut lines: Vec<(Revision, Line)> = deleted
+            .into_iter()
+            .filter(|(_, key)| !whole && self.watch.covers(key))
+            .map(|(revision, key)| (revision, Line::Delete(revision, key)))
+            .collect();
+        let coverage = self.handle.coverage();
+        for resource in snapshot.resources.values() {
+            if !self.watch.covers(&resource.key) {
+                continue;
+            }
+            let fresh = whole || resource.revision > self.seen;
+            if !fresh && !self.watch.follows_status() {
+                continue;
+            }
+            let document = Document::new(resource, &coverage);
+            let held = self.shown.get(&resource.key);
+            if fresh || held.is_some_and(|held| *held != document) {
+                let line = Line::Put(Box::new(document.clone()));
+                lines.push((resource.revision, line));
+            }
+            if self.watch.follows_status() {
+                self.shown.insert(resource.key.clone(), document);
+            }
+        }
+        lines.sort_by_key(|(revision, _)| *revision);
+        let advanced = snapshot.revision > self.seen && !lines.is_empty();
+        self.seen = snapshot.revision;
+        let mut lines: Vec<Line> = lines.into_iter().map(|(_, line)| line).collect();
+        if bookmark || advanced {
+            lines.push(Line::Bookmark(self.seen));
+        }
+        lines
+    }
+
+    /// Writes lines as one chunk, so that the client has them at once.
+    fn send(&mut self, lines: &[Line]) -> io::Result<()> {
+        let mut text = String::new();
+        for line in lines {
+            text.push_str(&line.json().to_string());
+            text.push('\n');
+        }
+        write!(self.writer, "{:x}\r\n{text}\r\n", text.len())?;
+        self.writer.flush()
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -55,6 +55,7 @@
         let handle = Handle {
             coverage: Arc::default(),
             events: events.clone(),
+            feed: Arc::default(),
             snapshot: Arc::default(),
             telemetry,
             tickets: Arc::default(),
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -68,7 +68,9 @@
             }
             control::Action::Cover(coverage) => self.handle.coverage.store(Arc::new(coverage)),
             control::Action::Install(snapshot) => {
+                self.handle.feed.install(&self.handle.snapshot(), &snapshot);
                 self.handle.snapshot.store(snapshot.clone());
+                self.handle.feed.wake();
                 self.proxy.traffic().install(snapshot);
             }
             // Nothing in this node judges rollouts yet.
--- a/src/node/handle.rs
+++ b/src/node/handle.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        api::Feed,
         control,
         member::Offer,
         snapshot::Snapshot,
@@ -29,6 +30,7 @@
 #[derive(Clone)]
 pub struct Handle {
     pub(super) coverage: Arc<ArcSwap<BTreeMap<Domain, Coverage>>>,
+    pub(super) feed: Arc<Feed>,
     pub(super) events: UnboundedSender<control::Event>,
     pub(super) snapshot: Arc<ArcSwap<Snapshot>>,
     pub(super) telemetry: Telemetry,
@@ -49,6 +51,12 @@
         self.coverage.load_full()
     }
 
+    /// Gives what was deleted of late.
+    #[must_use]
+    pub fn feed(&self) -> &Feed {
+        &self.feed
+    }
+
     /// Gives the counters.
     #[must_use]
     pub fn telemetry(&self) -> &Telemetry {
--- a/src/validate.rs
+++ b/src/validate.rs
@@ -17,6 +17,9 @@
 /// The longest operation id, in bytes.
 pub const ID_MAX: usize = 64;
 
+/// What is wrong with a path that is no absolute one.
+pub const BAD_PATH: &str = "does not begin with `/`";
+
 /// One thing that is wrong with an operation.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Fault {
@@ -69,6 +72,19 @@
 /// # Errors
 /// Names every fault of the operation; `state` is as it was.
 pub fn apply(state: &mut Snapshot, operation: &Operation, now: Moment) -> Result<(), Vec<Fault>> {
+    check(state, operation, now, &BTreeSet::new())
+}
+
+/// Does the same, and takes it that the resources `assumed` exist.
+///
+/// # Errors
+/// Names every fault of the operation; `state` is as it was.
+pub fn check(
+    state: &mut Snapshot,
+    operation: &Operation,
+    now: Moment,
+    assumed: &BTreeSet<Key>,
+) -> Result<(), Vec<Fault>> {
     let mut faults = BTreeSet::new();
     let mut before = Vec::new();
     let mut keys = BTreeSet::new();
@@ -88,7 +104,14 @@
         before.push((key.clone(), held));
         state.change(state.revision, change);
     }
-    faults.extend(state_faults(state, &keys));
+    // What is only added breaks nothing that was there before.
+    let sweep = before.iter().any(|(_, held)| held.is_some());
+    let fit = Fit {
+        assumed,
+        changed: &keys,
+        state,
+    };
+    faults.extend(fit.faults(sweep));
     if faults.is_empty() {
         return Ok(());
     }
@@ -171,7 +194,7 @@
 
 fn route_faults(route: &Route, add: &mut impl FnMut(&str, String)) {
     if !route.path.starts_with('/') {
-        add("spec.path", "does not begin with `/`".into());
+        add("spec.path", BAD_PATH.into());
     }
     let sum: u32 = route.shares.values().map(|share| u32::from(share.0)).sum();
     if sum != u32::from(Permille::WHOLE.0) {
@@ -179,67 +202,118 @@
     }
 }
 
-/// Names what is wrong with how resources fit together, as far as the keys that changed matter.
-fn state_faults(state: &Snapshot, changed: &BTreeSet<&Key>) -> Vec<Fault> {
-    let mut faults = Vec::new();
-    for resource in state.resources.values() {
-        let own = changed.contains(&resource.key);
-        for (field, target) in snapshot::references(&resource.spec) {
-            if own || changed.contains(&target) {
-                faults.extend(reference_fault(state, resource, &field, &target, own));
+/// How the resources of a state fit together, as far as the keys that changed matter.
+struct Fit<'a> {
+    /// Resources that are taken to exist.
+    assumed: &'a BTreeSet<Key>,
+    changed: &'a BTreeSet<&'a Key>,
+    state: &'a Snapshot,
+}
+
+impl Fit<'_> {
+    fn faults(&self, sweep: bool) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        let own = self
+            .changed
+            .iter()
+            .filter_map(|key| self.state.resources.get(*key));
+        for resource in own {
+            faults.extend(self.resource_faults(resource, true));
+        }
+        if !sweep {
+            return faults;
+        }
+        for resource in self.state.resources.values() {
+            if !self.changed.contains(&resource.key) {
+                faults.extend(self.resource_faults(resource, false));
             }
         }
-        if let Spec::Limits(_) = resource.spec {
-            faults.extend(limits_fault(state, resource, own, changed));
+        faults
+    }
+
+    fn resource_faults(&self, resource: &Resource, own: bool) -> Vec<Fault> {
+        let mut faults: Vec<Fault> = snapshot::references(&resource.spec)
+            .into_iter()
+            .filter(|(_, target)| own || self.changed.contains(target))
+            .filter_map(|(field, target)| self.reference_fault(resource, &field, &target, own))
+            .collect();
+        match &resource.spec {
+            Spec::Limits(_) => faults.extend(self.limits_fault(resource)),
+            Spec::Route(route) if own => faults.extend(self.path_fault(&resource.key, route)),
+            _ => {}
         }
+        faults
     }
-    faults.extend(path_faults(state, changed));
-    faults
-}
 
-fn reference_fault(
-    state: &Snapshot,
-    resource: &Resource,
-    field: &str,
-    target: &Key,
-    own: bool,
-) -> Option<Fault> {
-    let key = &resource.key;
-    let Some(found) = state.resources.get(target) else {
-        return Some(if own {
+    fn reference_fault(
+        &self,
+        resource: &Resource,
+        field: &str,
+        target: &Key,
+        own: bool,
+    ) -> Option<Fault> {
+        let key = &resource.key;
+        let Some(found) = self.state.resources.get(target) else {
+            return match (own, self.assumed.contains(target)) {
+                (_, true) => None,
+                (true, false) => Some(Fault::new(
+                    key.to_string(),
+                    field,
+                    format!("refers to {target}, which does not exist"),
+                )),
+                (false, false) => Some(Fault::new(
+                    target.to_string(),
+                    "metadata.name",
+                    format!("is referred to by {field} of {key}"),
+                )),
+            };
+        };
+        let wanted = service(self.state, &resource.spec)?;
+        let has = service(self.state, &found.spec)?;
+        if wanted == has {
+            return None;
+        }
+        Some(if own {
             Fault::new(
                 key.to_string(),
                 field,
-                format!("refers to {target}, which does not exist"),
+                format!("refers to {target}, which is of service {has}, not {wanted}"),
             )
         } else {
             Fault::new(
                 target.to_string(),
-                "metadata.name",
-                format!("is referred to by {field} of {key}"),
+                "spec.service",
+                format!("must stay {wanted}: {field} of {key} refers to it"),
             )
+        })
+    }
+
+    fn limits_fault(&self, resource: &Resource) -> Option<Fault> {
+        let name = &resource.key.name;
+        let known = self.state.resources.values().any(|other| {
+            matches!(&other.spec, Spec::Version(version) if version.service.as_str() == name.as_str())
         });
-    };
-    let (wanted, has) = (
-        service(state, &resource.spec)?,
-        service(state, &found.spec)?,
-    );
-    if wanted == has {
-        return None;
+        if known || self.assumed.iter().any(|key| key.kind == Kind::Version) {
+            return None;
+        }
+        Some(Fault::new(
+            resource.key.to_string(),
+            "metadata.name",
+            format!("no version of service {name} exists"),
+        ))
     }
-    Some(if own {
-        Fault::new(
+
+    fn path_fault(&self, key: &Key, route: &Route) -> Option<Fault> {
+        let other = self.state.resources.values().find(|other| {
+            matches!(&other.spec, Spec::Route(held)
+                if other.key != *key && held.service == route.service && held.path == route.path)
+        })?;
+        Some(Fault::new(
             key.to_string(),
-            field,
-            format!("refers to {target}, which is of service {has}, not {wanted}"),
-        )
-    } else {
-        Fault::new(
-            target.to_string(),
-            "spec.service",
-            format!("must stay {wanted}: {field} of {key} refers to it"),
-        )
-    })
+            "spec.path",
+            format!("`{}` is the path of {} already", route.path, other.key),
+        ))
+    }
 }
 
 /// Gives the service that a specification is about; a rollout's is its route's.
@@ -255,56 +329,6 @@
     }
 }
 
-fn limits_fault(
-    state: &Snapshot,
-    resource: &Resource,
-    own: bool,
-    changed: &BTreeSet<&Key>,
-) -> Option<Fault> {
-    let version = changed.iter().find(|key| key.kind == Kind::Version);
-    if !own && version.is_none() {
-        return None;
-    }
-    let name = &resource.key.name;
-    let known = state.resources.values().any(|other| {
-        matches!(&other.spec, Spec::Version(version) if version.service.as_str() == name.as_str())
-    });
-    if known {
-        return None;
-    }
-    Some(Fault::new(
-        resource.key.to_string(),
-        "metadata.name",
-        format!("no version of service {name} exists"),
-    ))
-}
-
-fn path_faults(state: &Snapshot, changed: &BTreeSet<&Key>) -> Vec<Fault> {
-    let routes = || {
-        state
-            .resources
-            .values()
-            .filter_map(|resource| match &resource.spec {
-                Spec::Route(route) => Some((&resource.key, route)),
-                _ => None,
-            })
-    };
-    let mut faults = Vec::new();
-    for (key, route) in routes().filter(|(key, _)| changed.contains(key)) {
-        let other = routes().find(|(other, held)| {
-            *other != key && held.service == route.service && held.path == route.path
-        });
-        if let Some((other, _)) = other {
-            faults.push(Fault::new(
-                key.to_string(),
-                "spec.path",
-                format!("`{}` is the path of {other} already", route.path),
-            ));
-        }
-    }
-    faults
-}
-
 /// Gives the candidate that a misspelt word was most likely meant to be.
 #[must_use]
 pub fn nearest<'a>(word: &str, candidates: &[&'a str]) -> Option<&'a str> {
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -4,6 +4,7 @@
 #[path = "../examples/standin/mod.rs"]
 mod standin;
 
+mod api;
 mod path;
 mod requests;
 mod settings;
--- a/tests/test.rs
+++ b/tests/test.rs
@@ -89,13 +89,10 @@
     /// Has resources accepted at a host, and gives what became of them.
     pub async fn apply(&self, host: usize, resources: Value) -> Verdict {
         let id = format!("{:x}", rand::random::<u128>());
-        let apply: Apply =
-            serde_json::from_value(json!({ "operation": id, "resources": resources })).unwrap();
-        let changes = apply
-            .resources
-            .iter()
-            .map(|document| (document.change().unwrap(), None))
-            .collect();
+        let body = json!({ "operation": id, "resources": resources });
+        let apply = Apply::parse(&body.to_string()).unwrap();
+        assert_eq!(apply.faults, []);
+        let changes = apply.changes;
         let handle = self.hosts[host].node.handle().clone();
         let operation = Operation { changes, id };
         tokio::task::spawn_blocking(move || handle.submit(operation))
