--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -51,6 +51,10 @@
         match event {
             control::Event::Announced(offer) => self.proxy.offer(Some(offer.clone())),
             control::Event::Draining => self.proxy.offer(None),
+            control::Event::Read(None) => self.handle.telemetry.count("source.read.failed"),
+            control::Event::Transacted(_, outcome) => {
+                self.handle.telemetry.count(&format!("source.{outcome}"));
+            }
             _ => {}
         }
     }
--- a/src/node/handle.rs
+++ b/src/node/handle.rs
@@ -58,10 +58,20 @@
     /// Has an operation accepted, and waits for what becomes of it.
     #[must_use]
     pub fn submit(&self, operation: Operation) -> Verdict {
+        self.wait(|ticket| control::Event::Submitted(ticket, operation))
+    }
+
+    /// Asks the platform what became of an operation.
+    #[must_use]
+    pub fn look(&self, id: String) -> Verdict {
+        self.wait(|ticket| control::Event::Looked(ticket, id))
+    }
+
+    fn wait(&self, event: impl FnOnce(Ticket) -> control::Event) -> Verdict {
         let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = mpsc::channel();
         self.waiting().insert(ticket, sender);
-        self.report(control::Event::Submitted(Ticket(ticket), operation));
+        self.report(event(Ticket(ticket)));
         let verdict = receiver.recv_timeout(SUBMIT_TIMEOUT);
         self.waiting().remove(&ticket);
         verdict.unwrap_or(Verdict::Unknown)
--- a/src/node/worker.rs
+++ b/src/node/worker.rs
@@ -4,10 +4,13 @@
     crate::{
         control,
         platform::Platform,
+        snapshot::Snapshot,
         source::{self, Outcome},
-        world::Revision,
     },
-    std::{sync::mpsc, thread},
+    std::{
+        sync::{Arc, mpsc},
+        thread,
+    },
     tokio::sync::mpsc::UnboundedSender,
 };
 
@@ -16,14 +19,22 @@
     base: &str,
     events: &UnboundedSender<control::Event>,
 ) -> mpsc::Sender<source::Action> {
-    let (reads, to_read) = mpsc::channel::<Revision>();
+    let (reads, to_read) = mpsc::channel::<source::Query>();
     let (writes, to_write) = mpsc::channel::<source::Entry>();
     let (sender, receiver) = mpsc::channel();
     let platform = Platform::open(base);
     let (reader, reported) = (platform.clone(), events.clone());
     thread::spawn(move || {
-        while let Ok(after) = to_read.recv() {
-            let _ = reported.send(control::Event::Read(reader.read(after)));
+        while let Ok(query) = to_read.recv() {
+            let _ = reported.send(control::Event::Read(reader.read(&query)));
+        }
+    });
+    let (stores, to_store) = mpsc::channel::<(Arc<Snapshot>, source::Base)>();
+    let objects = platform.clone();
+    thread::spawn(move || {
+        while let Ok((snapshot, base)) = to_store.recv() {
+            // A snapshot that was not stored is made up for by a later one.
+            let _: Outcome = objects.store(&snapshot, base, source::RETAINED);
         }
     });
     let reported = events.clone();
@@ -37,9 +48,10 @@
         while let Ok(action) = receiver.recv() {
             // The workers end only after this thread does.
             match action {
-                source::Action::Read(after) => drop(reads.send(after)),
+                source::Action::Read(query) => drop(reads.send(query)),
+                source::Action::Store(snapshot, base) => drop(stores.send((snapshot, base))),
                 source::Action::Transact(entry) => drop(writes.send(entry)),
-                source::Action::Reply(..) => {}
+                source::Action::Append(..) | source::Action::Reply(..) => {}
             }
         }
     });
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -8,4 +8,5 @@
 mod requests;
 mod settings;
 mod snapshot;
+mod source;
 mod test;
