Stop and drain without cutting a request

Cause: a node's stop drained, waited for its own ingress only, and closed QUIC at once: what ran at the upstream beside it for other nodes was cut, and so were answers that were written but not yet delivered. A drained upstream was taken back by its own next announcement, and one that had died was never missed, as the announcement's lease did not exist.

Now presence.rs decides from announcements, drains, time: a stop or drain is told to the other nodes first, what they still send is taken for stop.spread_ms, then refused as not run; a lease lapses; a drained incarnation comes back only by DELETE /drain or as a later one. The stop waits for ingress and for what runs here for others, until stop.timeout_ms, and an egress is done only when the other node has the whole answer.

Ruled out: refusing new work at once on drain, which makes each node that was not told yet refuse or retry; a fixed pause before the connections close, which is too long or too short.

--- a/examples/upstream.rs
+++ b/examples/upstream.rs
@@ -4,7 +4,7 @@
 #[allow(dead_code)]
 mod standin;
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -20,17 +20,23 @@
         .await
         .expect("a free port");
     println!("upstream {name} at {}", upstream.address);
-    let offer = serde_json::json!({
-        "address": upstream.address,
-        "connections": 120,
-        "service": service,
-        "slots": 12,
-        "version": version,
+    let incarnation = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis());
+    let announcement = serde_json::json!({
+        "incarnation": u64::try_from(incarnation).unwrap_or(u64::MAX),
+        "offer": {
+            "address": upstream.address,
+            "connections": 120,
+            "service": service,
+            "slots": 12,
+            "version": version,
+        },
     });
     let url = format!("http://{admin}/upstream");
     tokio::task::spawn_blocking(move || {
         loop {
-            if let Err(error) = ureq::put(&url).send(offer.to_string()) {
+            if let Err(error) = ureq::put(&url).send(announcement.to_string()) {
                 eprintln!("cannot announce to {url}: {error}");
             }
             std::thread::sleep(ANNOUNCE_INTERVAL);
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -5,9 +5,11 @@
     crate::{
         api::{Port, Reply, body, problem, reply},
         error::Result,
-        member::Offer,
         node::Handle,
+        presence::{self, Announcement},
+        world::Revision,
     },
+    serde::Serialize,
     serde_json::json,
     std::net::SocketAddr,
     tiny_http::{Method, Request},
@@ -24,22 +26,52 @@
 fn serve(handle: &Handle, request: &mut Request) -> Reply {
     let url = request.url().to_string();
     match (request.method(), url.as_str()) {
-        (Method::Get, "/health") => reply(
-            200,
-            &json!({ "resourceVersion": handle.snapshot().revision }),
-        ),
+        (Method::Get, "/health") => reply(200, &json!(Health::read(handle))),
         (Method::Get, "/counters") => reply(200, &json!(handle.telemetry().totals())),
-        (Method::Put, "/upstream") => match body::<Offer>(request) {
-            Ok(offer) => {
-                handle.announce(offer);
-                reply(200, &json!({}))
-            }
-            Err(reply) => reply,
-        },
+        (Method::Get, "/upstream") => upstream(handle),
+        (Method::Put, "/upstream") => announce(handle, request),
         (Method::Post, "/drain") => {
             handle.drain();
-            reply(200, &json!({}))
+            upstream(handle)
+        }
+        (Method::Delete, "/drain") => {
+            handle.resume();
+            upstream(handle)
         }
         _ => problem(404, "there is nothing here", &[]),
     }
 }
+
+fn upstream(handle: &Handle) -> Reply {
+    let body = json!({ "running": handle.running(), "state": handle.upstream() });
+    reply(200, &body)
+}
+
+fn announce(handle: &Handle, request: &mut Request) -> Reply {
+    let announcement: Announcement = match body(request) {
+        Ok(announcement) => announcement,
+        Err(reply) => return reply,
+    };
+    match handle.admit(announcement) {
+        Ok(()) => upstream(handle),
+        Err(refusal) => problem(409, &refusal.to_string(), &[]),
+    }
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "camelCase")]
+struct Health {
+    resource_version: Revision,
+    running: usize,
+    upstream: presence::State,
+}
+
+impl Health {
+    fn read(handle: &Handle) -> Self {
+        Self {
+            resource_version: handle.snapshot().revision,
+            running: handle.running(),
+            upstream: handle.upstream(),
+        }
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -6,15 +6,20 @@
         api::Port,
         control::{self, Control, Start},
         error::{Error, Result},
+        flight::Flight,
         link::{self, Link},
+        presence::Presence,
         proxy::{Proxy, egress, ingress::Ingress},
-        settings::Settings,
+        settings::{Settings, Stop},
         telemetry::Telemetry,
         tls::Identity,
         traffic::Traffic,
     },
     driver::Driver,
-    std::{net::SocketAddr, sync::Arc},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+    },
     tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
 };
 
@@ -33,6 +38,7 @@
     ingress: Ingress,
     link: Link,
     quic: SocketAddr,
+    stop: Stop,
 }
 
 impl Node {
@@ -52,8 +58,13 @@
         );
         let proxy = Proxy::new(link.clone(), traffic, telemetry.clone());
         let (events, from_edges) = unbounded_channel();
+        let presence = Presence::new(settings.lease, settings.stop.spread);
         let handle = Handle {
+            clock,
             events: events.clone(),
+            flight: Flight::default(),
+            presence: Arc::new(Mutex::new(presence)),
+            proxy: proxy.clone(),
             snapshot: Arc::default(),
             telemetry,
             tickets: Arc::default(),
@@ -82,7 +93,7 @@
             proxy: proxy.clone(),
         };
         tokio::spawn(driver.run(from_edges));
-        tokio::spawn(relay(from_link, events, proxy));
+        tokio::spawn(relay(from_link, events, proxy, handle.flight.clone()));
         Ok(Self {
             admin,
             api,
@@ -90,6 +101,7 @@
             ingress,
             link,
             quic,
+            stop: settings.stop,
         })
     }
 
@@ -123,10 +135,22 @@
         self.quic
     }
 
-    /// Stops: new work is refused, what runs is finished.
+    /// Stops: other nodes are told first and given time to send no more, then what runs is finished,
+    /// and only then the connections close. Requests that outlast the time limit are cut and counted.
     pub async fn stop(self) {
-        self.handle.drain();
-        self.ingress.stop().await;
+        self.handle.stop();
+        tokio::time::sleep(self.stop.spread).await;
+        let ingress = self.ingress.stop();
+        let finished = async {
+            ingress.await;
+            self.handle.flight.idle().await;
+        };
+        if tokio::time::timeout(self.stop.timeout, finished)
+            .await
+            .is_err()
+        {
+            self.handle.telemetry.count("stop.timeout");
+        }
         self.api.stop();
         self.admin.stop();
         self.link.close().await;
@@ -137,6 +161,7 @@
     mut from: UnboundedReceiver<link::Event>,
     to: UnboundedSender<control::Event>,
     proxy: Proxy,
+    flight: Flight,
 ) {
     while let Some(event) = from.recv().await {
         let event = match event {
@@ -144,7 +169,11 @@
             link::Event::Disconnected(host) => control::Event::Disconnected(host),
             link::Event::Received(host, frame) => control::Event::Received(host, frame),
             link::Event::Requested(_, send, recv) => {
-                tokio::spawn(egress::serve(proxy.clone(), send, recv));
+                let (proxy, seat) = (proxy.clone(), flight.enter());
+                tokio::spawn(async move {
+                    egress::serve(proxy, send, recv).await;
+                    drop(seat);
+                });
                 continue;
             }
         };
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -35,23 +35,17 @@
                     Some(event) => event,
                     None => return,
                 },
-                _ = ticks.tick() => control::Event::Tick,
+                _ = ticks.tick() => {
+                    self.handle.tick();
+                    control::Event::Tick
+                }
             };
-            self.note(&event);
             for action in self.control.handle(self.clock.now(), event) {
                 self.act(action);
             }
         }
     }
 
-    fn note(&self, event: &control::Event) {
-        match event {
-            control::Event::Announced(offer) => self.proxy.offer(Some(offer.clone())),
-            control::Event::Draining => self.proxy.offer(None),
-            _ => {}
-        }
-    }
-
     fn act(&mut self, action: control::Action) {
         match action {
             control::Action::Connect(address) => {
--- a/src/node/handle.rs
+++ b/src/node/handle.rs
@@ -1,9 +1,13 @@
 //! What the API and the admin port reach a node by.
 
 use {
+    super::Clock,
     crate::{
         control,
+        flight::Flight,
         member::Offer,
+        presence::{self, Announcement, Presence, Refusal},
+        proxy::Proxy,
         snapshot::Snapshot,
         source::{Operation, Ticket, Verdict},
         telemetry::Telemetry,
@@ -12,7 +16,7 @@
     std::{
         collections::HashMap,
         sync::{
-            Arc, Mutex, PoisonError,
+            Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicU64, Ordering},
             mpsc,
         },
@@ -26,7 +30,11 @@
 /// What the API reaches a node by.
 #[derive(Clone)]
 pub struct Handle {
+    pub(super) clock: Clock,
     pub(super) events: UnboundedSender<control::Event>,
+    pub(super) flight: Flight,
+    pub(super) presence: Arc<Mutex<Presence>>,
+    pub(super) proxy: Proxy,
     pub(super) snapshot: Arc<ArcSwap<Snapshot>>,
     pub(super) telemetry: Telemetry,
     pub(super) tickets: Arc<AtomicU64>,
@@ -58,14 +66,83 @@
         verdict.unwrap_or(Verdict::Unknown)
     }
 
-    /// Takes an upstream's announcement.
+    /// Takes the announcement of an upstream that tells no starts apart.
     pub fn announce(&self, offer: Offer) {
-        self.report(control::Event::Announced(offer));
+        // A refusal is counted.
+        let _ = self.admit(Announcement {
+            incarnation: 0,
+            offer,
+        });
+    }
+
+    /// Takes an upstream's announcement.
+    ///
+    /// # Errors
+    /// Refuses an upstream that was told to drain, or one that a later start has replaced.
+    pub fn admit(&self, announcement: Announcement) -> Result<(), Refusal> {
+        let admitted = self.presence().announce(self.clock.now(), announcement);
+        match admitted {
+            Ok(actions) => {
+                self.carry_out(actions);
+                Ok(())
+            }
+            Err(refusal) => {
+                self.telemetry.count(refusal.counter());
+                Err(refusal)
+            }
+        }
     }
 
     /// Has the upstream on this host take no new work.
     pub fn drain(&self) {
-        self.report(control::Event::Draining);
+        let actions = self.presence().drain(self.clock.now());
+        self.carry_out(actions);
+    }
+
+    /// Takes a drain back.
+    pub fn resume(&self) {
+        let actions = self.presence().resume(self.clock.now());
+        self.carry_out(actions);
+    }
+
+    /// Says how far the upstream on this host has got.
+    #[must_use]
+    pub fn upstream(&self) -> presence::State {
+        self.presence().state()
+    }
+
+    /// Gives how many requests run here for other nodes.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.flight.count()
+    }
+
+    pub(super) fn stop(&self) {
+        let actions = self.presence().stop(self.clock.now());
+        self.carry_out(actions);
+    }
+
+    pub(super) fn tick(&self) {
+        let actions = self.presence().tick(self.clock.now());
+        self.carry_out(actions);
+    }
+
+    fn carry_out(&self, actions: Vec<presence::Action>) {
+        for action in actions {
+            match action {
+                presence::Action::Close => self.proxy.offer(None),
+                presence::Action::Lapse => self.telemetry.count("upstream.lapsed"),
+                presence::Action::Leave => self.report(control::Event::Draining),
+                presence::Action::Open(offer) => {
+                    self.proxy.offer(Some(offer.clone()));
+                    self.report(control::Event::Announced(offer));
+                }
+            }
+        }
+    }
+
+    fn presence(&self) -> MutexGuard<'_, Presence> {
+        self.presence.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn report(&self, event: control::Event) {
@@ -73,7 +150,7 @@
         let _ = self.events.send(event);
     }
 
-    pub(super) fn waiting(&self) -> std::sync::MutexGuard<'_, HashMap<u64, mpsc::Sender<Verdict>>> {
+    pub(super) fn waiting(&self) -> MutexGuard<'_, HashMap<u64, mpsc::Sender<Verdict>>> {
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -16,6 +16,8 @@
     std::time::Duration,
 };
 
+const DELIVERY_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Serves one request that another node passed on.
 pub async fn serve(proxy: Proxy, mut send: SendStream, mut recv: RecvStream) {
     let Ok(Part::Request(head)) = parts::read(&mut recv).await else {
@@ -28,7 +30,7 @@
         _ = stopped => return proxy.telemetry.count("egress.cancelled"),
     };
     let failure = match ended {
-        Ok(Ok(())) => return,
+        Ok(Ok(())) => return delivered(&send).await,
         Ok(Err(failure)) => failure,
         Err(_) => Failure::Unknown(Reason::Deadline),
     };
@@ -36,6 +38,13 @@
     // A node that has gone is told nothing.
     let _ = parts::write(&mut send, &Part::Failure(failure)).await;
     let _ = send.finish();
+    delivered(&send).await;
+}
+
+/// Waits until the other node has the whole answer, so that a planned stop cuts nothing off.
+async fn delivered(send: &SendStream) {
+    // A node that has gone, or takes too long, is not waited for.
+    let _ = tokio::time::timeout(DELIVERY_TIMEOUT, send.stopped()).await;
 }
 
 async fn run(
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -7,4 +7,5 @@
 mod path;
 mod settings;
 mod snapshot;
+mod stop;
 mod test;
--- /dev/null
+++ b/tests/stop.rs
@@ -0,0 +1,239 @@
+//! Planned stops and drains: work in flight is finished, and new work goes elsewhere.
+
+use {
+    crate::test::{Test, call, eventually, whole_route},
+    mulberryshelf::{
+        member::Offer,
+        presence::{Action, Announcement, Presence, Refusal, State},
+        source::Verdict,
+        world::Moment,
+    },
+    proptest::prelude::*,
+    std::{net::SocketAddr, time::Duration},
+};
+
+const RUNNING: usize = 8;
+const BODY_BYTES: usize = 300_000;
+
+const LEASE: Duration = Duration::from_secs(10);
+const SPREAD: Duration = Duration::from_secs(1);
+
+fn offer(port: u16) -> Offer {
+    Offer {
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        connections: 120,
+        service: "dispatch-hub".parse().unwrap(),
+        slots: 12,
+        version: "hub-1".parse().unwrap(),
+    }
+}
+
+fn announcement(incarnation: u64) -> Announcement {
+    Announcement {
+        incarnation,
+        offer: offer(80),
+    }
+}
+
+fn seconds(count: u64) -> Moment {
+    Moment::default() + Duration::from_secs(count)
+}
+
+async fn mesh() -> Test {
+    let test = Test::new()
+        .host("a1", "luzon-a", "resident-desk", "desk-1")
+        .await
+        .host("b1", "luzon-b", "dispatch-hub", "hub-1")
+        .await;
+    let verdict = test.apply(0, whole_route("dispatch-hub", "hub-1")).await;
+    let Verdict::Accepted(revision) = verdict else {
+        panic!("{verdict:?}");
+    };
+    test.converged(revision).await;
+    served(&test).await;
+    test
+}
+
+async fn served(test: &Test) {
+    while call(test.hosts[0].node.proxy(), "dispatch-hub", "").await.0 != 200 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Has requests run at the upstream of the second host, each with an answer of many packets.
+async fn running(test: &Test) -> tokio::task::JoinSet<bool> {
+    let slow_ms = 400;
+    test.hosts[1]
+        .upstream
+        .fail(crate::standin::upstream::Faults {
+            slow_ms,
+            ..Default::default()
+        });
+    let mut calls = tokio::task::JoinSet::new();
+    let proxy = test.hosts[0].node.proxy();
+    let body = "w".repeat(BODY_BYTES);
+    for _ in 0..RUNNING {
+        let body = body.clone();
+        calls.spawn(async move {
+            call(proxy, "dispatch-hub", &body).await == (200, String::new(), body)
+        });
+    }
+    eventually(|| test.hosts[1].upstream.running() == RUNNING as u64).await;
+    calls
+}
+
+async fn whole(calls: tokio::task::JoinSet<bool>) -> usize {
+    let answers = calls.join_all().await;
+    answers.into_iter().filter(|whole| *whole).count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_at_the_upstream_cuts_nothing() {
+    let mut test = mesh().await;
+    let calls = running(&test).await;
+    test.hosts.remove(1).node.stop().await;
+    assert_eq!(whole(calls).await, RUNNING);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_at_the_ingress_cuts_nothing() {
+    let mut test = mesh().await;
+    let calls = running(&test).await;
+    test.hosts.remove(0).node.stop().await;
+    assert_eq!(whole(calls).await, RUNNING);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_ends_at_its_time_limit_and_counts() {
+    let mut test = Test::new();
+    test.stop.timeout = Duration::from_millis(100);
+    let mut test = test.host("a1", "luzon-a", "dispatch-hub", "hub-1").await;
+    let verdict = test.apply(0, whole_route("dispatch-hub", "hub-1")).await;
+    assert!(matches!(verdict, Verdict::Accepted(_)), "{verdict:?}");
+    served(&test).await;
+    let host = test.hosts.remove(0);
+    host.upstream.fail(crate::standin::upstream::Faults {
+        slow_ms: 60_000,
+        ..Default::default()
+    });
+    let proxy = host.node.proxy();
+    let endless = tokio::spawn(async move { call(proxy, "dispatch-hub", "").await });
+    eventually(|| host.upstream.running() == 1).await;
+    let handle = host.node.handle().clone();
+    tokio::time::timeout(Duration::from_secs(20), host.node.stop())
+        .await
+        .unwrap();
+    assert_eq!(handle.telemetry().totals()["stop.timeout"], 1);
+    endless.abort();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_upstream_gets_no_work_after_two_seconds() {
+    let test = mesh()
+        .await
+        .host("b2", "luzon-b", "dispatch-hub", "hub-1")
+        .await;
+    let proxy = test.hosts[0].node.proxy();
+    while test.hosts[2].upstream.total() == 0 {
+        call(proxy, "dispatch-hub", "").await;
+    }
+    test.hosts[1].node.handle().drain();
+    let mut statuses = Vec::new();
+    for _ in 0..20 {
+        statuses.push(call(proxy, "dispatch-hub", "").await.0);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let before = test.hosts[1].upstream.total();
+    for _ in 0..50 {
+        statuses.push(call(proxy, "dispatch-hub", "").await.0);
+    }
+    assert_eq!(test.hosts[1].upstream.total(), before);
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    assert_eq!(test.hosts[1].node.handle().upstream(), State::Drained);
+}
+
+#[test]
+fn drained_upstream_returns_only_as_a_new_incarnation_or_by_order() {
+    let mut presence = Presence::new(LEASE, SPREAD);
+    presence.announce(seconds(0), announcement(7)).unwrap();
+    assert_eq!(presence.drain(seconds(1)), [Action::Leave]);
+    let again = presence.announce(seconds(2), announcement(7));
+    assert_eq!(again, Err(Refusal::Drained));
+    let older = presence.announce(seconds(2), announcement(6));
+    assert_eq!(older, Err(Refusal::Outdated));
+    let later = presence.announce(seconds(2), announcement(8)).unwrap();
+    assert_eq!(later, [Action::Open(offer(80))]);
+    presence.drain(seconds(3));
+    assert_eq!(presence.resume(seconds(4)), [Action::Open(offer(80))]);
+    assert_eq!(presence.state(), State::Ready);
+}
+
+#[test]
+fn what_others_still_send_is_taken_until_they_have_been_told() {
+    let mut presence = Presence::new(LEASE, SPREAD);
+    presence.announce(seconds(0), announcement(1)).unwrap();
+    presence.drain(seconds(1));
+    assert_eq!(presence.tick(seconds(1)), []);
+    assert_eq!(presence.tick(seconds(2)), [Action::Close]);
+    assert_eq!(presence.tick(seconds(3)), []);
+}
+
+#[test]
+fn announcement_that_is_not_repeated_lapses_and_one_that_is_holds() {
+    let mut presence = Presence::new(LEASE, SPREAD);
+    presence.announce(seconds(0), announcement(1)).unwrap();
+    let renewed = presence.announce(seconds(9), announcement(1)).unwrap();
+    assert_eq!(renewed, []);
+    assert_eq!(presence.tick(seconds(18)), []);
+    let lapsed = [Action::Lapse, Action::Leave, Action::Close];
+    assert_eq!(presence.tick(seconds(19)), lapsed);
+    let back = presence.announce(seconds(20), announcement(1)).unwrap();
+    assert_eq!(back, [Action::Open(offer(80))]);
+}
+
+#[test]
+fn stopping_node_takes_no_announcement() {
+    let mut presence = Presence::new(LEASE, SPREAD);
+    presence.announce(seconds(0), announcement(1)).unwrap();
+    presence.stop(seconds(1));
+    let later = presence.announce(seconds(2), announcement(2));
+    assert_eq!(later, Err(Refusal::Stopping));
+    assert_eq!(presence.resume(seconds(2)), []);
+}
+
+proptest! {
+    /// In whatever order things happen, an incarnation that was drained never takes work again by
+    /// itself, and no work is taken longer than `SPREAD` after other nodes were told to send none.
+    #[test]
+    fn drained_incarnation_stays_drained(steps in prop::collection::vec((0_u8..4, 1_u64..4, 0_u64..4), 1..60)) {
+        let mut presence = Presence::new(LEASE, SPREAD);
+        let (mut now, mut drained, mut last) = (0, 0, 0);
+        let (mut open, mut left) = (false, None);
+        for (step, incarnation, span) in steps {
+            now += span;
+            let actions = match step {
+                0 => presence.announce(seconds(now), announcement(incarnation)).unwrap_or_default(),
+                1 => presence.drain(seconds(now)),
+                _ => presence.tick(seconds(now)),
+            };
+            for action in actions {
+                match action {
+                    Action::Open(_) => {
+                        prop_assert!(incarnation > drained && incarnation >= last);
+                        (open, left, last) = (true, None, incarnation);
+                    }
+                    Action::Leave => {
+                        left = Some(now);
+                        if step == 1 {
+                            drained = last;
+                        }
+                    }
+                    Action::Close => open = false,
+                    Action::Lapse => {}
+                }
+            }
+            let overdue = left.is_some_and(|left| now >= left + SPREAD.as_secs());
+            prop_assert!(!(step >= 2 && open && overdue));
+        }
+    }
+}
--- a/tests/test.rs
+++ b/tests/test.rs
@@ -34,6 +34,7 @@
     authority: Authority,
     pub hosts: Vec<Host>,
     pub platform: Platform,
+    pub stop: Stop,
 }
 
 impl Test {
@@ -42,6 +43,10 @@
             authority: Authority::create().unwrap(),
             hosts: Vec::new(),
             platform: Platform::bind(ANY).unwrap(),
+            stop: Stop {
+                spread: Duration::from_millis(200),
+                ..Stop::default()
+            },
         }
     }
 
@@ -64,10 +69,7 @@
             quic: ANY,
             region: "luzon".parse().unwrap(),
             statsd: None,
-            stop: Stop {
-                spread: Duration::from_millis(200),
-                ..Stop::default()
-            },
+            stop: self.stop,
             tokens: Tokens {
                 read: "read".into(),
                 write: "write".into(),
