--- a/src/node.rs
+++ b/src/node.rs
@@ -56,11 +56,12 @@
             settings.region.clone(),
             rand::random(),
         );
-        let proxy = Proxy::new(link.clone(), traffic, telemetry.clone());
+        let proxy = Proxy::new(clock, link.clone(), traffic, telemetry.clone());
         let (events, from_edges) = unbounded_channel();
         let presence = Presence::new(settings.lease, settings.stop.spread);
         let handle = Handle {
             clock,
+            coverage: Arc::default(),
             events: events.clone(),
             flight: Flight::default(),
             presence: Arc::new(Mutex::new(presence)),
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -8,7 +8,10 @@
         proxy::Proxy,
         source,
     },
-    std::{sync::mpsc, time::Duration},
+    std::{
+        sync::{Arc, mpsc},
+        time::Duration,
+    },
     tokio::sync::mpsc::UnboundedReceiver,
 };
 
@@ -53,10 +56,13 @@
                 // A failure is counted by the link, and the next tick tries again.
                 tokio::spawn(async move { drop(link.connect(address).await) });
             }
+            control::Action::Cover(coverage) => self.handle.coverage.store(Arc::new(coverage)),
             control::Action::Install(snapshot) => {
                 self.handle.snapshot.store(snapshot.clone());
                 self.proxy.traffic().install(snapshot);
             }
+            // Nothing in this node judges rollouts yet.
+            control::Action::Role(_) | control::Action::Rollout(..) => {}
             control::Action::Send(host, frame) => self.link.send(&host, &frame),
             control::Action::Source(source::Action::Reply(ticket, verdict)) => {
                 if let Some(waiting) = self.handle.waiting().remove(&ticket.0) {
--- a/src/node/handle.rs
+++ b/src/node/handle.rs
@@ -10,11 +10,13 @@
         proxy::Proxy,
         snapshot::Snapshot,
         source::{Operation, Ticket, Verdict},
+        spread::Coverage,
         telemetry::Telemetry,
+        world::Domain,
     },
     arc_swap::ArcSwap,
     std::{
-        collections::HashMap,
+        collections::{BTreeMap, HashMap},
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicU64, Ordering},
@@ -31,6 +33,7 @@
 #[derive(Clone)]
 pub struct Handle {
     pub(super) clock: Clock,
+    pub(super) coverage: Arc<ArcSwap<BTreeMap<Domain, Coverage>>>,
     pub(super) events: UnboundedSender<control::Event>,
     pub(super) flight: Flight,
     pub(super) presence: Arc<Mutex<Presence>>,
@@ -48,6 +51,12 @@
         self.snapshot.load_full()
     }
 
+    /// Gives how far each failure domain has come.
+    #[must_use]
+    pub fn coverage(&self) -> Arc<BTreeMap<Domain, Coverage>> {
+        self.coverage.load_full()
+    }
+
     /// Gives the counters.
     #[must_use]
     pub fn telemetry(&self) -> &Telemetry {
