Hold peers to their certificates, and callers to the routes

Cause: a node of the mesh could say hello as any host or in any failure domain, and an upstream could announce the node's own API or admin port, which callers would then reach through the proxy port.

Now the link closes the connection of a peer that speaks for another host or another domain than its certificate names, counted as link.frame.impostor; records of other hosts are handed on. The node's own ports are refused as an upstream's address.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod link;
 pub mod member;
 pub mod node;
+pub mod peer;
 pub mod platform;
 pub mod presence;
 pub mod proxy;
--- a/src/link.rs
+++ b/src/link.rs
@@ -4,6 +4,7 @@
 use {
     crate::{
         error::{Error, Result},
+        peer::Peer,
         telemetry::Telemetry,
         tls::{self, Identity},
         wire::{self, Frame},
@@ -184,14 +185,15 @@
     }
 
     fn adopt(&self, connection: Connection) -> Option<Host> {
-        let Some(host) = subject(&connection) else {
+        let Some(peer) = subject(&connection) else {
             self.inner.telemetry.count("link.accept.unnamed");
             connection.close(VarInt::from_u32(1), b"the certificate names no host");
             return None;
         };
+        let host = peer.host.clone();
         self.connections().insert(host.clone(), connection.clone());
         self.report(Event::Connected(host.clone()));
-        tokio::spawn(self.clone().frames(host.clone(), connection.clone()));
+        tokio::spawn(self.clone().frames(peer, connection.clone()));
         tokio::spawn(self.clone().requests(host.clone(), connection));
         Some(host)
     }
@@ -201,10 +203,11 @@
         let _ = self.inner.events.send(event);
     }
 
-    async fn frames(self, host: Host, connection: Connection) {
+    async fn frames(self, peer: Peer, connection: Connection) {
+        let host = peer.host.clone();
         while let Ok(mut stream) = connection.accept_uni().await {
             let link = self.clone();
-            let host = host.clone();
+            let (peer, connection) = (peer.clone(), connection.clone());
             tokio::spawn(async move {
                 let Ok(bytes) = stream.read_to_end(wire::FRAME_MAX).await else {
                     return link.inner.telemetry.count("link.frame.cut");
@@ -213,7 +216,13 @@
                     .telemetry
                     .add("link.received.bytes", bytes.len() as u64);
                 match wire::decode(&bytes) {
-                    Ok(frame) => link.report(Event::Received(host, frame)),
+                    Ok(frame) if peer.may_send(&frame) => {
+                        link.report(Event::Received(peer.host, frame));
+                    }
+                    Ok(_) => {
+                        link.inner.telemetry.count("link.frame.impostor");
+                        connection.close(VarInt::from_u32(2), b"a frame speaks for another host");
+                    }
                     Err(_) => link.inner.telemetry.count("link.frame.malformed"),
                 }
             });
@@ -262,8 +271,9 @@
     transport
 }
 
-fn subject(connection: &Connection) -> Option<Host> {
+fn subject(connection: &Connection) -> Option<Peer> {
     let identity = connection.peer_identity()?;
     let chain = identity.downcast::<Vec<CertificateDer<'static>>>().ok()?;
-    tls::subject(chain.first()?).map(|(host, _)| host)
+    let (host, domain) = tls::subject(chain.first()?)?;
+    Some(Peer { domain, host })
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -74,6 +74,7 @@
         let api = Port::api(settings.api, settings.tokens.clone(), handle.clone())?;
         let admin = admin::bind(settings.admin, handle.clone())?;
         let ingress = Ingress::bind(settings.proxy, proxy.clone()).await?;
+        handle.reserve(vec![api.address, admin.address, ingress.address]);
         let mut contact = settings.contact();
         contact.address = link.address().map_err(|source| Error::Bind {
             address: settings.quic,
--- a/src/node/handle.rs
+++ b/src/node/handle.rs
@@ -17,6 +17,7 @@
     arc_swap::ArcSwap,
     std::{
         collections::{BTreeMap, HashMap},
+        net::SocketAddr,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicU64, Ordering},
@@ -126,6 +127,10 @@
         self.flight.count()
     }
 
+    pub(super) fn reserve(&self, ports: Vec<SocketAddr>) {
+        self.presence().reserve(ports);
+    }
+
     pub(super) fn stop(&self) {
         let actions = self.presence().stop(self.clock.now());
         self.carry_out(actions);
--- a/src/presence.rs
+++ b/src/presence.rs
@@ -5,7 +5,7 @@
 use {
     crate::{member::Offer, world::Moment},
     serde::{Deserialize, Serialize},
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// What an upstream tells the node on its host, and repeats to renew its lease.
@@ -37,6 +37,9 @@
     /// The upstream was told to drain.
     #[error("this incarnation of the upstream is drained")]
     Drained,
+    /// The address is one of the node's own ports, which callers must not reach this way.
+    #[error("the address is a port of the node itself")]
+    OwnPort,
     /// A later incarnation has announced itself.
     #[error("a later incarnation has announced itself")]
     Outdated,
@@ -51,6 +54,7 @@
     pub fn counter(self) -> &'static str {
         match self {
             Self::Drained => "upstream.refused.drained",
+            Self::OwnPort => "upstream.refused.own-port",
             Self::Outdated => "upstream.refused.outdated",
             Self::Stopping => "upstream.refused.stopping",
         }
@@ -79,6 +83,7 @@
     closes: Moment,
     lapses: Moment,
     lease: Duration,
+    reserved: Vec<SocketAddr>,
     spread: Duration,
     state: State,
     stopping: bool,
@@ -94,12 +99,18 @@
             closes: Moment::default(),
             lapses: Moment::default(),
             lease,
+            reserved: Vec::new(),
             spread,
             state: State::default(),
             stopping: false,
         }
     }
 
+    /// Refuses announcements of the node's own ports from now on.
+    pub fn reserve(&mut self, ports: Vec<SocketAddr>) {
+        self.reserved = ports;
+    }
+
     /// Says how far the upstream has got.
     #[must_use]
     pub fn state(&self) -> State {
@@ -115,6 +126,9 @@
         now: Moment,
         announcement: Announcement,
     ) -> Result<Vec<Action>, Refusal> {
+        if self.is_reserved(announcement.offer.address) {
+            return Err(Refusal::OwnPort);
+        }
         self.admit(announcement.incarnation)?;
         self.lapses = now + self.lease;
         let renewed = self.state == State::Ready && self.announced.as_ref() == Some(&announcement);
@@ -127,6 +141,14 @@
         Ok(vec![Action::Open(offer)])
     }
 
+    fn is_reserved(&self, address: SocketAddr) -> bool {
+        let local = address.ip().is_loopback() || address.ip().is_unspecified();
+        self.reserved.iter().any(|port| {
+            let same = port.ip() == address.ip() || port.ip().is_unspecified() || local;
+            same && port.port() == address.port()
+        })
+    }
+
     fn admit(&self, incarnation: u64) -> Result<(), Refusal> {
         if self.stopping {
             return Err(Refusal::Stopping);
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -6,6 +6,7 @@
 
 mod path;
 mod requests;
+mod security;
 mod settings;
 mod snapshot;
 mod stop;
--- a/tests/test.rs
+++ b/tests/test.rs
@@ -31,7 +31,7 @@
 
 /// The builder of a small mesh.
 pub struct Test {
-    authority: Authority,
+    pub authority: Authority,
     pub hosts: Vec<Host>,
     pub platform: Platform,
     pub stop: Stop,
