--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -38,19 +38,20 @@
                     Some(event) => event,
                     None => return,
                 },
-                _ = ticks.tick() => control::Event::Tick,
+                _ = ticks.tick() => {
+                    self.handle.tick();
+                    control::Event::Tick
+                }
             };
-            self.note(&event);
+            self.count(&event);
             for action in self.control.handle(self.clock.now(), event) {
                 self.act(action);
             }
         }
     }
 
-    fn note(&self, event: &control::Event) {
+    fn count(&self, event: &control::Event) {
         match event {
-            control::Event::Announced(offer) => self.proxy.offer(Some(offer.clone())),
-            control::Event::Draining => self.proxy.offer(None),
             control::Event::Read(None) => self.handle.telemetry.count("source.read.failed"),
             control::Event::Transacted(_, outcome) => {
                 self.handle.telemetry.count(&format!("source.{outcome}"));
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -6,7 +6,9 @@
 
 mod path;
 mod requests;
+mod security;
 mod settings;
 mod snapshot;
 mod source;
+mod stop;
 mod test;
