--- a/examples/standin/upstream.rs
+++ b/examples/standin/upstream.rs
@@ -3,20 +3,21 @@
 
 use {
     bytes::Bytes,
-    http_body_util::{BodyExt, Full},
+    http_body_util::BodyExt,
     hyper::{
         Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
     },
     hyper_util::rt::TokioIo,
+    mulberryshelf::body::Body,
     serde::{Deserialize, Serialize},
     std::{
         collections::BTreeMap,
-        convert::Infallible,
+        io,
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
-    tokio::net::TcpListener,
+    tokio::{net::TcpListener, task::AbortHandle},
 };
 
 /// How the upstream misbehaves.
@@ -25,15 +26,25 @@
 pub struct Faults {
     /// This many of a thousand requests fail.
     pub bad_permille: u16,
+    /// This many answers begin and break off.
+    pub cut_answers: u32,
+    /// A request with this body kills the upstream.
+    pub die_of: Option<String>,
+    /// This many requests run, and the connection closes without an answer.
+    pub lose_answers: u32,
     /// Every request takes this long, in milliseconds.
     pub slow_ms: u64,
 }
 
 #[derive(Default)]
 struct State {
+    connections: usize,
+    connections_most: usize,
     faults: Faults,
+    headers: BTreeMap<String, BTreeMap<String, String>>,
     running: u64,
     runs: BTreeMap<String, u64>,
+    tasks: Vec<AbortHandle>,
     total: u64,
 }
 
@@ -55,10 +66,33 @@
             name: name.into(),
             state: Arc::default(),
         };
-        tokio::spawn(upstream.clone().accept(listener));
+        let accepting = tokio::spawn(upstream.clone().accept(listener));
+        upstream.state().tasks.push(accepting.abort_handle());
         Ok(upstream)
     }
 
+    /// Dies: every connection breaks off, and nothing listens any more.
+    pub fn die(&self) {
+        for task in self.state().tasks.drain(..) {
+            task.abort();
+        }
+    }
+
+    /// Says whether it has died.
+    pub fn is_dead(&self) -> bool {
+        self.state().tasks.is_empty()
+    }
+
+    /// Gives the most connections that were open at a time.
+    pub fn connections_most(&self) -> usize {
+        self.state().connections_most
+    }
+
+    /// Gives a header of the request with an id, as it arrived.
+    pub fn header(&self, id: &str, name: &str) -> Option<String> {
+        self.state().headers.get(id)?.get(name).cloned()
+    }
+
     /// Switches faults on and off.
     pub fn fail(&self, faults: Faults) {
         self.state().faults = faults;
@@ -89,45 +123,103 @@
             let upstream = self.clone();
             let service = service_fn(move |request| {
                 let upstream = upstream.clone();
-                async move { Ok::<_, Infallible>(upstream.answer(request).await) }
+                async move { upstream.answer(request).await }
             });
-            tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+            let open = Open::new(self.clone());
+            let task = tokio::spawn(async move {
+                let _open = open;
+                let _ = http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+            self.state().tasks.push(task.abort_handle());
         }
     }
 
-    fn begin(&self, id: &str) -> Faults {
+    fn begin(&self, id: &str, request: &Request<Incoming>) -> Faults {
+        let headers = request.headers().iter().map(|(name, value)| {
+            let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
+            (name.to_string(), value)
+        });
         let mut state = self.state();
+        state.headers.insert(id.into(), headers.collect());
         state.total += 1;
         state.running += 1;
         *state.runs.entry(id.into()).or_default() += 1;
         state.faults.clone()
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    fn spend(&self, fault: impl Fn(&mut Faults) -> &mut u32) -> bool {
+        let mut state = self.state();
+        let left = fault(&mut state.faults);
+        let spent = *left > 0;
+        *left = left.saturating_sub(1);
+        spent
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> io::Result<Response<Body>> {
         let id = request
             .headers()
             .get("x-request-id")
             .and_then(|value| value.to_str().ok())
             .unwrap_or_default()
             .to_string();
-        let faults = self.begin(&id);
+        let faults = self.begin(&id, &request);
         let running = Running(self);
         tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
         let Ok(body) = request.into_body().collect().await else {
-            return respond(StatusCode::BAD_REQUEST, Bytes::new());
+            return Ok(respond(StatusCode::BAD_REQUEST, Bytes::new()));
         };
         drop(running);
+        let body = body.to_bytes();
+        if faults.die_of.is_some_and(|text| text.as_bytes() == body) {
+            self.die();
+            return Err(io::Error::other("the upstream dies"));
+        }
+        if self.spend(|faults| &mut faults.lose_answers) {
+            return Err(io::Error::other("the answer is lost"));
+        }
+        if self.spend(|faults| &mut faults.cut_answers) {
+            return Ok(cut(body).await);
+        }
         if rand::random_range(0..1000) < faults.bad_permille {
-            return respond(StatusCode::INTERNAL_SERVER_ERROR, "bad".into());
+            return Ok(respond(StatusCode::INTERNAL_SERVER_ERROR, "bad".into()));
         }
-        let body = body.to_bytes();
         if body.is_empty() {
-            return respond(StatusCode::OK, format!("{}\n", self.name).into());
+            return Ok(respond(StatusCode::OK, format!("{}\n", self.name).into()));
         }
-        respond(StatusCode::OK, body)
+        Ok(respond(StatusCode::OK, body))
+    }
+}
+
+struct Open(Upstream);
+
+impl Open {
+    fn new(upstream: Upstream) -> Self {
+        let mut state = upstream.state();
+        state.connections += 1;
+        state.connections_most = state.connections_most.max(state.connections);
+        drop(state);
+        Self(upstream)
     }
 }
 
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.state().connections -= 1;
+    }
+}
+
+async fn cut(body: Bytes) -> Response<Body> {
+    let (writer, streaming) = Body::channel();
+    writer.push(body.slice(..body.len() / 2)).await;
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        drop(writer);
+    });
+    Response::new(streaming)
+}
+
 struct Running<'a>(&'a Upstream);
 
 impl Drop for Running<'_> {
@@ -136,8 +228,8 @@
     }
 }
 
-fn respond(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(body));
+fn respond(status: StatusCode, body: Bytes) -> Response<Body> {
+    let mut response = Response::new(Body::whole(body));
     *response.status_mut() = status;
     response
 }
--- a/src/body.rs
+++ b/src/body.rs
@@ -5,7 +5,7 @@
     bytes::Bytes,
     hyper::{
         HeaderMap,
-        body::{Frame, SizeHint},
+        body::{Frame, Incoming, SizeHint},
     },
     std::{
         pin::Pin,
@@ -29,11 +29,15 @@
 
 /// The receiving end of a streaming body.
 #[derive(Debug)]
-pub struct Body(Content);
+pub struct Body {
+    content: Content,
+    left: u64,
+}
 
 #[derive(Debug)]
 enum Content {
     Ended,
+    Incoming(Incoming),
     Streaming(Receiver<Piece>),
     Whole(Bytes),
 }
@@ -43,11 +47,38 @@
 pub struct Writer(Sender<Piece>);
 
 impl Body {
+    fn of(content: Content) -> Self {
+        Self {
+            content,
+            left: u64::MAX,
+        }
+    }
+
+    /// Cuts the body short where it is longer than a number of bytes.
+    #[must_use]
+    pub fn limit(self, bytes: u64) -> Self {
+        Self {
+            left: bytes,
+            ..self
+        }
+    }
+
+    fn take(&mut self, data: Bytes) -> Result<Frame<Bytes>, Cut> {
+        self.left = self.left.checked_sub(data.len() as u64).ok_or(Cut)?;
+        Ok(Frame::data(data))
+    }
+
     /// Makes a body that is filled as it streams.
     #[must_use]
     pub fn channel() -> (Writer, Self) {
         let (sender, receiver) = channel(DEPTH);
-        (Writer(sender), Self(Content::Streaming(receiver)))
+        (Writer(sender), Self::of(Content::Streaming(receiver)))
+    }
+
+    /// Takes over a body that arrives on a connection.
+    #[must_use]
+    pub fn incoming(incoming: Incoming) -> Self {
+        Self::of(Content::Incoming(incoming))
     }
 
     /// Makes a body that is whole from the start.
@@ -55,9 +86,9 @@
     pub fn whole(bytes: impl Into<Bytes>) -> Self {
         let bytes = bytes.into();
         if bytes.is_empty() {
-            return Self(Content::Ended);
+            return Self::of(Content::Ended);
         }
-        Self(Content::Whole(bytes))
+        Self::of(Content::Whole(bytes))
     }
 }
 
@@ -87,18 +118,30 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        match std::mem::replace(&mut self.0, Content::Ended) {
+        match std::mem::replace(&mut self.content, Content::Ended) {
             Content::Ended => Poll::Ready(None),
             Content::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+            Content::Incoming(mut incoming) => {
+                let polled = Pin::new(&mut incoming).poll_frame(context);
+                self.content = Content::Incoming(incoming);
+                polled.map(|frame| {
+                    let frame = frame?.map_err(|_| Cut).map(Frame::into_data);
+                    Some(match frame {
+                        Ok(Ok(data)) => self.take(data),
+                        Ok(Err(frame)) => Ok(frame),
+                        Err(cut) => Err(cut),
+                    })
+                })
+            }
             Content::Streaming(mut pieces) => match pieces.poll_recv(context) {
                 Poll::Pending => {
-                    self.0 = Content::Streaming(pieces);
+                    self.content = Content::Streaming(pieces);
                     Poll::Pending
                 }
                 Poll::Ready(None) => Poll::Ready(Some(Err(Cut))),
                 Poll::Ready(Some(Piece::Data(bytes))) => {
-                    self.0 = Content::Streaming(pieces);
-                    Poll::Ready(Some(Ok(Frame::data(bytes))))
+                    self.content = Content::Streaming(pieces);
+                    Poll::Ready(Some(self.take(bytes)))
                 }
                 Poll::Ready(Some(Piece::End(trailers))) if trailers.is_empty() => Poll::Ready(None),
                 Poll::Ready(Some(Piece::End(trailers))) => {
@@ -109,12 +152,17 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self.0, Content::Ended)
+        match &self.content {
+            Content::Ended => true,
+            Content::Incoming(incoming) => incoming.is_end_stream(),
+            Content::Streaming(_) | Content::Whole(_) => false,
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match &self.0 {
+        match &self.content {
             Content::Ended => SizeHint::with_exact(0),
+            Content::Incoming(incoming) => incoming.size_hint(),
             Content::Streaming(_) => SizeHint::default(),
             Content::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
         }
--- a/src/control.rs
+++ b/src/control.rs
@@ -234,6 +234,8 @@
             Frame::Delta(delta) => self.delta(host, &delta),
             Frame::Snapshot(snapshot) => self.whole(snapshot),
             Frame::Members(records) => self.merge(Some(host), records),
+            // The proxy takes these.
+            Frame::Strikes(_) => Vec::new(),
         }
     }
 
--- a/src/link.rs
+++ b/src/link.rs
@@ -149,6 +149,29 @@
         });
     }
 
+    /// Sends a frame to a host, connecting if need be, and waits until the host has it.
+    ///
+    /// # Errors
+    /// Fails if the host can't be reached.
+    pub async fn deliver(&self, host: &Host, address: SocketAddr, frame: &Frame) -> Result {
+        let fail = |message: String| Error::Peer {
+            step: "send to",
+            peer: host.to_string(),
+            message,
+        };
+        let connection = self.connection(host, address).await?;
+        let bytes = wire::encode(frame).map_err(|error| fail(error.to_string()))?;
+        self.inner
+            .telemetry
+            .add("link.sent.bytes", bytes.len() as u64);
+        let stream = write(&connection, &bytes)
+            .await
+            .map_err(|error| fail(error.to_string()))?;
+        let acknowledged = stream.stopped().await;
+        acknowledged.map_err(|error| fail(error.to_string()))?;
+        Ok(())
+    }
+
     /// Closes every connection.
     pub async fn close(&self) {
         self.inner.endpoint.close(VarInt::from_u32(0), b"stopping");
@@ -240,11 +263,11 @@
     }
 }
 
-async fn write(connection: &Connection, bytes: &[u8]) -> std::io::Result<()> {
+async fn write(connection: &Connection, bytes: &[u8]) -> std::io::Result<SendStream> {
     let mut stream = connection.open_uni().await?;
     stream.write_all(bytes).await?;
     stream.finish()?;
-    Ok(())
+    Ok(stream)
 }
 
 fn transport() -> TransportConfig {
--- a/src/node.rs
+++ b/src/node.rs
@@ -15,6 +15,7 @@
         telemetry::Telemetry,
         tls::Identity,
         traffic::Traffic,
+        wire::Frame,
         world::{Moment, Revision},
     },
     arc_swap::ArcSwap,
@@ -142,7 +143,13 @@
             settings.region.clone(),
             rand::random(),
         );
-        let proxy = Proxy::new(clock, link.clone(), traffic, telemetry.clone());
+        let proxy = Proxy::new(
+            settings.host.clone(),
+            clock,
+            link.clone(),
+            traffic,
+            telemetry.clone(),
+        );
         let (events, from_edges) = unbounded_channel();
         let handle = Handle {
             events: events.clone(),
@@ -232,8 +239,15 @@
 ) {
     while let Some(event) = from.recv().await {
         let event = match event {
-            link::Event::Connected(host) => control::Event::Connected(host),
+            link::Event::Connected(host) => {
+                proxy.greet(&host);
+                control::Event::Connected(host)
+            }
             link::Event::Disconnected(host) => control::Event::Disconnected(host),
+            link::Event::Received(_, Frame::Strikes(strikes)) => {
+                proxy.learn(strikes);
+                continue;
+            }
             link::Event::Received(host, frame) => control::Event::Received(host, frame),
             link::Event::Requested(_, send, recv) => {
                 tokio::spawn(egress::serve(proxy.clone(), send, recv));
@@ -333,7 +347,10 @@
                 }
             }
             control::Action::Source(action) => drop(self.platform.send(action)),
-            control::Action::Update(records) => self.proxy.traffic().update(records),
+            control::Action::Update(records) => {
+                let now = self.clock.now();
+                self.proxy.traffic().update(now, records);
+            }
         }
     }
 }
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -1,38 +1,73 @@
 //! The path of a request: a caller's HTTP request enters at any node, crosses by QUIC to the node at
-//! the chosen upstream, and the answer comes back whole. See docs/requests.md.
+//! the chosen upstream, and the answer comes back whole. See docs/design/requests.md.
 
-use crate::{
-    link::Link, member::Offer, node::Clock, telemetry::Telemetry, traffic::Traffic, world::Moment,
+use {
+    crate::{
+        link::Link,
+        member::Offer,
+        node::Clock,
+        telemetry::Telemetry,
+        traffic::{Traffic, admit::Ticket, quarantine::Strike},
+        wire::Frame,
+        world::{Host, Moment, Service},
+    },
+    gate::Gate,
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
 };
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+pub mod call;
 pub mod egress;
+pub mod forward;
+pub mod gate;
 pub mod headers;
 pub mod ingress;
+pub mod keyed;
 pub mod parts;
 pub mod pool;
 
+/// How long a failed request's answer waits for its strike to reach the service's other nodes.
+const STRIKE_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// What both sides of the path share.
 #[derive(Clone)]
 pub struct Proxy {
     clock: Clock,
+    gate: Gate,
+    host: Host,
+    keys: keyed::Keys,
     link: Link,
-    offer: Arc<Mutex<Option<Offer>>>,
     pool: pool::Pool,
     telemetry: Telemetry,
+    tickets: Arc<AtomicU64>,
     traffic: Arc<Mutex<Traffic>>,
 }
 
 impl Proxy {
     /// Makes the shared part of the path.
     #[must_use]
-    pub fn new(clock: Clock, link: Link, traffic: Traffic, telemetry: Telemetry) -> Self {
+    pub fn new(
+        host: Host,
+        clock: Clock,
+        link: Link,
+        traffic: Traffic,
+        telemetry: Telemetry,
+    ) -> Self {
         Self {
             clock,
+            gate: Gate::new(clock),
+            host,
+            keys: keyed::Keys::default(),
             link,
-            offer: Arc::default(),
             pool: pool::Pool::default(),
             telemetry,
+            tickets: Arc::default(),
             traffic: Arc::new(Mutex::new(traffic)),
         }
     }
@@ -44,17 +79,61 @@
 
     /// Takes over what the upstream on this host offers; nothing if it takes no new work.
     pub fn offer(&self, offer: Option<Offer>) {
-        *self.offer.lock().unwrap_or_else(PoisonError::into_inner) = offer;
+        self.gate.offer(offer);
+    }
+
+    /// Takes in what another node knows of requests that crash upstreams.
+    pub fn learn(&self, strikes: Vec<Strike>) {
+        for strike in strikes {
+            self.gate.learn(strike);
+        }
+    }
+
+    /// Tells a node that has connected of requests that crash upstreams.
+    pub fn greet(&self, host: &Host) {
+        let strikes = self.gate.strikes();
+        if !strikes.is_empty() {
+            self.link.send(host, &Frame::Strikes(strikes));
+        }
+    }
+
+    /// Tells the nodes of a service of strikes, and waits a little until they know.
+    async fn strike(&self, service: &Service, strikes: Vec<Strike>) {
+        if strikes.is_empty() {
+            return;
+        }
+        self.telemetry
+            .add("quarantine.struck", strikes.len() as u64);
+        let peers: Vec<(Host, SocketAddr)> = self
+            .traffic()
+            .hosts(service)
+            .map(|record| (record.contact.host.clone(), record.contact.address))
+            .filter(|(host, _)| *host != self.host)
+            .collect();
+        let frame = Arc::new(Frame::Strikes(strikes));
+        let mut deliveries = tokio::task::JoinSet::new();
+        for (host, address) in peers {
+            let (link, frame) = (self.link.clone(), frame.clone());
+            deliveries.spawn(async move { link.deliver(&host, address, &frame).await });
+        }
+        let all = async {
+            while let Some(delivered) = deliveries.join_next().await {
+                if !matches!(delivered, Ok(Ok(()))) {
+                    self.telemetry.count("quarantine.undelivered");
+                }
+            }
+        };
+        if tokio::time::timeout(STRIKE_TIMEOUT, all).await.is_err() {
+            self.telemetry.count("quarantine.late");
+            deliveries.detach_all();
+        }
     }
 
     fn now(&self) -> Moment {
         self.clock.now()
     }
 
-    fn offered(&self) -> Option<Offer> {
-        self.offer
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+    fn ticket(&self) -> Ticket {
+        Ticket(self.tickets.fetch_add(1, Ordering::Relaxed))
     }
 }
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -2,39 +2,59 @@
 //! back.
 
 use {
-    super::{Proxy, headers, parts, pool::Connection},
+    super::{
+        Proxy,
+        call::{self, Beginning, Call},
+        gate::Slot,
+        headers, keyed, parts,
+        pool::{self, Connection},
+    },
     crate::{
         body::{Body, Writer},
         member::Offer,
         refusal::Reason,
-        wire::{Answer, Failure, Part, Request as Head},
+        resource::Limits,
+        traffic::endpoint::Load,
+        wire::{Answer, Failure, Part, Refusal, Request as Head},
+        world::{Moment, Service},
     },
     bytes::Bytes,
     http_body_util::BodyExt,
-    hyper::{Request, Response, body::Incoming},
+    hyper::{HeaderMap, Request, Response, body::Incoming},
     quinn::{RecvStream, SendStream},
     std::time::Duration,
 };
 
+/// How long a connected node may take to send the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long an answer may wait for its reader to take the next piece.
+const STALL_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Serves one request that another node passed on.
 pub async fn serve(proxy: Proxy, mut send: SendStream, mut recv: RecvStream) {
-    let Ok(Part::Request(head)) = parts::read(&mut recv).await else {
+    let read = tokio::time::timeout(HEAD_TIMEOUT, parts::read(&mut recv)).await;
+    let Ok(Ok(Part::Request(head))) = read else {
         return proxy.telemetry.count("egress.malformed");
     };
-    let budget = Duration::from_micros(head.budget);
+    let fingerprint = head.fingerprint;
     let stopped = send.stopped();
     let ended = tokio::select! {
-        ended = tokio::time::timeout(budget, run(&proxy, head, &mut send, recv)) => ended,
+        ended = run(&proxy, head, &mut send, recv) => ended,
         _ = stopped => return proxy.telemetry.count("egress.cancelled"),
     };
-    let failure = match ended {
-        Ok(Ok(())) => return,
-        Ok(Err(failure)) => failure,
-        Err(_) => Failure::Unknown(Reason::Deadline),
+    let Err(failure) = ended else {
+        return;
+    };
+    proxy
+        .telemetry
+        .count(&format!("egress.{}", failure.counter()));
+    let refusal = Refusal {
+        failure,
+        load: Some(proxy.gate.load()),
+        strike: proxy.gate.strike(fingerprint),
     };
-    proxy.telemetry.count("egress.failed");
     // A node that has gone is told nothing.
-    let _ = parts::write(&mut send, &Part::Failure(failure)).await;
+    let _ = parts::write(&mut send, &Part::Refusal(refusal)).await;
     let _ = send.finish();
 }
 
@@ -44,32 +64,115 @@
     send: &mut SendStream,
     recv: RecvStream,
 ) -> Result<(), Failure> {
-    let offer = proxy.offered().ok_or(Failure::NotRun(Reason::Leaving))?;
-    if offer.version != head.version || offer.service != head.service {
-        return Err(Failure::NotRun(Reason::WrongVersion));
+    if head.keyed.is_some() {
+        return own(proxy, head, send, recv).await;
+    }
+    let deadline = proxy.now() + Duration::from_micros(head.budget);
+    if let Some(strike) = head.strike.clone() {
+        proxy.learn(vec![strike]);
+    }
+    let not_run = Failure::NotRun;
+    let offer = proxy.gate.check(&head).map_err(not_run)?;
+    let limits = limits(proxy, &head);
+    let entered = proxy
+        .gate
+        .enter(proxy.ticket(), deadline, offer.slots, &limits);
+    let mut slot = entered.await.map_err(not_run)?;
+    // The upstream may have left, or died of this very request, while it waited.
+    let offer = proxy.gate.check(&head).map_err(not_run)?;
+    let (id, service) = (head.id.clone(), head.service.clone());
+    let (mut connection, response) = hand_over(proxy, &offer, head, recv, deadline, &slot).await?;
+    let load = Some(proxy.gate.load());
+    if let Err(failure) = answer(id, load, response, send).await {
+        return Err(crashed(proxy, &offer, &slot, failure).await);
+    }
+    clear(proxy, &service, &mut slot);
+    if connection.ready().await.is_ok() {
+        proxy.pool.put(offer.address, connection);
     }
-    let mut connection = proxy
-        .pool
-        .take(offer.address)
-        .await
-        .map_err(|_| Failure::NotRun(Reason::Dial))?;
-    let id = head.id.clone();
-    let response = exchange(&mut connection, head, recv).await?;
-    answer(id, response, send).await?;
-    keep(proxy, &offer, connection).await;
     Ok(())
 }
 
-async fn keep(proxy: &Proxy, offer: &Offer, mut connection: Connection) {
-    if connection.ready().await.is_ok() {
-        proxy.pool.put(offer.address, connection);
+/// Serves a request whose idempotency key this host owns.
+async fn own(
+    proxy: &Proxy,
+    head: Head,
+    send: &mut SendStream,
+    recv: RecvStream,
+) -> Result<(), Failure> {
+    let limits = limits(proxy, &head);
+    let call = Call::adopt(proxy.now(), head);
+    let id = call.id.clone();
+    let (writer, mut body) = Body::channel();
+    tokio::spawn(upload(recv, writer));
+    let most = limits.body_bytes.unwrap_or(call::BODY_MAX);
+    let beginning = Beginning::read(&mut body, most)
+        .await
+        .map_err(Failure::NotRun)?;
+    let rest = beginning.trailers.is_none().then_some(body);
+    let response = keyed::own(proxy, call, beginning, rest).await?;
+    answer(id, None, response, send).await
+}
+
+fn limits(proxy: &Proxy, head: &Head) -> Limits {
+    let route = proxy
+        .traffic()
+        .route(&head.service, call::path(&head.target));
+    route.map(|route| route.limits.clone()).unwrap_or_default()
+}
+
+/// Tells the service's other nodes of a request that has succeeded though it was struck.
+fn clear(proxy: &Proxy, service: &Service, slot: &mut Slot) {
+    let Some(strike) = slot.answer() else {
+        return;
+    };
+    let (proxy, service) = (proxy.clone(), service.clone());
+    tokio::spawn(async move { proxy.strike(&service, vec![strike]).await });
+}
+
+/// Finds out whether the upstream died of it, and if so tells the other nodes before the caller can
+/// send the request again.
+async fn crashed(proxy: &Proxy, offer: &Offer, slot: &Slot, failure: Failure) -> Failure {
+    if !pool::is_gone(offer.address).await {
+        return failure;
     }
+    let strikes = slot.crash();
+    proxy.strike(&offer.service, strikes).await;
+    Failure::Unknown(Reason::Crashed)
+}
+
+async fn hand_over(
+    proxy: &Proxy,
+    offer: &Offer,
+    head: Head,
+    recv: RecvStream,
+    deadline: Moment,
+    slot: &Slot,
+) -> Result<(Connection, Response<Incoming>), Failure> {
+    let left = || deadline.since(proxy.now());
+    let taking = proxy.pool.take(offer.address, offer.connections);
+    let mut connection = match tokio::time::timeout(left(), taking).await {
+        Ok(taken) => taken.map_err(Failure::NotRun)?,
+        Err(_) => return Err(Failure::NotRun(Reason::Deadline)),
+    };
+    slot.hand_over(head.fingerprint);
+    let exchanging = exchange(&mut connection, head, recv, left());
+    let response = match tokio::time::timeout(left(), exchanging).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(Failure::Unknown(reason))) => {
+            return Err(crashed(proxy, offer, slot, Failure::Unknown(reason)).await);
+        }
+        Ok(Err(failure)) => return Err(failure),
+        Err(_) => return Err(Failure::Unknown(Reason::Deadline)),
+    };
+    Ok((connection, response))
 }
 
 async fn exchange(
     connection: &mut Connection,
     head: Head,
     recv: RecvStream,
+    left: Duration,
 ) -> Result<Response<Incoming>, Failure> {
     let (writer, body) = Body::channel();
     let mut request = Request::new(body);
@@ -77,9 +180,7 @@
     *request.method_mut() = head.method.parse().map_err(|_| malformed)?;
     *request.uri_mut() = head.target.parse().map_err(|_| malformed)?;
     *request.headers_mut() = headers::decode(&head.headers);
-    if let Ok(value) = head.id.parse() {
-        request.headers_mut().insert(headers::ID, value);
-    }
+    state(request.headers_mut(), &head, left);
     tokio::spawn(upload(recv, writer));
     match connection.try_send_request(request).await {
         Ok(response) => Ok(response),
@@ -88,7 +189,21 @@
     }
 }
 
-/// Copies a request's body from a node to the upstream; one that breaks off is cut short there too.
+/// States what the upstream passes on to its own calls.
+fn state(map: &mut HeaderMap, head: &Head, left: Duration) {
+    let fields = [
+        (headers::ID, head.id.clone()),
+        (headers::DEADLINE, left.as_millis().to_string()),
+        (headers::HOP, (head.hop + 1).to_string()),
+    ];
+    for (name, value) in fields {
+        if let Ok(value) = value.parse() {
+            map.insert(name, value);
+        }
+    }
+}
+
+/// Copies a request's body from a node; one that breaks off is cut short here too.
 async fn upload(mut recv: RecvStream, writer: Writer) {
     loop {
         match parts::read(&mut recv).await {
@@ -103,43 +218,47 @@
     }
 }
 
-async fn answer(
+async fn answer<B>(
     id: String,
-    response: Response<Incoming>,
+    load: Option<Load>,
+    response: Response<B>,
     send: &mut SendStream,
-) -> Result<(), Failure> {
-    let lost = |_| Failure::Unknown(Reason::Lost);
+) -> Result<(), Failure>
+where
+    B: hyper::body::Body<Data = Bytes> + Unpin,
+{
+    let lost = Failure::Unknown(Reason::Lost);
     let (parts, mut body) = response.into_parts();
     let head = Answer {
         headers: headers::encode(&parts.headers),
         id,
+        load,
         status: parts.status.as_u16(),
     };
-    parts::write(send, &Part::Answer(head))
-        .await
-        .map_err(lost)?;
+    write(send, &Part::Answer(head)).await?;
     let mut trailers = Vec::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| Failure::Unknown(Reason::Lost))?;
-        match frame.into_data() {
+        match frame.map_err(|_| lost)?.into_data() {
             Ok(data) => {
                 for chunk in data.chunks(crate::wire::PART_MAX / 2) {
-                    parts::write(send, &Part::Chunk(chunk.into()))
-                        .await
-                        .map_err(lost)?;
+                    write(send, &Part::Chunk(chunk.into())).await?;
                 }
             }
             Err(frame) => {
-                trailers = frame
-                    .trailers_ref()
-                    .map(headers::encode)
-                    .unwrap_or_default();
+                let encoded = frame.trailers_ref().map(headers::encode);
+                trailers = encoded.unwrap_or_default();
             }
         }
     }
-    parts::write(send, &Part::End(trailers))
-        .await
-        .map_err(lost)?;
+    write(send, &Part::End(trailers)).await?;
     let _ = send.finish();
     Ok(())
 }
+
+async fn write(send: &mut SendStream, part: &Part) -> Result<(), Failure> {
+    let written = tokio::time::timeout(STALL_TIMEOUT, parts::write(send, part)).await;
+    match written {
+        Ok(Ok(())) => Ok(()),
+        _ => Err(Failure::Unknown(Reason::Lost)),
+    }
+}
--- /dev/null
+++ b/src/proxy/forward.rs
@@ -0,0 +1,338 @@
+//! Passes a request on to the node at an upstream, and again to another one where that is allowed.
+
+use {
+    super::{
+        Proxy,
+        call::{Beginning, Call},
+        headers, parts,
+    },
+    crate::{
+        body::{Body, Writer},
+        refusal::Reason,
+        traffic::{
+            Ask, Choice,
+            endpoint::Load,
+            outcome::Kind,
+            quarantine::Fingerprint,
+            retry::{self, Denial, Stage, Verdict},
+        },
+        wire::{Answer, Failure, Part, Refusal, Request as Head},
+        world::{Host, Version},
+    },
+    bytes::Bytes,
+    http_body_util::BodyExt,
+    hyper::{Response, StatusCode},
+    quinn::{RecvStream, SendStream, VarInt},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// The longest that connecting to a node may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long the node at the upstream may take after the deadline to say what became of a request.
+const GRACE: Duration = Duration::from_millis(100);
+
+/// A request that is ready to be sent.
+pub struct Outgoing<'a> {
+    /// The beginning of its body.
+    pub beginning: &'a Beginning,
+    /// The request.
+    pub call: &'a Call,
+    /// What it asks for.
+    pub fingerprint: Fingerprint,
+    /// The rest of its body, if the beginning is not the whole.
+    pub rest: Option<Body>,
+}
+
+/// Counts an attempt as ended, also if its caller goes away in the middle.
+struct Attempt<'a> {
+    choice: &'a Choice,
+    ended: bool,
+    proxy: &'a Proxy,
+}
+
+impl Attempt<'_> {
+    fn end(mut self, kind: Kind, load: Option<Load>) {
+        self.ended = true;
+        let now = self.proxy.now();
+        self.proxy.traffic().finish(now, self.choice, kind, load);
+    }
+}
+
+impl Drop for Attempt<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            let now = self.proxy.now();
+            let mut traffic = self.proxy.traffic();
+            traffic.finish(now, self.choice, Kind::Cancelled, None);
+        }
+    }
+}
+
+/// Sends a request to an upstream, and gives its answer.
+///
+/// # Errors
+/// Says whether the request may have run. That is so if any of its attempts may have.
+pub async fn send(proxy: &Proxy, mut outgoing: Outgoing<'_>) -> Result<Response<Body>, Failure> {
+    let call = outgoing.call;
+    let mut tried = Vec::new();
+    let mut failed: Option<Failure> = None;
+    loop {
+        if proxy.gate.quarantined(outgoing.fingerprint) {
+            return Err(worse(failed, Failure::NotRun(Reason::Quarantined)));
+        }
+        let ask = ask(call, &tried);
+        let choice = match proxy.traffic().choose(proxy.now(), ask) {
+            Ok(choice) => choice,
+            Err(reason) => return Err(failed.unwrap_or(Failure::NotRun(reason))),
+        };
+        tried.push(choice.host.clone());
+        let failure = match attempt(proxy, &mut outgoing, &choice).await {
+            Ok(response) => return Ok(response),
+            Err(failure) => failure,
+        };
+        let ended = worse(failed, failure);
+        if !again(proxy, &outgoing, failure, &tried) {
+            return Err(ended);
+        }
+        failed = Some(ended);
+    }
+}
+
+/// A request that may have run stays one, whatever became of it later.
+fn worse(before: Option<Failure>, now: Failure) -> Failure {
+    match (before, now) {
+        (Some(Failure::Unknown(_)), Failure::NotRun(reason)) => Failure::Unknown(reason),
+        (_, now) => now,
+    }
+}
+
+fn ask<'a>(call: &'a Call, tried: &'a [Host]) -> Ask<'a> {
+    Ask {
+        avoid: tried,
+        id: call.identity(),
+        path: call.path(),
+        service: &call.service,
+    }
+}
+
+fn again(proxy: &Proxy, outgoing: &Outgoing, failure: Failure, tried: &[Host]) -> bool {
+    let (call, reason) = (outgoing.call, failure.reason());
+    let now = proxy.now();
+    if let (Reason::Leaving | Reason::WrongVersion, Some(host)) = (reason, tried.last()) {
+        proxy.traffic().set_aside(now, host);
+    }
+    if retry::verdict(call.class, Stage::of(failure), reason) == Verdict::End {
+        return false;
+    }
+    let attempt = retry::Attempt {
+        attempts: u32::try_from(tried.len()).unwrap_or(u32::MAX),
+        deadline: call.deadline,
+        hop: call.hop,
+        replayable: outgoing.beginning.trailers.is_some() || outgoing.rest.is_some(),
+    };
+    let mut traffic = proxy.traffic();
+    let paid = if traffic.untried(now, ask(call, tried)) {
+        traffic.retry(now, &call.service, attempt)
+    } else {
+        Err(Denial::Endpoint)
+    };
+    drop(traffic);
+    match paid {
+        Ok(()) => {
+            proxy.telemetry.count(&format!("retry.{reason}"));
+            true
+        }
+        Err(denial) => {
+            let name = denial.name();
+            proxy.telemetry.count(&format!("retry.denied.{name}"));
+            false
+        }
+    }
+}
+
+async fn attempt(
+    proxy: &Proxy,
+    outgoing: &mut Outgoing<'_>,
+    choice: &Choice,
+) -> Result<Response<Body>, Failure> {
+    let attempt = Attempt {
+        choice,
+        ended: false,
+        proxy,
+    };
+    let address = proxy
+        .traffic()
+        .record(&choice.host)
+        .map(|record| record.contact.address);
+    let target = (&choice.host, address);
+    match exchange(proxy, outgoing, target, Some(choice.version.clone())).await {
+        Ok((answer, recv)) => {
+            attempt.end(kind(&answer), answer.load);
+            if answer.status < StatusCode::INTERNAL_SERVER_ERROR.as_u16() {
+                proxy.traffic().succeed(&outgoing.call.service);
+            }
+            Ok(respond(Some(&choice.version), &answer, recv))
+        }
+        Err(refusal) => {
+            attempt.end(failed(refusal.failure), refusal.load);
+            Err(refusal.failure)
+        }
+    }
+}
+
+fn kind(answer: &Answer) -> Kind {
+    if answer.status < StatusCode::INTERNAL_SERVER_ERROR.as_u16() {
+        Kind::Success
+    } else {
+        Kind::Failure
+    }
+}
+
+fn failed(failure: Failure) -> Kind {
+    match failure {
+        Failure::NotRun(Reason::Unreachable | Reason::Dial) => Kind::Unreachable,
+        Failure::NotRun(_) => Kind::Refused,
+        Failure::Unknown(Reason::Deadline) => Kind::Late,
+        Failure::Unknown(Reason::Crashed) => Kind::Crash,
+        Failure::Unknown(_) => Kind::Lost,
+    }
+}
+
+/// Sends a request to one node, and reads the beginning of the answer.
+///
+/// # Errors
+/// Says whether the request may have run.
+pub async fn exchange(
+    proxy: &Proxy,
+    outgoing: &mut Outgoing<'_>,
+    (host, address): (&Host, Option<SocketAddr>),
+    version: Option<Version>,
+) -> Result<(Answer, RecvStream), Refusal> {
+    let call = outgoing.call;
+    let bare = |failure| Refusal {
+        failure,
+        load: None,
+        strike: None,
+    };
+    let not_run = |reason| bare(Failure::NotRun(reason));
+    let address = address.ok_or(not_run(Reason::Unreachable))?;
+    let (mut send, mut recv) = open(proxy, host, address).await.map_err(not_run)?;
+    let head = head(proxy, outgoing, version);
+    // The other node runs nothing before it has read the whole head.
+    let written = parts::write(&mut send, &Part::Request(head)).await;
+    written.map_err(|_| not_run(Reason::Unreachable))?;
+    let beginning = outgoing.beginning.clone();
+    tokio::spawn(upload(beginning, outgoing.rest.take(), send));
+    let left = call.deadline.since(proxy.now()) + GRACE;
+    match tokio::time::timeout(left, parts::read(&mut recv)).await {
+        Err(_) => Err(bare(Failure::Unknown(Reason::Deadline))),
+        Ok(Ok(Part::Answer(answer))) if answer.id == call.id => Ok((answer, recv)),
+        Ok(Ok(Part::Refusal(refusal))) => {
+            proxy.learn(refusal.strike.iter().cloned().collect());
+            Err(refusal)
+        }
+        Ok(_) => Err(bare(Failure::Unknown(Reason::Lost))),
+    }
+}
+
+fn head(proxy: &Proxy, outgoing: &Outgoing, version: Option<Version>) -> Head {
+    let call = outgoing.call;
+    let left = call.deadline.since(proxy.now());
+    Head {
+        budget: u64::try_from(left.as_micros()).unwrap_or(u64::MAX),
+        fingerprint: outgoing.fingerprint,
+        headers: call.headers.clone(),
+        hop: call.hop,
+        id: call.id.clone(),
+        keyed: call.keyed.clone().filter(|_| version.is_none()),
+        method: call.method.clone(),
+        service: call.service.clone(),
+        strike: proxy.gate.strike(outgoing.fingerprint),
+        target: call.target.clone(),
+        version,
+    }
+}
+
+async fn open(
+    proxy: &Proxy,
+    host: &Host,
+    address: SocketAddr,
+) -> Result<(SendStream, RecvStream), Reason> {
+    let opening = async {
+        let connection = proxy.link.connection(host, address).await.ok()?;
+        connection.open_bi().await.ok()
+    };
+    let opened = tokio::time::timeout(CONNECT_TIMEOUT, opening).await;
+    opened.ok().flatten().ok_or(Reason::Unreachable)
+}
+
+/// Sends a body to a node. One that is cut short is reset there.
+async fn upload(beginning: Beginning, rest: Option<Body>, mut send: SendStream) {
+    let ended = match (beginning.trailers, rest) {
+        (Some(trailers), _) => copy(&beginning.bytes, &mut send).await.map(|()| trailers),
+        (None, Some(rest)) => stream(&beginning.bytes, rest, &mut send).await,
+        (None, None) => None,
+    };
+    let Some(trailers) = ended else {
+        let _ = send.reset(VarInt::from_u32(0));
+        return;
+    };
+    if parts::write(&mut send, &Part::End(trailers)).await.is_ok() {
+        let _ = send.finish();
+    }
+}
+
+async fn stream(
+    beginning: &Bytes,
+    mut rest: Body,
+    send: &mut SendStream,
+) -> Option<Vec<crate::wire::Header>> {
+    copy(beginning, send).await?;
+    while let Some(frame) = rest.frame().await {
+        match frame.ok()?.into_data() {
+            Ok(data) => copy(&data, send).await?,
+            Err(frame) => return frame.trailers_ref().map(headers::encode),
+        }
+    }
+    Some(Vec::new())
+}
+
+async fn copy(data: &Bytes, send: &mut SendStream) -> Option<()> {
+    for chunk in data.chunks(crate::wire::PART_MAX / 2) {
+        parts::write(send, &Part::Chunk(chunk.into())).await.ok()?;
+    }
+    Some(())
+}
+
+/// Makes the answer for the caller, whose body streams.
+#[must_use]
+pub fn respond(version: Option<&Version>, answer: &Answer, recv: RecvStream) -> Response<Body> {
+    let (writer, body) = Body::channel();
+    tokio::spawn(download(recv, writer));
+    let mut response = Response::new(body);
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    *response.headers_mut() = headers::decode(&answer.headers);
+    if let Some(Ok(value)) = version.map(|version| version.as_str().parse()) {
+        response.headers_mut().insert(headers::VERSION, value);
+    }
+    response
+}
+
+/// Copies an answer's body from a node to a caller; an answer that breaks off is cut short there too.
+async fn download(mut recv: RecvStream, writer: Writer) {
+    loop {
+        let part = tokio::select! {
+            part = parts::read(&mut recv) => part,
+            () = writer.closed() => return,
+        };
+        match part {
+            Ok(Part::Chunk(chunk)) => {
+                if !writer.push(Bytes::from(chunk)).await {
+                    return;
+                }
+            }
+            Ok(Part::End(trailers)) => return writer.finish(headers::decode(&trailers)).await,
+            _ => return,
+        }
+    }
+}
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -19,6 +19,17 @@
 /// Says which version answered.
 pub const VERSION: &str = "x-mulberry-version";
 
+/// The time that is left to answer, in milliseconds.
+pub const DEADLINE: &str = "x-mulberry-deadline-ms";
+/// How many nodes a chain of calls has passed through.
+pub const HOP: &str = "x-mulberry-hop";
+/// Says, by `true`, that running the request again does no harm.
+pub const IDEMPOTENT: &str = "x-mulberry-idempotent";
+/// Has a request run at most once, however often it is sent with the same key.
+pub const KEY: &str = "idempotency-key";
+/// When a request with a key was first sent, in milliseconds since the Unix epoch.
+pub const FIRST_SENT: &str = "x-mulberry-first-sent-ms";
+
 const HOP_BY_HOP: [&str; 8] = [
     "connection",
     "keep-alive",
--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -2,64 +2,119 @@
 //! so a late answer never meets a later request.
 
 use {
-    crate::body::Body,
+    crate::{body::Body, refusal::Reason},
     hyper::client::conn::http1::{SendRequest, handshake},
     hyper_util::rt::TokioIo,
     std::{
         io,
         net::SocketAddr,
-        sync::{Arc, Mutex, PoisonError},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU32, Ordering},
+        },
+        time::{Duration, Instant},
     },
     tokio::net::TcpStream,
 };
 
 const IDLE_MAX: usize = 16;
+/// How long a connection may lie idle and be used again: less than upstreams keep theirs.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// A connection that can send one request.
 pub type Connection = SendRequest<Body>;
 
-/// Idle connections, newest last.
+struct Idle {
+    address: SocketAddr,
+    connection: Connection,
+    since: Instant,
+}
+
+/// Counts a connection until it is closed.
+struct Open(Arc<AtomicU32>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// The connections to one upstream, the idle ones newest last.
 #[derive(Clone, Default)]
 pub struct Pool {
-    idle: Arc<Mutex<Vec<(SocketAddr, Connection)>>>,
+    idle: Arc<Mutex<Vec<Idle>>>,
+    open: Arc<AtomicU32>,
 }
 
 impl Pool {
     /// Gives an idle connection, or a new one.
     ///
     /// # Errors
-    /// Fails if the upstream can't be dialled; nothing was sent then.
-    pub async fn take(&self, address: SocketAddr) -> io::Result<Connection> {
-        match self.idle(address) {
+    /// Gives the reason if the upstream can't be dialled or takes no more connections; nothing was
+    /// sent then.
+    pub async fn take(&self, address: SocketAddr, most: u32) -> Result<Connection, Reason> {
+        match self.reuse(address) {
             Some(connection) => Ok(connection),
-            None => dial(address).await,
+            None => self.dial(address, most).await,
+        }
+    }
+
+    /// Opens a new connection.
+    ///
+    /// # Errors
+    /// Gives the reason if the upstream can't be dialled or takes no more connections.
+    pub async fn dial(&self, address: SocketAddr, most: u32) -> Result<Connection, Reason> {
+        let open = Open(self.open.clone());
+        if self.open.fetch_add(1, Ordering::Relaxed) >= most {
+            return Err(Reason::Connections);
         }
+        dial(address, open).await.map_err(|_| Reason::Dial)
     }
 
-    fn idle(&self, address: SocketAddr) -> Option<Connection> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|(_, connection)| !connection.is_closed());
-        let index = idle
-            .iter()
-            .rposition(|(at, connection)| *at == address && connection.is_ready())?;
-        Some(idle.swap_remove(index).1)
+    fn reuse(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle();
+        while let Some(kept) = idle.pop() {
+            let fresh = kept.since.elapsed() < IDLE_TIMEOUT;
+            if fresh && kept.address == address && kept.connection.is_ready() {
+                return Some(kept.connection);
+            }
+        }
+        None
     }
 
     /// Keeps a connection whose answer was read whole.
     pub fn put(&self, address: SocketAddr, connection: Connection) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = self.idle();
         if idle.len() < IDLE_MAX {
-            idle.push((address, connection));
+            idle.push(Idle {
+                address,
+                connection,
+                since: Instant::now(),
+            });
         }
     }
+
+    fn idle(&self) -> MutexGuard<'_, Vec<Idle>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Says whether nothing listens at an address any more.
+pub async fn is_gone(address: SocketAddr) -> bool {
+    let refused = |error: io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
+    TcpStream::connect(address).await.is_err_and(refused)
 }
 
-async fn dial(address: SocketAddr) -> io::Result<Connection> {
+async fn dial(address: SocketAddr, open: Open) -> io::Result<Connection> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let (sender, connection) = handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
-    tokio::spawn(connection);
+    tokio::spawn(async move {
+        // Whoever sent a request is told of the failure.
+        let _ = connection.await;
+        drop(open);
+    });
     Ok(sender)
 }
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -3,23 +3,52 @@
 
 use {
     crate::{
-        member::{Record, State},
+        member::{Offer, Record, State},
         refusal::Reason,
         snapshot::Snapshot,
         world::{Domain, Host, Moment, Name, Region, Service, Version},
     },
-    rand::{Rng, SeedableRng, rngs::StdRng},
-    std::{collections::BTreeMap, sync::Arc},
+    endpoint::{Endpoint, Id, Load, Policy},
+    group::{Group, Spread},
+    rand::{SeedableRng, rngs::StdRng},
+    retry::{Attempt, Budget, Denial},
+    slotmap::SlotMap,
+    spill::Tier,
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+    },
 };
 
+pub mod admit;
+pub mod endpoint;
+mod group;
+pub mod once;
 pub mod outcome;
+pub mod owner;
+pub mod quarantine;
+pub mod retry;
 pub mod route;
+pub mod spill;
 
 pub use {
     outcome::Outcome,
     route::{Ramp, Route},
 };
 
+/// A request as far as the choice of an upstream depends on it.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// Where it was tried before.
+    pub avoid: &'a [Host],
+    /// What decides the version: the request's id, or its idempotency key.
+    pub id: &'a str,
+    /// The path.
+    pub path: &'a str,
+    /// The service.
+    pub service: &'a Service,
+}
+
 /// Where a request is sent.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Choice {
@@ -27,16 +56,25 @@
     pub at: Moment,
     /// The host whose upstream runs it.
     pub host: Host,
+    id: Id,
     /// The route that was found.
     pub route: Arc<Route>,
+    /// How far away the host is.
+    pub tier: Tier,
     /// The version that was chosen.
     pub version: Version,
 }
 
 /// The state that a node routes requests by.
 pub struct Traffic {
+    budgets: HashMap<Service, Budget>,
     domain: Domain,
+    endpoints: SlotMap<Id, Endpoint>,
+    groups: HashMap<Version, Group>,
+    ids: HashMap<Host, Id>,
     outcomes: outcome::Log,
+    owners: owner::Owners,
+    policy: Policy,
     ramps: BTreeMap<Name, Ramp>,
     records: BTreeMap<Host, Record>,
     region: Region,
@@ -50,8 +88,14 @@
     #[must_use]
     pub fn new(domain: Domain, region: Region, seed: u64) -> Self {
         Self {
+            budgets: HashMap::new(),
             domain,
+            endpoints: SlotMap::with_key(),
+            groups: HashMap::new(),
+            ids: HashMap::new(),
             outcomes: outcome::Log::default(),
+            owners: owner::Owners::default(),
+            policy: Policy::default(),
             ramps: BTreeMap::new(),
             records: BTreeMap::new(),
             region,
@@ -61,6 +105,18 @@
         }
     }
 
+    /// Chooses endpoints by another policy, which the benches compare with.
+    #[must_use]
+    pub fn with_policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self
+    }
+
+    /// Replaces the retry budget of a service, which the benches compare with.
+    pub fn set_budget(&mut self, service: &Service, budget: Budget) {
+        self.budgets.insert(service.clone(), budget);
+    }
+
     /// Takes a configuration over.
     pub fn install(&mut self, snapshot: Arc<Snapshot>) {
         self.routes = route::Index::new(&snapshot, &self.ramps);
@@ -78,87 +134,204 @@
     }
 
     /// Takes changes of the membership over.
-    pub fn update(&mut self, records: Vec<Record>) {
+    pub fn update(&mut self, now: Moment, records: Vec<Record>) {
         for record in records {
-            self.records.insert(record.contact.host.clone(), record);
+            let host = record.contact.host.clone();
+            let before = self.records.get(&host);
+            self.owners.update(now, before, &record);
+            let from = before.and_then(serving).map(|offer| offer.version.clone());
+            let to = serving(&record).map(|offer| offer.version.clone());
+            let restarted = before.is_some_and(|before| before.incarnation != record.incarnation);
+            if from != to || restarted {
+                self.leave(&host, from.as_ref());
+                self.join(now, &record);
+            } else if let (Some(id), Some(offer)) = (self.ids.get(&host), serving(&record)) {
+                self.endpoints[*id].resize(offer.slots);
+            }
+            self.records.insert(host, record);
         }
     }
 
+    fn leave(&mut self, host: &Host, version: Option<&Version>) {
+        let Some(id) = self.ids.remove(host) else {
+            return;
+        };
+        self.endpoints.remove(id);
+        if let Some(group) = version.and_then(|version| self.groups.get_mut(version)) {
+            group.remove(id);
+        }
+    }
+
+    fn join(&mut self, now: Moment, record: &Record) {
+        let Some(offer) = serving(record) else {
+            return;
+        };
+        let host = record.contact.host.clone();
+        let endpoint = Endpoint::new(now, host.clone(), offer.slots);
+        let id = self.endpoints.insert(endpoint);
+        self.ids.insert(host, id);
+        let tier = if record.contact.domain == self.domain {
+            Tier::Own
+        } else if record.contact.region == self.region {
+            Tier::Region
+        } else {
+            Tier::Remote
+        };
+        let group = self.groups.entry(offer.version.clone()).or_default();
+        group.add(tier, id);
+    }
+
     /// Looks a host up.
     #[must_use]
     pub fn record(&self, host: &Host) -> Option<&Record> {
         self.records.get(host)
     }
 
-    /// Chooses an upstream for the request with an id.
+    /// Lists the hosts of a service that a node can be reached on.
+    pub fn hosts(&self, service: &Service) -> impl Iterator<Item = &Record> {
+        self.records
+            .values()
+            .filter(|record| record.state != State::Gone)
+            .filter(move |record| {
+                let offer = record.offer.as_ref();
+                offer.is_some_and(|offer| offer.service == *service)
+            })
+    }
+
+    /// Gives the owners of idempotency keys.
+    #[must_use]
+    pub fn owners(&self) -> &owner::Owners {
+        &self.owners
+    }
+
+    /// Finds the route of a request.
+    ///
+    /// # Errors
+    /// Gives the reason if there is none.
+    pub fn route(&self, service: &Service, path: &str) -> Result<Arc<Route>, Reason> {
+        let route = self.routes.find(service, path);
+        route.cloned().ok_or(Reason::NoRoute)
+    }
+
+    /// Says whether there is an endpoint where a request was not tried yet.
+    #[must_use]
+    pub fn untried(&self, now: Moment, ask: Ask) -> bool {
+        let spread = Spread {
+            avoid: ask.avoid,
+            endpoints: &self.endpoints,
+            now,
+            policy: self.policy,
+        };
+        self.routes
+            .find(ask.service, ask.path)
+            .and_then(|route| self.groups.get(route.version(ask.id)?))
+            .is_some_and(|group| group.untried(&spread))
+    }
+
+    /// Chooses an upstream for a request, and counts the attempt as begun.
     ///
     /// # Errors
     /// Gives the reason if there is no route or no endpoint; the request has then not run.
-    pub fn choose(
-        &mut self,
-        now: Moment,
-        service: &Service,
-        path: &str,
-        id: &str,
-    ) -> Result<Choice, Reason> {
-        let route = self.routes.find(service, path).ok_or(Reason::NoRoute)?;
-        let route = route.clone();
-        let version = route.version(id).ok_or(Reason::NoRoute)?.clone();
-        let hosts = self.endpoints(&version);
-        let picked = hosts.get(self.rng.random_range(0..hosts.len().max(1)));
-        let host = picked.cloned().ok_or(Reason::NoEndpoint)?;
+    pub fn choose(&mut self, now: Moment, ask: Ask) -> Result<Choice, Reason> {
+        let route = self.route(ask.service, ask.path)?;
+        let version = route.version(ask.id).ok_or(Reason::NoRoute)?.clone();
+        let group = self.groups.get_mut(&version).ok_or(Reason::NoEndpoint)?;
+        let spread = Spread {
+            avoid: ask.avoid,
+            endpoints: &self.endpoints,
+            now,
+            policy: self.policy,
+        };
+        let (tier, id) = group
+            .choose(&spread, &mut self.rng)
+            .ok_or(Reason::NoEndpoint)?;
+        let endpoint = &mut self.endpoints[id];
+        endpoint.begin();
         Ok(Choice {
             at: now,
-            host,
+            host: endpoint.host.clone(),
+            id,
             route,
+            tier,
             version,
         })
     }
 
-    /// Takes in how the attempt at a choice ended.
-    pub fn finish(&mut self, now: Moment, choice: &Choice, kind: outcome::Kind) {
+    /// Takes in how the attempt at a choice ended, and the load that came back with it.
+    pub fn finish(
+        &mut self,
+        now: Moment,
+        choice: &Choice,
+        kind: outcome::Kind,
+        load: Option<Load>,
+    ) {
+        let latency = now.since(choice.at);
+        if let Some(endpoint) = self.endpoints.get_mut(choice.id) {
+            endpoint.finish(now, kind, latency, load);
+        }
+        if let Some(group) = self.groups.get_mut(&choice.version) {
+            group.eject(now, choice.id, &mut self.endpoints);
+        }
         self.outcomes.push(Outcome {
             at: now,
             host: choice.host.clone(),
             kind,
-            latency: now.since(choice.at),
+            latency,
             route: choice.route.name.clone(),
             version: choice.version.clone(),
         });
     }
 
-    /// Takes out every outcome since the last call, oldest first; the judge of rollouts calls this.
-    pub fn outcomes(&mut self) -> Vec<Outcome> {
-        self.outcomes.drain()
+    /// Sends nothing to a host for a while, which said that it takes no new work.
+    pub fn set_aside(&mut self, now: Moment, host: &Host) {
+        if let Some(id) = self.ids.get(host) {
+            self.endpoints[*id].set_aside(now);
+        }
     }
 
-    fn endpoints(&self, version: &Version) -> Vec<Host> {
-        let ready: Vec<&Record> = self
-            .records
-            .values()
-            .filter(|record| record.state == State::Ready)
-            .filter(|record| {
-                record
-                    .offer
-                    .as_ref()
-                    .is_some_and(|offer| offer.version == *version)
-            })
-            .collect();
-        let within = |near: &dyn Fn(&Record) -> bool| -> Vec<Host> {
-            ready
-                .iter()
-                .filter(|record| near(record))
-                .map(|record| record.contact.host.clone())
-                .collect()
-        };
-        let own = within(&|record| record.contact.domain == self.domain);
-        if !own.is_empty() {
-            return own;
+    /// Takes in the load that an upstream reports about itself; only a hint.
+    pub fn report(&mut self, host: &Host, load: u32) {
+        if let Some(id) = self.ids.get(host) {
+            self.endpoints[*id].report(load);
         }
-        let region = within(&|record| record.contact.region == self.region);
-        if !region.is_empty() {
-            return region;
+    }
+
+    /// Takes in that a request of a service succeeded, which pays for retries.
+    pub fn succeed(&mut self, service: &Service) {
+        if let Some(budget) = self.budgets.get_mut(service) {
+            return budget.succeed();
         }
-        within(&|_| true)
+        self.budgets.entry(service.clone()).or_default().succeed();
     }
+
+    /// Pays for a retry.
+    ///
+    /// # Errors
+    /// Says why it isn't made.
+    pub fn retry(
+        &mut self,
+        now: Moment,
+        service: &Service,
+        attempt: Attempt,
+    ) -> Result<(), Denial> {
+        let budget = self.budgets.entry(service.clone()).or_default();
+        budget.pay(now, attempt)
+    }
+
+    /// Gives the share of a version's traffic that leaves for the slow link.
+    #[must_use]
+    pub fn remote(&self, version: &Version) -> f64 {
+        self.groups.get(version).map_or(0.0, Group::remote)
+    }
+
+    /// Takes out every outcome since the last call, oldest first; the judge of rollouts calls this.
+    pub fn outcomes(&mut self) -> Vec<Outcome> {
+        self.outcomes.drain()
+    }
+}
+
+/// What a host offers to new requests.
+fn serving(record: &Record) -> Option<&Offer> {
+    let offer = record.offer.as_ref()?;
+    (record.state == State::Ready).then_some(offer)
 }
--- /dev/null
+++ b/src/traffic/admit.rs
@@ -0,0 +1,225 @@
+//! Admission at the node of an upstream: as many requests run as the upstream has slots, a few wait,
+//! and the rest is refused at once as not run. See docs/design/requests.md.
+
+use {
+    super::endpoint::Load,
+    crate::{refusal::Reason, resource::Limits, world::Moment},
+    std::{collections::VecDeque, time::Duration},
+};
+
+/// How long the queue may stay occupied before the newest request is taken first.
+const OVERLOADED_AFTER: Duration = Duration::from_millis(100);
+/// How long a request may wait while the queue is overloaded.
+const OVERLOADED_WAIT: Duration = Duration::from_millis(20);
+/// The requests that may wait for each slot, where the limits state nothing.
+const QUEUE_PER_SLOT: u32 = 2;
+/// The weight of a new observation in the average time of a run.
+const GAIN: f64 = 0.1;
+/// The run time, as a multiple of the best one seen, above which an adaptive limit shrinks.
+const SLOWED: f64 = 2.0;
+/// The percentage to which an adaptive limit shrinks at once.
+const SHRINK: u32 = 90;
+/// The unit of an adaptive limit: a thousandth of a slot.
+const MILLI: u32 = 1000;
+/// How fast the shortest run is forgotten.
+const FORGET: f64 = 0.01;
+
+/// Identifies a request at this node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// How many requests may run at a time.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Limit {
+    /// As many as the time of a run allows: it shrinks when runs slow down.
+    Adaptive,
+    /// As many as the upstream has slots.
+    #[default]
+    Fixed,
+}
+
+/// What becomes of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Action {
+    /// It is refused, and has not run.
+    Refuse(Ticket, Reason),
+    /// It runs now.
+    Start(Ticket),
+}
+
+#[derive(Debug)]
+struct Waiting {
+    arrived: Moment,
+    deadline: Moment,
+    ticket: Ticket,
+}
+
+/// The slots and the queue of one upstream.
+#[derive(Debug, Default)]
+pub struct Admit {
+    adaptive: u32,
+    best: f64,
+    limit: Limit,
+    occupied_since: Option<Moment>,
+    queue: VecDeque<Waiting>,
+    queue_max: usize,
+    run_time: f64,
+    running: u32,
+    slots: u32,
+}
+
+impl Admit {
+    /// Begins without slots.
+    #[must_use]
+    pub fn new(limit: Limit) -> Self {
+        Self {
+            limit,
+            ..Self::default()
+        }
+    }
+
+    /// Takes over what the upstream announced and what operators allow to wait.
+    pub fn resize(&mut self, slots: u32, limits: &Limits) {
+        if self.slots != slots {
+            self.adaptive = slots * MILLI;
+        }
+        self.slots = slots;
+        self.queue_max = limits.queue.unwrap_or(slots * QUEUE_PER_SLOT) as usize;
+    }
+
+    /// Gives what runs and waits.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        Load {
+            queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+            running: self.running,
+        }
+    }
+
+    /// Takes a request in.
+    pub fn arrive(&mut self, now: Moment, ticket: Ticket, deadline: Moment) -> Vec<Action> {
+        if now + self.shortest() > deadline {
+            return vec![Action::Refuse(ticket, Reason::Deadline)];
+        }
+        if self.queue.is_empty() && self.running < self.allowed() {
+            self.running += 1;
+            return vec![Action::Start(ticket)];
+        }
+        let mut actions = self.expire(now);
+        if self.queue.len() >= self.queue_max || now + self.wait() > deadline {
+            actions.push(Action::Refuse(ticket, Reason::Overloaded));
+            return actions;
+        }
+        self.occupied_since.get_or_insert(now);
+        self.queue.push_back(Waiting {
+            arrived: now,
+            deadline,
+            ticket,
+        });
+        actions
+    }
+
+    /// Ends a run; the run time is known if the upstream answered.
+    pub fn finish(&mut self, now: Moment, run_time: Option<Duration>) -> Vec<Action> {
+        self.running = self.running.saturating_sub(1);
+        if let Some(run_time) = run_time {
+            self.observe(run_time.as_secs_f64());
+        }
+        self.fill(now)
+    }
+
+    /// Takes a request out that waits no more.
+    pub fn cancel(&mut self, ticket: Ticket) {
+        self.queue.retain(|waiting| waiting.ticket != ticket);
+        if self.queue.is_empty() {
+            self.occupied_since = None;
+        }
+    }
+
+    /// Refuses what has waited too long.
+    pub fn tick(&mut self, now: Moment) -> Vec<Action> {
+        let mut actions = self.expire(now);
+        actions.extend(self.fill(now));
+        actions
+    }
+
+    fn fill(&mut self, now: Moment) -> Vec<Action> {
+        let mut actions = self.expire(now);
+        while self.running < self.allowed() {
+            let next = if self.overloaded(now) {
+                self.queue.pop_back()
+            } else {
+                self.queue.pop_front()
+            };
+            let Some(next) = next else {
+                self.occupied_since = None;
+                break;
+            };
+            self.running += 1;
+            actions.push(Action::Start(next.ticket));
+        }
+        if self.queue.is_empty() {
+            self.occupied_since = None;
+        }
+        actions
+    }
+
+    /// Refuses what can't finish in time, and under overload what has waited too long.
+    fn expire(&mut self, now: Moment) -> Vec<Action> {
+        let shortest = self.shortest();
+        let overloaded = self.overloaded(now);
+        let mut actions = Vec::new();
+        self.queue.retain(|waiting| {
+            let reason = if now + shortest > waiting.deadline {
+                Reason::Deadline
+            } else if overloaded && now.since(waiting.arrived) > OVERLOADED_WAIT {
+                Reason::Overloaded
+            } else {
+                return true;
+            };
+            actions.push(Action::Refuse(waiting.ticket, reason));
+            false
+        });
+        actions
+    }
+
+    fn overloaded(&self, now: Moment) -> bool {
+        self.occupied_since
+            .is_some_and(|since| now.since(since) > OVERLOADED_AFTER)
+    }
+
+    /// The time that a request needs at the least.
+    fn shortest(&self) -> Duration {
+        Duration::from_secs_f64(self.best)
+    }
+
+    /// The time until the end of a request that is queued now.
+    fn wait(&self) -> Duration {
+        let ahead = f64::from(self.load().queued) + 1.0;
+        let rounds = ahead / f64::from(self.allowed().max(1));
+        Duration::from_secs_f64(rounds * self.run_time + self.best)
+    }
+
+    fn allowed(&self) -> u32 {
+        match self.limit {
+            Limit::Fixed => self.slots,
+            Limit::Adaptive => (self.adaptive / MILLI).clamp(1, self.slots.max(1)),
+        }
+    }
+
+    fn observe(&mut self, seconds: f64) {
+        if self.run_time == 0.0 {
+            self.run_time = seconds;
+            self.best = seconds;
+        }
+        self.run_time += GAIN * (seconds - self.run_time);
+        self.best += FORGET * (self.run_time - self.best);
+        self.best = self.best.min(seconds);
+        self.adaptive = if self.run_time > self.best * SLOWED {
+            (self.adaptive * SHRINK / 100).max(MILLI)
+        } else {
+            let step = MILLI * MILLI / self.adaptive.max(MILLI);
+            (self.adaptive + step).min(self.slots * MILLI)
+        };
+    }
+}
--- /dev/null
+++ b/src/traffic/owner.rs
@@ -0,0 +1,125 @@
+//! Which host remembers an idempotency key: the one with the highest hash of host and key among all
+//! hosts of the service, whatever their version. A host that vanished without a word still owns its
+//! keys for a while, because it may only be cut off. See docs/design/requests.md.
+
+use {
+    crate::{
+        member::{Record, State},
+        world::{Host, Moment, Service},
+    },
+    std::{
+        collections::{BTreeMap, HashMap},
+        time::Duration,
+    },
+    xxhash_rust::xxh3::xxh3_64_with_seed,
+};
+
+/// How long a host that vanished without a word keeps its keys.
+pub const VANISHED: Duration = Duration::from_secs(30 * 60);
+/// The time in which every node has heard that a host has joined or left.
+pub const SETTLE: Duration = Duration::from_secs(6);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Tenure {
+    /// It owns its keys since then.
+    Since(Moment),
+    /// It left, and others own its keys since then.
+    Until(Moment),
+    /// It vanished then, and keeps its keys for a while.
+    Vanished(Moment),
+}
+
+/// The owners of the keys of every service.
+#[derive(Debug, Default)]
+pub struct Owners(HashMap<Service, BTreeMap<Host, Tenure>>);
+
+impl Owners {
+    /// Takes in what is known of a host now, and what was known before.
+    pub fn update(&mut self, now: Moment, before: Option<&Record>, record: &Record) {
+        let host = &record.contact.host;
+        let offered_now = offered(Some(record));
+        let offered_before = offered(before);
+        if let (Some(old), Some(new)) = (offered_before, offered_now)
+            && old != new
+        {
+            self.leave(now, old, host);
+        }
+        let Some(service) = offered_now.or(offered_before) else {
+            return;
+        };
+        let hosts = self.0.entry(service.clone()).or_default();
+        let held = hosts.get(host).copied();
+        let restarted = before.is_some_and(|before| before.incarnation != record.incarnation);
+        let tenure = match (record.state, held) {
+            (State::Ready, Some(Tenure::Since(since))) if !restarted => Tenure::Since(since),
+            (State::Ready, _) => Tenure::Since(now),
+            (State::Leaving | State::Gone, Some(Tenure::Until(until))) => Tenure::Until(until),
+            (State::Gone, Some(Tenure::Vanished(at))) => Tenure::Vanished(at),
+            (State::Gone, Some(Tenure::Since(_))) => Tenure::Vanished(now),
+            (State::Leaving, _) | (State::Gone, None) => Tenure::Until(now),
+        };
+        hosts.insert(host.clone(), tenure);
+    }
+
+    fn leave(&mut self, now: Moment, service: &Service, host: &Host) {
+        if let Some(hosts) = self.0.get_mut(service) {
+            hosts.insert(host.clone(), Tenure::Until(now));
+        }
+    }
+
+    /// Gives the owner of a key; nothing if the service has no hosts.
+    #[must_use]
+    pub fn owner(&self, now: Moment, service: &Service, key: &str) -> Option<&Host> {
+        self.0
+            .get(service)?
+            .iter()
+            .filter(|(_, tenure)| owns(now, **tenure))
+            .map(|(host, _)| host)
+            .max_by_key(|host| score(host, key))
+    }
+
+    /// Gives the moment since which a host is certainly the only owner of a key; nothing if it isn't
+    /// the owner. A request that was first sent before may have run elsewhere.
+    #[must_use]
+    pub fn since(&self, now: Moment, service: &Service, key: &str, host: &Host) -> Option<Moment> {
+        if self.owner(now, service, key)? != host {
+            return None;
+        }
+        let hosts = self.0.get(service)?;
+        let mine = score(host, key);
+        let left = hosts
+            .iter()
+            .filter(|(other, _)| score(other, key) > mine)
+            .map(|(_, tenure)| ended(*tenure));
+        let joined = match hosts.get(host)? {
+            Tenure::Since(since) => *since + SETTLE,
+            Tenure::Until(_) | Tenure::Vanished(_) => return None,
+        };
+        left.chain([joined]).max()
+    }
+}
+
+fn offered(record: Option<&Record>) -> Option<&Service> {
+    Some(&record?.offer.as_ref()?.service)
+}
+
+fn owns(now: Moment, tenure: Tenure) -> bool {
+    match tenure {
+        Tenure::Since(_) => true,
+        Tenure::Until(_) => false,
+        Tenure::Vanished(at) => now.since(at) < VANISHED,
+    }
+}
+
+fn ended(tenure: Tenure) -> Moment {
+    match tenure {
+        Tenure::Since(since) => since,
+        Tenure::Until(until) => until,
+        Tenure::Vanished(at) => at + VANISHED,
+    }
+}
+
+fn score(host: &Host, key: &str) -> (u64, u64) {
+    let seed = xxh3_64_with_seed(host.as_str().as_bytes(), 0);
+    (xxh3_64_with_seed(key.as_bytes(), seed), seed)
+}
--- /dev/null
+++ b/src/traffic/quarantine.rs
@@ -0,0 +1,225 @@
+//! Requests that crash upstreams. When an upstream dies, the requests that ran there are struck; the
+//! second strike quarantines one. A success clears a strike, because a request that crashes upstreams
+//! does not succeed. See docs/design/requests.md.
+
+use {
+    super::admit::Ticket,
+    crate::world::Moment,
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::{BTreeMap, HashMap},
+        time::Duration,
+    },
+    xxhash_rust::xxh3::Xxh3,
+};
+
+/// The strikes after which a request is refused.
+pub const STRIKES_MAX: usize = 2;
+/// How long a strike counts since the request was last seen.
+pub const REMEMBERED: Duration = Duration::from_secs(3600);
+/// The most struck requests that one node remembers.
+pub const STRUCK_MAX: usize = 4096;
+
+/// Identifies what a request asks for: its method, its target and the beginning of its body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Fingerprint(pub u128);
+
+impl Fingerprint {
+    /// Makes the fingerprint of a request.
+    #[must_use]
+    pub fn new(service: &str, method: &str, target: &str, body: &[u8]) -> Self {
+        let mut hash = Xxh3::new();
+        for text in [service, method, target] {
+            hash.update(text.as_bytes());
+            hash.update(b"\n");
+        }
+        hash.update(body);
+        Self(hash.digest128())
+    }
+}
+
+/// One death of one upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Crash(pub u64);
+
+/// The deaths of upstreams at which a request was in flight.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Strike {
+    /// The deaths; none if the request has succeeded since.
+    pub crashes: Vec<Crash>,
+    /// The request.
+    pub fingerprint: Fingerprint,
+}
+
+#[derive(Debug)]
+struct Struck {
+    crashes: Vec<Crash>,
+    seen: Moment,
+}
+
+impl Struck {
+    fn quarantined(&self) -> bool {
+        self.crashes.len() >= STRIKES_MAX
+    }
+}
+
+#[derive(Debug)]
+struct Running {
+    blamed: bool,
+    fingerprint: Fingerprint,
+}
+
+/// The struck requests that one node knows of, and those that run at its upstream.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    disabled: bool,
+    running: BTreeMap<Ticket, Running>,
+    struck: HashMap<Fingerprint, Struck>,
+}
+
+impl Quarantine {
+    /// Makes one that strikes nothing, which the benches compare with.
+    #[must_use]
+    pub fn disabled() -> Self {
+        Self {
+            disabled: true,
+            ..Self::default()
+        }
+    }
+
+    /// Says whether a request is refused; a refusal renews its strikes.
+    pub fn holds(&mut self, now: Moment, fingerprint: Fingerprint) -> bool {
+        let Some(struck) = self.struck.get_mut(&fingerprint) else {
+            return false;
+        };
+        if now.since(struck.seen) > REMEMBERED {
+            self.struck.remove(&fingerprint);
+            return false;
+        }
+        struck.seen = now;
+        struck.quarantined()
+    }
+
+    /// Counts a request that is handed over to the upstream.
+    pub fn begin(&mut self, ticket: Ticket, fingerprint: Fingerprint) {
+        let running = Running {
+            blamed: false,
+            fingerprint,
+        };
+        self.running.insert(ticket, running);
+    }
+
+    /// Ends a request; gives what other nodes have to know if that clears a strike.
+    pub fn end(&mut self, ticket: Ticket, answered: bool) -> Option<Strike> {
+        let running = self.running.remove(&ticket)?;
+        if !answered {
+            return None;
+        }
+        self.struck.remove(&running.fingerprint)?;
+        Some(Strike {
+            crashes: Vec::new(),
+            fingerprint: running.fingerprint,
+        })
+    }
+
+    /// Takes in that the upstream died while a request ran, and gives the strikes that follow. Where
+    /// one of the running requests was struck before, only such requests are blamed.
+    pub fn crash(&mut self, now: Moment, crash: Crash, ticket: Ticket) -> Vec<Strike> {
+        let blamed = self
+            .running
+            .get(&ticket)
+            .is_none_or(|running| running.blamed);
+        if blamed || self.disabled {
+            return Vec::new();
+        }
+        let struck = &self.struck;
+        let known = |running: &Running| struck.contains_key(&running.fingerprint);
+        let suspected = self.running.values().any(known);
+        let mut blamed: Vec<Fingerprint> = self
+            .running
+            .values()
+            .filter(|running| !running.blamed)
+            .filter(|running| !suspected || known(running))
+            .map(|running| running.fingerprint)
+            .collect();
+        blamed.sort_unstable();
+        blamed.dedup();
+        for running in self.running.values_mut() {
+            running.blamed = true;
+        }
+        for fingerprint in &blamed {
+            self.learn(
+                now,
+                Strike {
+                    crashes: vec![crash],
+                    fingerprint: *fingerprint,
+                },
+            );
+        }
+        blamed
+            .into_iter()
+            .filter_map(|fingerprint| self.strike(fingerprint))
+            .collect()
+    }
+
+    /// Gives what is known of a request.
+    #[must_use]
+    pub fn strike(&self, fingerprint: Fingerprint) -> Option<Strike> {
+        let struck = self.struck.get(&fingerprint)?;
+        Some(Strike {
+            crashes: struck.crashes.clone(),
+            fingerprint,
+        })
+    }
+
+    /// Takes in the strikes, or the clearing of them, that another node tells of. A quarantined
+    /// request stays so.
+    pub fn learn(&mut self, now: Moment, strike: Strike) {
+        let quarantined = self
+            .struck
+            .get(&strike.fingerprint)
+            .is_some_and(Struck::quarantined);
+        if quarantined || self.disabled {
+            return;
+        }
+        if strike.crashes.is_empty() {
+            self.struck.remove(&strike.fingerprint);
+            return;
+        }
+        if self.struck.len() >= STRUCK_MAX {
+            self.make_room();
+        }
+        let struck = self.struck.entry(strike.fingerprint).or_insert(Struck {
+            crashes: Vec::new(),
+            seen: now,
+        });
+        struck.seen = now;
+        struck.crashes.extend(strike.crashes);
+        struck.crashes.sort_unstable();
+        struck.crashes.dedup();
+        struck.crashes.truncate(STRIKES_MAX);
+    }
+
+    fn make_room(&mut self) {
+        let oldest = self
+            .struck
+            .iter()
+            .min_by_key(|(_, struck)| (struck.crashes.len(), struck.seen))
+            .map(|(fingerprint, _)| *fingerprint);
+        if let Some(oldest) = oldest {
+            self.struck.remove(&oldest);
+        }
+    }
+
+    /// Lists what this node knows, for a node that has just started.
+    #[must_use]
+    pub fn strikes(&self) -> Vec<Strike> {
+        let mut strikes: Vec<Strike> = self
+            .struck
+            .keys()
+            .filter_map(|fingerprint| self.strike(*fingerprint))
+            .collect();
+        strikes.sort_unstable_by_key(|strike| strike.fingerprint);
+        strikes
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -6,6 +6,10 @@
     crate::{
         member::{Contact, Record},
         snapshot::{Delta, Snapshot},
+        traffic::{
+            endpoint::Load,
+            quarantine::{Fingerprint, Strike},
+        },
         world::{Revision, Service, Version},
     },
     serde::{Deserialize, Serialize, de::DeserializeOwned},
@@ -30,6 +34,8 @@
     Snapshot(Snapshot),
     /// What the sender knows of hosts.
     Members(Vec<Record>),
+    /// What the sender knows of requests that crash upstreams.
+    Strikes(Vec<Strike>),
 }
 
 /// One part of a proxied request or answer.
@@ -44,7 +50,7 @@
     /// The end of a body that is whole, with its trailers.
     End(Vec<Header>),
     /// The request ends without a whole answer.
-    Failure(Failure),
+    Refusal(Refusal),
 }
 
 /// The name and value of an HTTP header.
@@ -55,18 +61,35 @@
 pub struct Request {
     /// The time that is left to answer, in microseconds.
     pub budget: u64,
+    /// What the request asks for.
+    pub fingerprint: Fingerprint,
     /// The headers.
     pub headers: Vec<Header>,
+    /// How many nodes took the request in before the one that sends it.
+    pub hop: u32,
     /// Identifies the request end to end.
     pub id: String,
+    /// The idempotency key, if the request goes to the key's owner.
+    pub keyed: Option<Keyed>,
     /// The HTTP method.
     pub method: String,
     /// The service that is asked for.
     pub service: Service,
+    /// The strikes against the request that the sender knows of.
+    pub strike: Option<Strike>,
     /// The path and query.
     pub target: String,
-    /// The version that was chosen.
-    pub version: Version,
+    /// The version that was chosen; nothing if the key's owner is to choose it.
+    pub version: Option<Version>,
+}
+
+/// An idempotency key on its way to its owner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Keyed {
+    /// When the request was first sent, in microseconds since the Unix epoch, if its caller says so.
+    pub first_sent: Option<u64>,
+    /// The key as the caller wrote it.
+    pub key: String,
 }
 
 /// The beginning of an answer.
@@ -76,10 +99,23 @@
     pub headers: Vec<Header>,
     /// The id of the request that this answers.
     pub id: String,
+    /// What the node at the upstream has to do; nothing if the key's owner answers.
+    pub load: Option<Load>,
     /// The HTTP status.
     pub status: u16,
 }
 
+/// The end of a request without a whole answer, with what the sender's peers should know.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// Why it ends.
+    pub failure: Failure,
+    /// What the node at the upstream has to do.
+    pub load: Option<Load>,
+    /// The strikes against the request.
+    pub strike: Option<Strike>,
+}
+
 /// Why a request ends without a whole answer, as far as the node at the upstream can tell.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Failure {
--- /dev/null
+++ b/tests/admit.rs
@@ -0,0 +1,300 @@
+//! Slots, the queue and the choice among endpoints, in virtual time.
+
+use {
+    crate::requests::snapshot,
+    mulberryshelf::{
+        member::{Contact, Offer, Record, State},
+        refusal::Reason,
+        resource::Limits,
+        traffic::{
+            Ask, Traffic,
+            admit::{Action, Admit, Limit, Ticket},
+            outcome::Kind,
+            spill::{Spill, Tier},
+        },
+        world::{Host, Moment},
+    },
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+};
+
+const SLOTS: u32 = 12;
+const FAR: Moment = Moment(u64::MAX / 2);
+
+fn at(millis: u64) -> Moment {
+    Moment(1_000_000 + millis * 1000)
+}
+
+fn admit(slots: u32) -> Admit {
+    let mut admit = Admit::new(Limit::Fixed);
+    admit.resize(slots, &Limits::default());
+    admit
+}
+
+#[test]
+fn no_more_requests_run_than_there_are_slots() {
+    let mut admit = admit(SLOTS);
+    let mut started = 0;
+    for ticket in 0..100 {
+        let actions = admit.arrive(at(0), Ticket(ticket), FAR);
+        started += actions
+            .iter()
+            .filter(|action| matches!(action, Action::Start(_)))
+            .count();
+    }
+    assert_eq!(started, 12);
+    assert_eq!(admit.load().queued, SLOTS * 2);
+}
+
+#[test]
+fn queue_is_as_long_as_the_limits_say() {
+    let mut admit = Admit::new(Limit::Fixed);
+    let limits = Limits {
+        queue: Some(1),
+        ..Limits::default()
+    };
+    admit.resize(1, &limits);
+    assert_eq!(
+        admit.arrive(at(0), Ticket(1), FAR),
+        [Action::Start(Ticket(1))]
+    );
+    assert_eq!(admit.arrive(at(0), Ticket(2), FAR), []);
+    let refused = Action::Refuse(Ticket(3), Reason::Overloaded);
+    assert_eq!(admit.arrive(at(0), Ticket(3), FAR), [refused]);
+}
+
+#[test]
+fn work_past_its_deadline_is_not_started() {
+    let mut admit = admit(1);
+    let late = Action::Refuse(Ticket(1), Reason::Deadline);
+    assert_eq!(admit.arrive(at(10), Ticket(1), at(5)), [late]);
+    admit.arrive(at(10), Ticket(2), FAR);
+    admit.arrive(at(10), Ticket(3), at(40));
+    let finished = admit.finish(at(50), Some(Duration::from_millis(40)));
+    assert_eq!(finished, [Action::Refuse(Ticket(3), Reason::Deadline)]);
+}
+
+#[test]
+fn work_that_cannot_finish_in_time_is_refused_at_once() {
+    let mut admit = admit(1);
+    admit.arrive(at(0), Ticket(1), FAR);
+    admit.finish(at(100), Some(Duration::from_millis(100)));
+    let refused = Action::Refuse(Ticket(2), Reason::Deadline);
+    assert_eq!(admit.arrive(at(100), Ticket(2), at(150)), [refused]);
+    admit.arrive(at(100), Ticket(3), FAR);
+    let refused = Action::Refuse(Ticket(4), Reason::Overloaded);
+    assert_eq!(admit.arrive(at(100), Ticket(4), at(250)), [refused]);
+}
+
+#[test]
+fn overloaded_queue_takes_the_newest_and_refuses_the_oldest() {
+    let mut admit = admit(1);
+    admit.arrive(at(0), Ticket(1), FAR);
+    admit.arrive(at(0), Ticket(2), FAR);
+    admit.arrive(at(145), Ticket(3), FAR);
+    admit.arrive(at(146), Ticket(4), FAR);
+    let actions = admit.finish(at(150), Some(Duration::from_millis(10)));
+    assert_eq!(actions, [Action::Start(Ticket(4))]);
+}
+
+#[test]
+fn request_that_goes_away_leaves_the_queue() {
+    let mut admit = admit(1);
+    admit.arrive(at(0), Ticket(1), FAR);
+    admit.arrive(at(0), Ticket(2), FAR);
+    admit.cancel(Ticket(2));
+    assert_eq!(admit.finish(at(1), None), []);
+    assert_eq!(admit.load().running, 0);
+}
+
+fn record(host: &str, domain: &str, region: &str, version: &str) -> Record {
+    Record {
+        contact: Contact {
+            address: "127.0.0.1:1".parse().unwrap(),
+            domain: domain.parse().unwrap(),
+            host: host.parse().unwrap(),
+            region: region.parse().unwrap(),
+        },
+        incarnation: Moment(1),
+        offer: Some(Offer {
+            address: "127.0.0.1:2".parse().unwrap(),
+            connections: 120,
+            service: "dispatch-hub".parse().unwrap(),
+            slots: SLOTS,
+            version: version.parse().unwrap(),
+        }),
+        sequence: 1,
+        state: State::Ready,
+    }
+}
+
+/// Routing state in luzon-a with some hosts of one version.
+pub fn traffic(hosts: &[(&str, &str, &str)]) -> Traffic {
+    let mut traffic = Traffic::new("luzon-a".parse().unwrap(), "luzon".parse().unwrap(), 7);
+    traffic.install(Arc::new(snapshot("/", &[("hub-1", 1000)])));
+    let records = hosts
+        .iter()
+        .map(|(host, domain, region)| record(host, domain, region, "hub-1"))
+        .collect();
+    traffic.update(Moment(0), records);
+    traffic
+}
+
+const SIX: [(&str, &str, &str); 6] = [
+    ("a1", "luzon-a", "luzon"),
+    ("a2", "luzon-a", "luzon"),
+    ("a3", "luzon-a", "luzon"),
+    ("a4", "luzon-a", "luzon"),
+    ("a5", "luzon-a", "luzon"),
+    ("a6", "luzon-a", "luzon"),
+];
+
+/// Sends requests one after the other, each of which ends as its host says, and counts them by host.
+fn drive(
+    traffic: &mut Traffic,
+    from: u64,
+    requests: u64,
+    end: impl Fn(&Host) -> (Kind, u64),
+) -> BTreeMap<String, u64> {
+    let service = "dispatch-hub".parse().unwrap();
+    let mut counts = BTreeMap::new();
+    for request in 0..requests {
+        let now = at(from + request);
+        let ask = Ask {
+            avoid: &[],
+            id: &request.to_string(),
+            path: "/",
+            service: &service,
+        };
+        let choice = traffic.choose(now, ask).unwrap();
+        *counts.entry(choice.host.to_string()).or_default() += 1;
+        let (kind, millis) = end(&choice.host);
+        traffic.finish(now + Duration::from_millis(millis), &choice, kind, None);
+    }
+    counts
+}
+
+#[test]
+fn endpoint_that_fails_while_its_peers_do_not_is_ejected() {
+    let mut traffic = traffic(&SIX);
+    let end = |host: &Host| match host.as_str() {
+        "a1" => (Kind::Failure, 5),
+        _ => (Kind::Success, 5),
+    };
+    drive(&mut traffic, 0, 500, end);
+    let counts = drive(&mut traffic, 500, 1000, end);
+    assert_eq!(counts.get("a1"), None, "{counts:?}");
+}
+
+#[test]
+fn endpoints_that_all_fail_are_all_kept() {
+    let mut traffic = traffic(&SIX);
+    let counts = drive(&mut traffic, 0, 2000, |_| (Kind::Failure, 5));
+    assert!(counts.values().all(|count| *count > 100), "{counts:?}");
+}
+
+#[test]
+fn at_most_a_third_of_the_endpoints_is_ejected() {
+    let mut traffic = traffic(&SIX);
+    let end = |host: &Host| match host.as_str() {
+        "a1" | "a2" | "a3" => (Kind::Failure, 5),
+        _ => (Kind::Success, 5),
+    };
+    drive(&mut traffic, 0, 500, end);
+    let counts = drive(&mut traffic, 500, 1000, end);
+    let ejected = 6 - counts.len();
+    assert!(ejected <= 2, "{counts:?}");
+}
+
+#[test]
+fn slow_endpoint_among_fast_ones_is_left() {
+    let mut traffic = traffic(&SIX);
+    let end = |host: &Host| match host.as_str() {
+        "a1" => (Kind::Success, 100),
+        _ => (Kind::Success, 5),
+    };
+    drive(&mut traffic, 0, 500, end);
+    let counts = drive(&mut traffic, 500, 1000, end);
+    let slow = counts.get("a1").copied().unwrap_or(0);
+    assert!(slow < 50, "{counts:?}");
+}
+
+#[test]
+fn new_endpoint_is_ramped_up() {
+    let mut traffic = traffic(&SIX[..5]);
+    drive(&mut traffic, 0, 20_000, |_| (Kind::Success, 5));
+    traffic.update(at(20_000), vec![record("a6", "luzon-a", "luzon", "hub-1")]);
+    let cold = drive(&mut traffic, 20_000, 1000, |_| (Kind::Success, 5));
+    drive(&mut traffic, 21_000, 10_000, |_| (Kind::Success, 5));
+    let warm = drive(&mut traffic, 31_000, 1000, |_| (Kind::Success, 5));
+    let count = |counts: &BTreeMap<String, u64>| counts.get("a6").copied().unwrap_or(0);
+    assert!(count(&cold) < 60, "{cold:?}");
+    assert!(count(&warm) > 120, "{warm:?}");
+}
+
+#[test]
+fn stuck_or_lying_report_does_not_decide_alone() {
+    let mut traffic = traffic(&SIX);
+    drive(&mut traffic, 0, 200, |_| (Kind::Success, 5));
+    traffic.report(&"a1".parse().unwrap(), 0);
+    for host in ["a2", "a3", "a4", "a5", "a6"] {
+        traffic.report(&host.parse().unwrap(), 1000);
+    }
+    let counts = drive(&mut traffic, 200, 1200, |_| (Kind::Success, 5));
+    assert!(counts.values().all(|count| *count > 100), "{counts:?}");
+}
+
+#[test]
+fn own_domain_goes_before_the_region_and_the_region_before_the_link() {
+    let hosts = [
+        ("a1", "luzon-a", "luzon"),
+        ("b1", "luzon-b", "luzon"),
+        ("c1", "visayas-a", "visayas"),
+    ];
+    let used = |hosts: &[(&str, &str, &str)]| {
+        let counts = drive(&mut traffic(hosts), 0, 100, |_| (Kind::Success, 5));
+        counts.into_keys().collect::<Vec<_>>()
+    };
+    assert_eq!(used(&hosts), ["a1"]);
+    assert_eq!(used(&hosts[1..]), ["b1"]);
+    assert_eq!(used(&hosts[2..]), ["c1"]);
+}
+
+#[test]
+fn unreachable_domain_is_left_at_once_and_taken_back_gradually() {
+    let mut traffic = traffic(&[("a1", "luzon-a", "luzon"), ("b1", "luzon-b", "luzon")]);
+    let cut = |host: &Host| match host.as_str() {
+        "a1" => (Kind::Unreachable, 1),
+        _ => (Kind::Success, 5),
+    };
+    drive(&mut traffic, 0, 100, |_| (Kind::Success, 5));
+    let counts = drive(&mut traffic, 100, 10_000, cut);
+    assert!(counts["a1"] < 200, "{counts:?}");
+    // The last probe may have put it aside for eight seconds.
+    drive(&mut traffic, 10_100, 19_900, |_| (Kind::Success, 5));
+    let healed = drive(&mut traffic, 30_000, 1000, |_| (Kind::Success, 5));
+    assert!(healed["a1"] > 900, "{healed:?}");
+}
+
+#[test]
+fn spill_grows_and_shrinks_in_small_steps_and_does_not_swing() {
+    let mut spill = Spill::default();
+    let share = |spill: &Spill| {
+        let away = (0..1000).filter(|point| spill.tier(f64::from(*point) / 1000.0) != Tier::Own);
+        away.count()
+    };
+    spill.step(at(0), [Some(0.5), Some(0.3), None]);
+    assert_eq!(share(&spill), 0);
+    let mut last = 0;
+    for step in 1..=10 {
+        spill.step(at(step * 100), [Some(0.95), Some(0.3), None]);
+        assert!(share(&spill) - last <= 50, "{} after {last}", share(&spill));
+        last = share(&spill);
+    }
+    assert!(last > 300, "{last}");
+    spill.step(at(1100), [Some(0.75), Some(0.5), None]);
+    assert_eq!(share(&spill), last);
+    spill.step(at(1200), [None, Some(0.5), None]);
+    assert_eq!(share(&spill), 1000);
+    spill.step(at(1300), [Some(0.1), Some(0.5), None]);
+    assert!(share(&spill) >= 970, "{}", share(&spill));
+}
--- /dev/null
+++ b/tests/caller.rs
@@ -0,0 +1,171 @@
+//! A caller that speaks HTTP on a connection of its own, and a small mesh for it to call.
+
+use {
+    crate::test::{Test, eventually, whole_route},
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full},
+    hyper::{Request, Response, body::Incoming, client::conn::http1::handshake},
+    hyper_util::rt::TokioIo,
+    mulberryshelf::{member::Offer, source::Verdict},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tokio::net::TcpStream,
+};
+
+pub const SERVICE: &str = "dispatch-hub";
+pub const VERSION: &str = "hub-1";
+
+/// An answer as the caller got it.
+#[derive(Debug)]
+pub struct Reply {
+    pub body: String,
+    pub outcome: String,
+    pub reason: String,
+    pub status: u16,
+    pub took: Duration,
+}
+
+impl Reply {
+    /// Status, outcome and reason.
+    pub fn refusal(&self) -> (u16, &str, &str) {
+        (self.status, &self.outcome, &self.reason)
+    }
+}
+
+/// A request with its headers.
+#[derive(Clone)]
+pub struct Caller {
+    body: String,
+    headers: Vec<(String, String)>,
+    method: &'static str,
+    proxy: SocketAddr,
+}
+
+impl Caller {
+    pub fn get(proxy: SocketAddr, id: &str) -> Self {
+        Self::new(proxy, "GET", id, "")
+    }
+
+    pub fn post(proxy: SocketAddr, id: &str, body: &str) -> Self {
+        Self::new(proxy, "POST", id, body)
+    }
+
+    pub fn new(proxy: SocketAddr, method: &'static str, id: &str, body: &str) -> Self {
+        Self {
+            body: body.into(),
+            headers: vec![
+                ("x-mulberry-service".into(), SERVICE.into()),
+                ("x-request-id".into(), id.into()),
+            ],
+            method,
+            proxy,
+        }
+    }
+
+    pub fn header(mut self, name: &str, value: &(impl ToString + ?Sized)) -> Self {
+        self.headers.push((name.into(), value.to_string()));
+        self
+    }
+
+    pub fn with_body(mut self, body: &str) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    /// Sends it, and reads the answer up to its body.
+    pub async fn begin(&self) -> hyper::Result<Response<Incoming>> {
+        let stream = TcpStream::connect(self.proxy).await.unwrap();
+        let (mut sender, connection) = handshake(TokioIo::new(stream)).await?;
+        tokio::spawn(connection);
+        let mut request = Request::builder().method(self.method).uri("/");
+        for (name, value) in &self.headers {
+            request = request.header(name, value);
+        }
+        let body = Full::new(Bytes::from(self.body.clone()));
+        sender.send_request(request.body(body).unwrap()).await
+    }
+
+    /// Sends it, and reads the whole answer.
+    pub async fn try_send(&self) -> hyper::Result<Reply> {
+        let start = Instant::now();
+        let response = self.begin().await?;
+        let header = |name: &str| {
+            let value = response.headers().get(name);
+            value.map_or(String::new(), |value| value.to_str().unwrap().into())
+        };
+        let (outcome, reason) = (header("x-mulberry-outcome"), header("x-mulberry-reason"));
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await?.to_bytes();
+        Ok(Reply {
+            body: String::from_utf8(body.into()).unwrap(),
+            outcome,
+            reason,
+            status,
+            took: start.elapsed(),
+        })
+    }
+
+    pub async fn send(&self) -> Reply {
+        self.try_send().await.unwrap()
+    }
+}
+
+/// A mesh of an ingress, host 0, and some hosts of the service in its failure domain.
+pub async fn mesh(hosts: usize) -> Test {
+    let mut test = Test::new()
+        .host("a0", "luzon-a", "resident-desk", "desk-1")
+        .await;
+    for host in 1..=hosts {
+        let name = format!("a{host}");
+        test = test.host(&name, "luzon-a", SERVICE, VERSION).await;
+    }
+    let verdict = test.apply(0, whole_route(SERVICE, VERSION)).await;
+    let Verdict::Accepted(revision) = verdict else {
+        panic!("{verdict:?}");
+    };
+    test.converged(revision).await;
+    for from in 0..=hosts {
+        reached(&test, from, hosts).await;
+    }
+    test
+}
+
+/// Waits until requests from a host reach every upstream of the service.
+async fn reached(test: &Test, from: usize, hosts: usize) {
+    let before: Vec<u64> = test
+        .hosts
+        .iter()
+        .map(|host| host.upstream.total())
+        .collect();
+    let proxy = test.hosts[from].node.proxy();
+    let mut calls = 0;
+    loop {
+        Caller::get(proxy, "warm-up").send().await;
+        let reached = |host: usize| test.hosts[host].upstream.total() > before[host];
+        if (1..=hosts).all(reached) {
+            return;
+        }
+        calls += 1;
+        assert!(calls < 2000, "host {from} does not reach every upstream");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Announces an upstream again, with other slots or another address.
+pub fn announce(test: &Test, host: usize, address: Option<SocketAddr>, slots: u32) {
+    let host = &test.hosts[host];
+    host.node.handle().announce(Offer {
+        address: address.unwrap_or(host.upstream.address),
+        connections: 120,
+        service: SERVICE.parse().unwrap(),
+        slots,
+        version: VERSION.parse().unwrap(),
+    });
+}
+
+/// Waits until nothing runs at an upstream.
+pub async fn idle(test: &Test, host: usize) {
+    eventually(|| test.hosts[host].upstream.running() == 0).await;
+}
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -4,7 +4,12 @@
 #[path = "../examples/standin/mod.rs"]
 mod standin;
 
+mod admit;
+mod caller;
+mod once;
 mod path;
+mod quarantine;
 mod requests;
+mod retry;
 mod snapshot;
 mod test;
--- /dev/null
+++ b/tests/once.rs
@@ -0,0 +1,363 @@
+//! Requests with an idempotency key run at most once.
+
+use {
+    crate::{
+        caller::{Caller, Reply, SERVICE, VERSION, mesh},
+        standin::upstream::Faults,
+        test::{Test, eventually},
+    },
+    bytes::Bytes,
+    mulberryshelf::{
+        member::{Contact, Offer, Record, State},
+        refusal::Reason,
+        traffic::{
+            admit::Ticket,
+            once::{Answer, BODIES_MAX, BODY_MAX, Claim, KEYS_MAX, Key, Once, REMEMBERED, Verdict},
+            owner::{Owners, SETTLE, VANISHED},
+        },
+        wire::Failure,
+        world::{Host, Moment, Service},
+    },
+    proptest::prelude::*,
+    std::{
+        collections::BTreeMap,
+        sync::Arc,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+};
+
+const START: Moment = Moment(1_000_000_000_000);
+
+fn at(seconds: u64) -> Moment {
+    START + Duration::from_secs(seconds)
+}
+
+fn service() -> Service {
+    SERVICE.parse().unwrap()
+}
+
+fn claim(key: &str, first_sent: Option<Moment>, ticket: u64) -> Claim {
+    Claim {
+        fingerprint: 1,
+        first_sent,
+        key: Key::new(&service(), key),
+        since: Some(START),
+        ticket: Ticket(ticket),
+    }
+}
+
+fn answer(bytes: usize) -> Arc<Answer> {
+    Arc::new(Answer {
+        body: Bytes::from(vec![b'x'; bytes]),
+        headers: Vec::new(),
+        status: 200,
+    })
+}
+
+fn unknown(reason: Reason) -> Verdict {
+    Verdict::Fail(Failure::Unknown(reason))
+}
+
+#[test]
+fn key_runs_once_is_joined_and_answered_again() {
+    let mut once = Once::default();
+    let sent = Some(at(100));
+    let first = claim("k", sent, 1);
+    assert_eq!(once.begin(at(100), first), Verdict::Run);
+    assert_eq!(once.begin(at(101), claim("k", sent, 2)), Verdict::Join);
+    assert_eq!(
+        once.end(at(102), first.key, Ok(Some(answer(3)))),
+        [Ticket(2)]
+    );
+    assert_eq!(
+        once.begin(at(103), claim("k", sent, 3)),
+        Verdict::Answer(answer(3))
+    );
+    let other = Claim {
+        fingerprint: 2,
+        ..claim("k", sent, 4)
+    };
+    let reused = Verdict::Fail(Failure::NotRun(Reason::KeyReused));
+    assert_eq!(once.begin(at(103), other), reused);
+}
+
+#[test]
+fn key_whose_run_was_refused_may_run_and_one_that_may_have_run_may_not() {
+    let mut once = Once::default();
+    let first = claim("k", Some(at(100)), 1);
+    once.begin(at(100), first);
+    once.end(at(101), first.key, Err(Failure::NotRun(Reason::Overloaded)));
+    assert_eq!(once.begin(at(102), first), Verdict::Run);
+    once.end(at(103), first.key, Err(Failure::Unknown(Reason::Lost)));
+    assert_eq!(once.begin(at(104), first), unknown(Reason::Lost));
+}
+
+#[test]
+fn owner_newer_than_the_first_sending_never_runs_it() {
+    let mut once = Once::default();
+    for sent in [Some(at(0)), Some(at(1)), None, Some(at(500))] {
+        let verdict = once.begin(at(100), claim("k", sent, 1));
+        assert_eq!(verdict, unknown(Reason::OwnerChanged), "{sent:?}");
+    }
+    assert_eq!(
+        once.begin(at(100), claim("k", Some(at(99)), 1)),
+        Verdict::Run
+    );
+    let long = REMEMBERED.as_secs() + 1;
+    assert_eq!(
+        once.begin(at(long), claim("no time", None, 1)),
+        Verdict::Run
+    );
+}
+
+#[test]
+fn key_that_is_no_longer_remembered_is_unknown() {
+    let mut once = Once::default();
+    let first = claim("k", Some(at(100)), 1);
+    once.begin(at(100), first);
+    once.end(at(100), first.key, Ok(Some(answer(3))));
+    let late = at(101 + REMEMBERED.as_secs());
+    assert_eq!(once.begin(late, first), unknown(Reason::KeyExpired));
+    assert!(once.is_empty());
+}
+
+#[test]
+fn memory_is_bounded_and_full_memory_runs_nothing_twice() {
+    let mut once = Once::default();
+    for index in 0..KEYS_MAX {
+        let claim = claim(&index.to_string(), Some(at(100)), 1);
+        assert_eq!(once.begin(at(100), claim), Verdict::Run);
+        once.end(at(100), claim.key, Ok(Some(answer(BODY_MAX))));
+    }
+    let full = Verdict::Fail(Failure::NotRun(Reason::KeysFull));
+    assert_eq!(once.begin(at(101), claim("more", Some(at(101)), 1)), full);
+    let oldest = once.begin(at(101), claim("0", Some(at(100)), 1));
+    assert_eq!(oldest, unknown(Reason::AlreadyRan));
+    let kept = (0..KEYS_MAX)
+        .map(|index| once.begin(at(101), claim(&index.to_string(), Some(at(100)), 1)))
+        .filter(|verdict| matches!(verdict, Verdict::Answer(_)))
+        .count();
+    assert_eq!(kept, BODIES_MAX / BODY_MAX);
+}
+
+fn record(host: &str, state: State, incarnation: Moment) -> Record {
+    Record {
+        contact: Contact {
+            address: "127.0.0.1:1".parse().unwrap(),
+            domain: "luzon-a".parse().unwrap(),
+            host: host.parse().unwrap(),
+            region: "luzon".parse().unwrap(),
+        },
+        incarnation,
+        offer: Some(Offer {
+            address: "127.0.0.1:2".parse().unwrap(),
+            connections: 120,
+            service: service(),
+            slots: 12,
+            version: VERSION.parse().unwrap(),
+        }),
+        sequence: 1,
+        state,
+    }
+}
+
+/// Hosts of the service, each of which remembers the keys that it owns in its own view.
+#[derive(Default)]
+struct Hosts {
+    memories: BTreeMap<Host, Once>,
+    records: BTreeMap<Host, Record>,
+    views: BTreeMap<Host, Owners>,
+}
+
+impl Hosts {
+    /// Changes the state of a host, and tells those that can hear of it.
+    fn change(&mut self, now: Moment, name: &str, state: State, heard: impl Fn(&Host) -> bool) {
+        let host: Host = name.parse().unwrap();
+        let before = self.records.get(&host).cloned();
+        let started = before.as_ref().map_or(now, |before| before.incarnation);
+        let record = record(name, state, started);
+        self.records.insert(host.clone(), record.clone());
+        if before.is_none() {
+            let mut view = Owners::default();
+            for known in self.records.values() {
+                view.update(now, None, known);
+            }
+            self.views.insert(host.clone(), view);
+            self.memories.insert(host.clone(), Once::default());
+        }
+        for (other, view) in &mut self.views {
+            if heard(other) {
+                view.update(now, before.as_ref(), &record);
+            }
+        }
+    }
+
+    /// Sends a request by a host, and says whether it runs.
+    fn send(&mut self, now: Moment, by: &str, key: &str, first_sent: Moment) -> Verdict {
+        let by: Host = by.parse().unwrap();
+        let Some(owner) = self.views[&by].owner(now, &service(), key).cloned() else {
+            return Verdict::Fail(Failure::NotRun(Reason::NoEndpoint));
+        };
+        if self.records[&owner].state == State::Gone {
+            return unknown(Reason::OwnerUnreachable);
+        }
+        let since = self.views[&owner].since(now, &service(), key, &owner);
+        let claim = Claim {
+            since,
+            ..claim(key, Some(first_sent), 1)
+        };
+        let memory = self.memories.get_mut(&owner).unwrap();
+        let verdict = memory.begin(now, claim);
+        if verdict == Verdict::Run {
+            memory.end(now, claim.key, Ok(Some(answer(1))));
+        }
+        verdict
+    }
+}
+
+proptest! {
+    #[test]
+    fn no_key_runs_twice_while_hosts_join_leave_and_vanish(
+        steps in prop::collection::vec((0_u64..20, 0_usize..6, 0_u8..8, 0_usize..6), 1..60)
+    ) {
+        let names = ["h0", "h1", "h2", "h3", "h4", "h5"];
+        let mut hosts = Hosts::default();
+        for name in &names[..4] {
+            hosts.change(at(0), name, State::Ready, |_| true);
+        }
+        let mut now = at(100);
+        let mut first_sent: BTreeMap<usize, Moment> = BTreeMap::new();
+        let mut runs: BTreeMap<usize, u32> = BTreeMap::new();
+        for (pause, host, what, key) in steps {
+            now = now + Duration::from_secs(pause);
+            let name = names[host];
+            let state = hosts.records.get(&name.parse::<Host>().unwrap()).map(|record| record.state);
+            match (what, state) {
+                (0, None) => hosts.change(now, name, State::Ready, |_| true),
+                (1, Some(State::Ready)) => hosts.change(now, name, State::Leaving, |_| true),
+                (2, Some(State::Ready)) => hosts.change(now, name, State::Gone, |_| true),
+                (_, Some(State::Ready)) => {
+                    let sent = *first_sent.entry(key).or_insert(now);
+                    let verdict = hosts.send(now, name, &format!("key-{key}"), sent);
+                    *runs.entry(key).or_default() += u32::from(verdict == Verdict::Run);
+                }
+                _ => {}
+            }
+        }
+        prop_assert!(runs.values().all(|runs| *runs <= 1), "{runs:?}");
+    }
+}
+
+#[test]
+fn host_that_vanished_without_a_word_keeps_its_keys_for_a_while() {
+    let mut hosts = Hosts::default();
+    for name in ["h0", "h1", "h2"] {
+        hosts.change(at(0), name, State::Ready, |_| true);
+    }
+    let owned = |hosts: &Hosts, now: Moment, key: &str| {
+        hosts.views[&"h0".parse().unwrap()]
+            .owner(now, &service(), key)
+            .cloned()
+    };
+    let h1: Host = "h1".parse().unwrap();
+    let key = (0..).map(|index| index.to_string());
+    let key = key
+        .into_iter()
+        .find(|key| owned(&hosts, at(50), key) == Some(h1.clone()))
+        .unwrap();
+    hosts.change(at(100), "h1", State::Gone, |_| true);
+    let verdict = hosts.send(at(110), "h0", &key, at(110));
+    assert_eq!(verdict, unknown(Reason::OwnerUnreachable));
+    let later = at(101 + VANISHED.as_secs());
+    let verdict = hosts.send(later, "h0", &key, at(110));
+    assert_eq!(verdict, unknown(Reason::OwnerChanged));
+    let fresh = later + SETTLE;
+    assert_eq!(hosts.send(fresh, "h0", &key, fresh), Verdict::Run);
+}
+
+#[test]
+fn key_has_the_same_owner_whatever_the_version() {
+    let mut hosts = Hosts::default();
+    hosts.change(at(0), "h0", State::Ready, |_| true);
+    let view = &hosts.views[&"h0".parse().unwrap()];
+    assert!(view.owner(at(1), &service(), "k").is_some());
+    assert!(view.owner(at(1), &"other".parse().unwrap(), "k").is_none());
+}
+
+fn runs(test: &Test, id: &str) -> u64 {
+    test.hosts.iter().map(|host| host.upstream.runs(id)).sum()
+}
+
+fn keyed(test: &Test, by: usize, key: &str, first_sent: u128) -> Caller {
+    Caller::post(test.hosts[by].node.proxy(), key, "crew 7")
+        .header("idempotency-key", key)
+        .header("x-mulberry-first-sent-ms", &first_sent)
+}
+
+fn millis() -> u128 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    since.as_millis()
+}
+
+fn first(reply: &Reply) -> (u16, &str) {
+    (reply.status, &reply.body)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn key_that_is_sent_again_anywhere_runs_once() {
+    let test = mesh(3).await;
+    let early = keyed(&test, 0, "early", millis()).send().await;
+    assert_eq!(early.refusal(), (502, "unknown", "owner-changed"));
+    assert_eq!(runs(&test, "early"), 0);
+
+    tokio::time::sleep(SETTLE + Duration::from_millis(2500)).await;
+    let sent = millis();
+    for by in [0, 1, 2, 3, 0] {
+        let reply = keyed(&test, by, "again", sent).send().await;
+        assert_eq!(first(&reply), (200, "crew 7"), "{reply:?}");
+    }
+    assert_eq!(runs(&test, "again"), 1);
+
+    for host in &test.hosts {
+        host.upstream.fail(Faults {
+            slow_ms: 300,
+            ..Faults::default()
+        });
+    }
+    let mut calls = tokio::task::JoinSet::new();
+    for by in 0..4 {
+        let caller = keyed(&test, by, "together", millis());
+        calls.spawn(async move { caller.send().await });
+    }
+    for reply in calls.join_all().await {
+        assert_eq!(first(&reply), (200, "crew 7"), "{reply:?}");
+    }
+    assert_eq!(runs(&test, "together"), 1);
+
+    let sent = millis();
+    let caller = keyed(&test, 0, "left", sent);
+    let gone = tokio::time::timeout(Duration::from_millis(100), caller.send()).await;
+    assert!(gone.is_err());
+    eventually(|| runs(&test, "left") == 1).await;
+    let reply = keyed(&test, 2, "left", sent).send().await;
+    assert_eq!(first(&reply), (200, "crew 7"), "{reply:?}");
+    assert_eq!(runs(&test, "left"), 1);
+
+    for host in &test.hosts {
+        host.upstream.fail(Faults {
+            lose_answers: 1,
+            ..Faults::default()
+        });
+    }
+    for by in 0..4 {
+        let reply = keyed(&test, by, "lost", sent).send().await;
+        assert_eq!(reply.refusal(), (502, "unknown", "lost"));
+    }
+    assert_eq!(runs(&test, "lost"), 1);
+
+    let other = keyed(&test, 0, "again", sent)
+        .with_body("crew 8")
+        .send()
+        .await;
+    assert_eq!(other.refusal(), (422, "not-run", "key-reused"));
+}
--- /dev/null
+++ b/tests/quarantine.rs
@@ -0,0 +1,161 @@
+//! A request that crashes upstreams takes two of them at most, and nothing else is refused for it.
+
+use {
+    crate::{
+        caller::{Caller, mesh},
+        standin::upstream::Faults,
+        test::{Test, eventually},
+    },
+    mulberryshelf::{
+        traffic::{
+            admit::Ticket,
+            quarantine::{Crash, Fingerprint, Quarantine, REMEMBERED, Strike},
+        },
+        world::Moment,
+    },
+    std::time::Duration,
+};
+
+const NOW: Moment = Moment(1_000_000);
+const POISON: Fingerprint = Fingerprint(1);
+const OTHER: Fingerprint = Fingerprint(2);
+
+fn strike(fingerprint: Fingerprint, crashes: &[u64]) -> Strike {
+    Strike {
+        crashes: crashes.iter().copied().map(Crash).collect(),
+        fingerprint,
+    }
+}
+
+#[test]
+fn second_crash_quarantines_a_request() {
+    let mut quarantine = Quarantine::default();
+    quarantine.begin(Ticket(1), POISON);
+    let strikes = quarantine.crash(NOW, Crash(1), Ticket(1));
+    assert_eq!(strikes, [strike(POISON, &[1])]);
+    assert!(!quarantine.holds(NOW, POISON));
+    quarantine.learn(NOW, strike(POISON, &[2]));
+    assert!(quarantine.holds(NOW, POISON));
+    assert!(!quarantine.holds(NOW, OTHER));
+}
+
+#[test]
+fn crash_that_is_told_of_twice_counts_once() {
+    let mut quarantine = Quarantine::default();
+    quarantine.learn(NOW, strike(POISON, &[1]));
+    quarantine.learn(NOW, strike(POISON, &[1]));
+    assert!(!quarantine.holds(NOW, POISON));
+}
+
+#[test]
+fn strikes_of_two_nodes_add_up_in_either_order() {
+    for crashes in [[1, 2], [2, 1]] {
+        let mut quarantine = Quarantine::default();
+        quarantine.learn(NOW, strike(POISON, &crashes[..1]));
+        quarantine.learn(NOW, strike(POISON, &crashes[1..]));
+        assert!(quarantine.holds(NOW, POISON));
+    }
+}
+
+#[test]
+fn requests_beside_a_struck_one_are_not_blamed() {
+    let mut quarantine = Quarantine::default();
+    quarantine.learn(NOW, strike(POISON, &[1]));
+    quarantine.begin(Ticket(1), POISON);
+    quarantine.begin(Ticket(2), OTHER);
+    let strikes = quarantine.crash(NOW, Crash(2), Ticket(2));
+    assert_eq!(strikes, [strike(POISON, &[1, 2])]);
+    assert_eq!(quarantine.crash(NOW, Crash(3), Ticket(1)), []);
+    assert_eq!(quarantine.strike(OTHER), None);
+}
+
+#[test]
+fn success_clears_a_strike_and_never_a_quarantine() {
+    let mut quarantine = Quarantine::default();
+    quarantine.learn(NOW, strike(OTHER, &[1]));
+    quarantine.begin(Ticket(1), OTHER);
+    let cleared = quarantine.end(Ticket(1), true).unwrap();
+    assert_eq!(cleared, strike(OTHER, &[]));
+    let mut elsewhere = Quarantine::default();
+    elsewhere.learn(NOW, strike(OTHER, &[1]));
+    elsewhere.learn(NOW, cleared.clone());
+    elsewhere.learn(NOW, strike(OTHER, &[2]));
+    assert!(!elsewhere.holds(NOW, OTHER));
+    elsewhere.learn(NOW, strike(OTHER, &[3]));
+    elsewhere.learn(NOW, cleared);
+    assert!(elsewhere.holds(NOW, OTHER));
+}
+
+#[test]
+fn quarantine_lasts_as_long_as_the_request_is_sent_again() {
+    let mut quarantine = Quarantine::default();
+    quarantine.learn(NOW, strike(POISON, &[1, 2]));
+    let later = |part: u32| NOW + REMEMBERED * part / 2;
+    for part in 1..10 {
+        assert!(quarantine.holds(later(part), POISON));
+    }
+    assert!(!quarantine.holds(later(12) + Duration::from_secs(1), POISON));
+}
+
+fn dead(test: &Test) -> usize {
+    let hosts = test.hosts[1..].iter();
+    hosts.filter(|host| host.upstream.is_dead()).count()
+}
+
+fn poison(test: &Test) {
+    for host in &test.hosts {
+        host.upstream.fail(Faults {
+            die_of: Some("poison".into()),
+            ..Faults::default()
+        });
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn poison_takes_two_upstreams_at_most_wherever_it_is_sent() {
+    let test = mesh(5).await;
+    poison(&test);
+    for round in 0..20 {
+        let by = test.hosts[round % 6].node.proxy();
+        let idempotent = (round % 2 == 0).to_string();
+        Caller::post(by, &format!("poison-{round}"), "poison")
+            .header("x-mulberry-idempotent", &idempotent)
+            .send()
+            .await;
+    }
+    assert_eq!(dead(&test), 2);
+    for by in &test.hosts {
+        let again = Caller::post(by.node.proxy(), "last", "poison").send().await;
+        assert_eq!(again.refusal(), (403, "not-run", "quarantined"));
+        let other = Caller::post(by.node.proxy(), "other", "crew 7")
+            .send()
+            .await;
+        assert_eq!((other.status, other.body.as_str()), (200, "crew 7"));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn upstream_that_dies_of_something_else_quarantines_nothing() {
+    let test = mesh(4).await;
+    let proxy = test.hosts[0].node.proxy();
+    for host in &test.hosts {
+        host.upstream.fail(Faults {
+            slow_ms: 200,
+            ..Faults::default()
+        });
+    }
+    for killed in [1, 2] {
+        let upstream = &test.hosts[killed].upstream;
+        let mut calls = tokio::task::JoinSet::new();
+        for index in 0..24 {
+            let caller = Caller::post(proxy, &format!("{killed}-{index}"), "crew 7");
+            calls.spawn(async move { caller.send().await });
+        }
+        eventually(|| upstream.running() > 0).await;
+        upstream.die();
+        calls.join_all().await;
+        let reply = Caller::post(proxy, "next", "crew 7").send().await;
+        assert_eq!((reply.status, reply.body.as_str()), (200, "crew 7"));
+    }
+    assert_eq!(dead(&test), 2);
+}
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -1,14 +1,24 @@
 //! Where requests go.
 
 use {
+    crate::{
+        caller::{Caller, SERVICE, idle, mesh},
+        standin::upstream::Faults,
+    },
     mulberryshelf::{
         resource::{Change, Key, Kind, Route, Spec, VersionSpec},
         snapshot::Snapshot,
+        source::Verdict,
         traffic::{self, Ramp},
         world::{Permille, Revision},
     },
     proptest::prelude::*,
-    std::collections::BTreeMap,
+    serde_json::json,
+    std::{collections::BTreeMap, net::SocketAddr},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    },
 };
 
 /// A configuration with one route of a service, shared between two versions.
@@ -86,3 +96,177 @@
     assert!(index.find(&service, "/crew/7").is_some());
     assert!(index.find(&service, "/crews").is_none());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_caller_gets_its_own_answer() {
+    let test = mesh(2).await;
+    let proxy = test.hosts[0].node.proxy();
+    for host in &test.hosts {
+        host.upstream.fail(Faults {
+            slow_ms: 5,
+            ..Faults::default()
+        });
+    }
+    let mut calls = tokio::task::JoinSet::new();
+    for index in 0..20 {
+        let body = format!("crew {index}");
+        let caller = Caller::post(proxy, &body, &body);
+        calls.spawn(async move { (body, caller.send().await) });
+    }
+    while let Some(call) = calls.join_next().await {
+        let (body, reply) = call.unwrap();
+        assert_eq!((reply.status, reply.body), (200, body));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn late_answer_never_meets_a_later_request() {
+    let test = mesh(1).await;
+    let upstream = &test.hosts[1].upstream;
+    let proxy = test.hosts[0].node.proxy();
+    upstream.fail(Faults {
+        slow_ms: 400,
+        ..Faults::default()
+    });
+    let late = Caller::post(proxy, "late", "late").header("x-mulberry-deadline-ms", &100);
+    assert_eq!(late.send().await.refusal(), (502, "unknown", "deadline"));
+    upstream.fail(Faults::default());
+    for index in 0..20 {
+        let body = format!("crew {index}");
+        let reply = Caller::post(proxy, &body, &body).send().await;
+        assert_eq!((reply.status, reply.body), (200, body));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_that_breaks_off_is_not_passed_off_as_whole() {
+    let test = mesh(1).await;
+    test.hosts[1].upstream.fail(Faults {
+        cut_answers: 1,
+        ..Faults::default()
+    });
+    let proxy = test.hosts[0].node.proxy();
+    let cut = Caller::post(proxy, "cut", "a whole answer")
+        .try_send()
+        .await;
+    assert!(cut.is_err(), "{cut:?}");
+    assert_eq!(test.hosts[1].upstream.runs("cut"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_that_goes_away_cancels_its_request_at_the_upstream() {
+    let test = mesh(1).await;
+    let upstream = &test.hosts[1].upstream;
+    upstream.fail(Faults {
+        slow_ms: 10_000,
+        ..Faults::default()
+    });
+    let caller = Caller::post(test.hosts[0].node.proxy(), "gone", "x");
+    let gone = tokio::time::timeout(std::time::Duration::from_millis(200), caller.send()).await;
+    assert!(gone.is_err());
+    assert_eq!(upstream.runs("gone"), 1);
+    idle(&test, 1).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn body_beyond_the_limit_is_refused_as_not_run() {
+    let test = mesh(1).await;
+    let limits = json!([{ "kind": "limits", "metadata": { "name": SERVICE }, "spec": { "body_bytes": 10 } }]);
+    let Verdict::Accepted(revision) = test.apply(0, limits).await else {
+        panic!("the limits were not accepted");
+    };
+    test.converged(revision).await;
+    let proxy = test.hosts[0].node.proxy();
+    let long = Caller::post(proxy, "long", "eleven char");
+    assert_eq!(long.send().await.refusal(), (413, "not-run", "too-large"));
+    assert_eq!(
+        Caller::post(proxy, "short", "ten chars!")
+            .send()
+            .await
+            .status,
+        200
+    );
+    assert_eq!(test.hosts[1].upstream.runs("long"), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn head_request_gets_headers_without_a_body() {
+    let test = mesh(1).await;
+    let caller = Caller::new(test.hosts[0].node.proxy(), "HEAD", "head", "");
+    let reply = caller.send().await;
+    assert_eq!((reply.status, reply.body.as_str()), (200, ""));
+    assert_eq!(test.hosts[1].upstream.runs("head"), 1);
+}
+
+/// Writes bytes to a node as they are, and gives what comes back until the connection closes.
+async fn raw(proxy: SocketAddr, bytes: &str) -> String {
+    let mut stream = TcpStream::connect(proxy).await.unwrap();
+    stream.write_all(bytes.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    let reading = stream.read_to_string(&mut answer);
+    let _ = tokio::time::timeout(std::time::Duration::from_millis(500), reading).await;
+    answer
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn smuggled_request_never_reaches_the_upstream() {
+    let test = mesh(1).await;
+    let proxy = test.hosts[0].node.proxy();
+    let smuggled = "GET /smuggled HTTP/1.1\r\nhost: dispatch-hub\r\nx-request-id: smuggled\r\n\r\n";
+    let length = smuggled.len();
+    let heads = [
+        format!("content-length: {length}\r\ntransfer-encoding: chunked\r\n"),
+        format!("transfer-encoding: chunked\r\ncontent-length: {length}\r\n"),
+        format!("content-length: 0\r\ncontent-length: {length}\r\n"),
+        format!("content-length: {length}, 0\r\n"),
+        "transfer-encoding: chunked, identity\r\n".into(),
+        "transfer-encoding: xchunked\r\n".into(),
+    ];
+    for head in heads {
+        let chunk = format!("{length:x}\r\n{smuggled}\r\n0\r\n\r\n");
+        for body in [smuggled, &chunk] {
+            let request = format!("POST /outer HTTP/1.1\r\nhost: dispatch-hub\r\n{head}\r\n{body}");
+            raw(proxy, &request).await;
+            assert_eq!(test.hosts[1].upstream.runs("smuggled"), 0, "{head}{body}");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn body_that_is_cut_short_never_reaches_the_upstream() {
+    let test = mesh(1).await;
+    let request = "POST / HTTP/1.1\r\nhost: dispatch-hub\r\nx-request-id: cut\r\ncontent-length: 100\r\n\r\nhalf";
+    let mut stream = TcpStream::connect(test.hosts[0].node.proxy())
+        .await
+        .unwrap();
+    stream.write_all(request.as_bytes()).await.unwrap();
+    drop(stream);
+    Caller::get(test.hosts[0].node.proxy(), "next").send().await;
+    assert_eq!(test.hosts[1].upstream.runs("cut"), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn deadline_and_hop_travel_to_the_upstream() {
+    let test = mesh(1).await;
+    let caller = Caller::get(test.hosts[0].node.proxy(), "chain")
+        .header("x-mulberry-deadline-ms", &700)
+        .header("x-mulberry-hop", &3);
+    assert_eq!(caller.send().await.status, 200);
+    let upstream = &test.hosts[1].upstream;
+    let left = upstream.header("chain", "x-mulberry-deadline-ms").unwrap();
+    assert!((1..=700).contains(&left.parse::<u64>().unwrap()), "{left}");
+    assert_eq!(upstream.header("chain", "x-mulberry-hop").unwrap(), "4");
+    let endless = Caller::get(test.hosts[0].node.proxy(), "endless").header("x-mulberry-hop", &17);
+    assert_eq!(endless.send().await.refusal(), (508, "not-run", "hops"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connection_serves_several_requests() {
+    let test = mesh(1).await;
+    let one = "GET / HTTP/1.1\r\nhost: dispatch-hub\r\nx-request-id: kept\r\n\r\n";
+    let last =
+        "GET / HTTP/1.1\r\nhost: dispatch-hub\r\nx-request-id: kept\r\nconnection: close\r\n\r\n";
+    let answers = raw(test.hosts[0].node.proxy(), &format!("{one}{one}{last}")).await;
+    assert_eq!(answers.matches("HTTP/1.1 200").count(), 3, "{answers}");
+    assert_eq!(test.hosts[1].upstream.runs("kept"), 3);
+}
--- /dev/null
+++ b/tests/retry.rs
@@ -0,0 +1,323 @@
+//! What becomes of a request that fails, at each point at which it can. Runs are counted at the
+//! upstream.
+
+use {
+    crate::{
+        caller::{Caller, announce, mesh},
+        standin::upstream::Faults,
+        test::{ANY, Test, eventually},
+    },
+    mulberryshelf::{
+        refusal::Reason,
+        traffic::retry::{Attempt, Budget, Class, Denial, Stage, Verdict, verdict},
+        world::Moment,
+    },
+    std::{net::SocketAddr, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
+    },
+};
+
+fn runs(test: &Test, id: &str) -> u64 {
+    test.hosts.iter().map(|host| host.upstream.runs(id)).sum()
+}
+
+fn attempt(attempts: u32, hop: u32) -> Attempt {
+    Attempt {
+        attempts,
+        deadline: Moment(10_000_000),
+        hop,
+        replayable: true,
+    }
+}
+
+#[test]
+fn once_only_request_that_was_sent_is_never_sent_again() {
+    for reason in Reason::ALL {
+        assert_eq!(
+            verdict(Class::OnceOnly, Stage::Sent, *reason),
+            Verdict::End,
+            "{reason}"
+        );
+    }
+}
+
+#[test]
+fn answer_that_has_begun_is_never_begun_again() {
+    for class in [Class::Idempotent, Class::OnceOnly] {
+        for reason in Reason::ALL {
+            assert_eq!(
+                verdict(class, Stage::Begun, *reason),
+                Verdict::End,
+                "{reason}"
+            );
+        }
+    }
+}
+
+#[test]
+fn verdict_of_every_reason() {
+    let line = |reason: &Reason| {
+        let unsent = verdict(Class::OnceOnly, Stage::Unsent, *reason);
+        let sent = verdict(Class::Idempotent, Stage::Sent, *reason);
+        format!("{reason}: unsent {unsent:?}, sent and idempotent {sent:?}")
+    };
+    let table: Vec<String> = Reason::ALL.iter().map(line).collect();
+    insta::assert_snapshot!(table.join("\n"));
+}
+
+#[test]
+fn methods_have_classes() {
+    for method in ["GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"] {
+        assert_eq!(Class::of(method, false), Class::Idempotent);
+    }
+    for method in ["POST", "PATCH", "get", "LOCK"] {
+        assert_eq!(Class::of(method, false), Class::OnceOnly);
+    }
+    assert_eq!(Class::of("POST", true), Class::Idempotent);
+}
+
+#[test]
+fn budget_bounds_attempts_under_a_total_outage() {
+    let mut budget = Budget::default();
+    let retries = (0..1000)
+        .filter(|_| budget.pay(Moment(0), attempt(1, 0)).is_ok())
+        .count();
+    assert!(1000 + retries < 1200, "{retries} retries");
+}
+
+#[test]
+fn budget_pays_for_a_tenth_of_the_successes() {
+    let mut budget = Budget::default();
+    while budget.pay(Moment(0), attempt(1, 0)).is_ok() {}
+    for _ in 0..100 {
+        budget.succeed();
+    }
+    let retries = (0..100)
+        .filter(|_| budget.pay(Moment(0), attempt(1, 0)).is_ok())
+        .count();
+    assert!((9..=10).contains(&retries), "{retries} retries");
+}
+
+#[test]
+fn bounds_of_a_retry_are_named() {
+    let mut budget = Budget::default();
+    let now = Moment(0);
+    assert_eq!(budget.pay(now, attempt(1, 1)), Err(Denial::Hop));
+    assert_eq!(budget.pay(now, attempt(3, 0)), Err(Denial::Attempts));
+    assert_eq!(
+        budget.pay(Moment(9_999_000), attempt(1, 0)),
+        Err(Denial::Deadline)
+    );
+    let long = Attempt {
+        replayable: false,
+        ..attempt(1, 0)
+    };
+    assert_eq!(budget.pay(now, long), Err(Denial::Body));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_in_the_queue_is_not_run() {
+    let test = mesh(1).await;
+    let proxy = test.hosts[0].node.proxy();
+    announce(&test, 1, None, 1);
+    test.hosts[1].upstream.fail(Faults {
+        slow_ms: 600,
+        ..Faults::default()
+    });
+    let mut calls = tokio::task::JoinSet::new();
+    for index in 0..8 {
+        let id = format!("q{index}");
+        let caller = Caller::post(proxy, &id, "x");
+        calls.spawn(async move { (id, caller.send().await) });
+    }
+    let mut refused = 0;
+    while let Some(call) = calls.join_next().await {
+        let (id, reply) = call.unwrap();
+        let ran = reply.status == 200;
+        assert_eq!(runs(&test, &id), u64::from(ran), "{reply:?}");
+        if !ran {
+            assert_eq!(reply.refusal(), (503, "not-run", "overloaded"));
+            assert!(reply.took < Duration::from_millis(400), "{reply:?}");
+            refused += 1;
+        }
+    }
+    assert!(refused >= 5, "{refused} refused");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn deadline_that_passes_in_the_queue_is_not_run() {
+    let test = mesh(1).await;
+    let proxy = test.hosts[0].node.proxy();
+    announce(&test, 1, None, 1);
+    test.hosts[1].upstream.fail(Faults {
+        slow_ms: 800,
+        ..Faults::default()
+    });
+    let first = Caller::post(proxy, "first", "x");
+    let first = tokio::spawn(async move { first.send().await });
+    eventually(|| runs(&test, "first") == 1).await;
+    let second = Caller::post(proxy, "second", "x").header("x-mulberry-deadline-ms", &60);
+    let reply = second.send().await;
+    assert_eq!(reply.refusal(), (504, "not-run", "deadline"));
+    assert_eq!(first.await.unwrap().status, 200);
+    assert_eq!(runs(&test, "second"), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn upstream_that_cannot_be_dialled_is_not_run() {
+    let test = mesh(1).await;
+    let closed = TcpListener::bind(ANY).await.unwrap().local_addr().unwrap();
+    announce(&test, 1, Some(closed), 12);
+    let caller = Caller::post(test.hosts[0].node.proxy(), "dial", "x");
+    let mut reply = caller.send().await;
+    while reply.status == 200 {
+        reply = caller.send().await;
+    }
+    assert_eq!(reply.refusal(), (503, "not-run", "dial"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn node_that_cannot_be_reached_is_not_run_and_another_one_serves() {
+    let mut test = mesh(2).await;
+    let stopped = test.hosts.pop().unwrap();
+    stopped.node.stop().await;
+    let proxy = test.hosts[0].node.proxy();
+    for index in 0..20 {
+        let id = format!("moved-{index}");
+        let reply = Caller::post(proxy, &id, "x").send().await;
+        assert_eq!(reply.status, 200, "{reply:?}");
+        assert_eq!(runs(&test, &id), 1);
+    }
+    assert_eq!(stopped.upstream.runs("moved-0"), 0);
+}
+
+/// An upstream that takes a request up to some point and then breaks off.
+async fn breaking(read_bytes: usize, answer: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind(ANY).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buffer = vec![0; read_bytes];
+            let _ = stream.read_exact(&mut buffer).await;
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    address
+}
+
+async fn broken(read_bytes: usize, answer: &'static str, body: &str) -> (u16, String, String) {
+    let test = mesh(1).await;
+    let address = breaking(read_bytes, answer).await;
+    announce(&test, 1, Some(address), 12);
+    let proxy = test.hosts[0].node.proxy();
+    let probe = Caller::get(proxy, "probe").header("x-mulberry-deadline-ms", &300);
+    while probe.send().await.status == 200 {}
+    let reply = Caller::post(proxy, "broken", body).send().await;
+    (reply.status, reply.outcome, reply.reason)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn part_of_the_head_written_is_unknown() {
+    let got = broken(10, "", "x").await;
+    assert_eq!(got, (502, "unknown".into(), "lost".into()));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn part_of_the_body_sent_is_unknown() {
+    let got = broken(2000, "", &"x".repeat(1_000_000)).await;
+    assert_eq!(got, (502, "unknown".into(), "lost".into()));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn part_of_the_answers_head_is_unknown() {
+    let got = broken(10, "HTTP/1.1 200 O", "x").await;
+    assert_eq!(got, (502, "unknown".into(), "lost".into()));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answer_of_a_once_only_request_is_unknown_and_runs_once() {
+    let test = mesh(2).await;
+    for host in &test.hosts[1..] {
+        host.upstream.fail(Faults {
+            lose_answers: 1,
+            ..Faults::default()
+        });
+    }
+    let reply = Caller::post(test.hosts[0].node.proxy(), "assign", "crew 7")
+        .send()
+        .await;
+    assert_eq!(reply.refusal(), (502, "unknown", "lost"));
+    assert_eq!(runs(&test, "assign"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answer_of_an_idempotent_request_is_retried_elsewhere() {
+    let test = mesh(2).await;
+    let proxy = test.hosts[0].node.proxy();
+    for host in &test.hosts[1..] {
+        host.upstream.fail(Faults {
+            lose_answers: 1,
+            ..Faults::default()
+        });
+    }
+    let declared = Caller::post(proxy, "declared", "x").header("x-mulberry-idempotent", "true");
+    let reply = declared.send().await;
+    assert!(reply.status == 200 || reply.refusal() == (502, "unknown", "lost"));
+    assert_eq!(runs(&test, "declared"), 2);
+    for host in &test.hosts[1..] {
+        assert_eq!(host.upstream.runs("declared"), 1);
+    }
+    let totals = test.hosts[0].node.handle().telemetry().totals();
+    assert_eq!(totals.get("retry.lost"), Some(&1), "{totals:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn inner_hop_of_a_chain_never_retries() {
+    let test = mesh(2).await;
+    for host in &test.hosts[1..] {
+        host.upstream.fail(Faults {
+            lose_answers: 1,
+            ..Faults::default()
+        });
+    }
+    let caller = Caller::get(test.hosts[0].node.proxy(), "inner").header("x-mulberry-hop", &1);
+    assert_eq!(caller.send().await.refusal(), (502, "unknown", "lost"));
+    assert_eq!(runs(&test, "inner"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_may_have_run_stays_unknown_when_its_retry_is_refused() {
+    let test = mesh(2).await;
+    let closed = TcpListener::bind(ANY).await.unwrap().local_addr().unwrap();
+    announce(&test, 2, Some(closed), 12);
+    test.hosts[1].upstream.fail(Faults {
+        lose_answers: 1000,
+        ..Faults::default()
+    });
+    for index in 0..10 {
+        let id = format!("both-{index}");
+        let reply = Caller::get(test.hosts[0].node.proxy(), &id).send().await;
+        let ran = runs(&test, &id) > 0;
+        assert_eq!(reply.outcome == "unknown", ran, "{reply:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn service_that_is_down_sees_few_attempts() {
+    let test = mesh(2).await;
+    let proxy = test.hosts[0].node.proxy();
+    for host in &test.hosts[1..] {
+        host.upstream.fail(Faults {
+            lose_answers: 100_000,
+            ..Faults::default()
+        });
+    }
+    let before: u64 = test.hosts.iter().map(|host| host.upstream.total()).sum();
+    for index in 0..300 {
+        Caller::get(proxy, &format!("down-{index}")).send().await;
+    }
+    let attempts: u64 = test.hosts.iter().map(|host| host.upstream.total()).sum();
+    assert!(attempts - before < 360, "{} attempts", attempts - before);
+}
