--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -8,7 +8,7 @@
         node::Clock,
         telemetry::Telemetry,
         traffic::{Traffic, admit::Ticket, quarantine::Strike},
-        wire::Frame,
+        wire::{Frame, Part},
         world::{Host, Moment, Service},
     },
     gate::Gate,
@@ -110,15 +110,15 @@
             .map(|record| (record.contact.host.clone(), record.contact.address))
             .filter(|(host, _)| *host != self.host)
             .collect();
-        let frame = Arc::new(Frame::Strikes(strikes));
+        let part = Arc::new(Part::Strikes(strikes));
         let mut deliveries = tokio::task::JoinSet::new();
         for (host, address) in peers {
-            let (link, frame) = (self.link.clone(), frame.clone());
-            deliveries.spawn(async move { link.deliver(&host, address, &frame).await });
+            let (link, part) = (self.link.clone(), part.clone());
+            deliveries.spawn(async move { deliver(&link, &host, address, &part).await });
         }
         let all = async {
             while let Some(delivered) = deliveries.join_next().await {
-                if !matches!(delivered, Ok(Ok(()))) {
+                if !matches!(delivered, Ok(Some(()))) {
                     self.telemetry.count("quarantine.undelivered");
                 }
             }
@@ -137,3 +137,12 @@
         Ticket(self.tickets.fetch_add(1, Ordering::Relaxed))
     }
 }
+
+/// Sends strikes to a node, and waits until it has taken them in.
+async fn deliver(link: &Link, host: &Host, address: SocketAddr, part: &Part) -> Option<()> {
+    let connection = link.connection(host, address).await.ok()?;
+    let (mut send, mut recv) = connection.open_bi().await.ok()?;
+    parts::write(&mut send, part).await.ok()?;
+    let acknowledged = parts::read(&mut recv).await.ok()?;
+    matches!(acknowledged, Part::End(_)).then_some(())
+}
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -33,8 +33,15 @@
 /// Serves one request that another node passed on.
 pub async fn serve(proxy: Proxy, mut send: SendStream, mut recv: RecvStream) {
     let read = tokio::time::timeout(HEAD_TIMEOUT, parts::read(&mut recv)).await;
-    let Ok(Ok(Part::Request(head))) = read else {
-        return proxy.telemetry.count("egress.malformed");
+    let head = match read {
+        Ok(Ok(Part::Request(head))) => head,
+        Ok(Ok(Part::Strikes(strikes))) => {
+            proxy.learn(strikes);
+            // The sender waits a little for the acknowledgement, and goes on without it.
+            let _ = parts::write(&mut send, &Part::End(Vec::new())).await;
+            return;
+        }
+        _ => return proxy.telemetry.count("egress.malformed"),
     };
     let fingerprint = head.fingerprint;
     let stopped = send.stopped();
--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -14,13 +14,18 @@
         },
         time::{Duration, Instant},
     },
-    tokio::net::TcpStream,
+    tokio::{io::AsyncReadExt, net::TcpStream},
 };
 
 const IDLE_MAX: usize = 16;
 /// How long a connection may lie idle and be used again: less than upstreams keep theirs.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// How often an upstream that has broken a connection off is looked at.
+const PROBES: u32 = 4;
+/// How long a connection has to stay open to show that the upstream lives.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(30);
+
 /// A connection that can send one request.
 pub type Connection = SendRequest<Body>;
 
@@ -99,10 +104,22 @@
     }
 }
 
-/// Says whether nothing listens at an address any more.
+/// Finds out whether the upstream at an address has died. One that dies closes its connections before
+/// it stops listening or after, so a connection that it takes and breaks off proves nothing yet.
 pub async fn is_gone(address: SocketAddr) -> bool {
-    let refused = |error: io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
-    TcpStream::connect(address).await.is_err_and(refused)
+    for _ in 0..PROBES {
+        match TcpStream::connect(address).await {
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return true,
+            Err(_) => return false,
+            Ok(mut stream) => {
+                let reading = stream.read_u8();
+                if tokio::time::timeout(PROBE_TIMEOUT, reading).await.is_err() {
+                    return false;
+                }
+            }
+        }
+    }
+    false
 }
 
 async fn dial(address: SocketAddr, open: Open) -> io::Result<Connection> {
--- a/src/traffic/quarantine.rs
+++ b/src/traffic/quarantine.rs
@@ -17,6 +17,8 @@
 pub const STRIKES_MAX: usize = 2;
 /// How long a strike counts since the request was last seen.
 pub const REMEMBERED: Duration = Duration::from_secs(3600);
+/// The most cleared strikes that are remembered of one request.
+const CLEARED_MAX: usize = 8;
 /// The most struck requests that one node remembers.
 pub const STRUCK_MAX: usize = 4096;
 
@@ -42,10 +44,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Crash(pub u64);
 
-/// The deaths of upstreams at which a request was in flight.
+/// The deaths of upstreams at which a request was in flight. Two nodes' knowledge of one request is
+/// joined by joining both lists, in whatever order it arrives.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Strike {
-    /// The deaths; none if the request has succeeded since.
+    /// The deaths that the request is not to blame for, because it has succeeded since.
+    pub cleared: Vec<Crash>,
+    /// The other deaths.
     pub crashes: Vec<Crash>,
     /// The request.
     pub fingerprint: Fingerprint,
@@ -53,6 +58,7 @@
 
 #[derive(Debug)]
 struct Struck {
+    cleared: Vec<Crash>,
     crashes: Vec<Crash>,
     seen: Moment,
 }
@@ -61,6 +67,21 @@
     fn quarantined(&self) -> bool {
         self.crashes.len() >= STRIKES_MAX
     }
+
+    fn join(&mut self, strike: Strike) {
+        for crash in strike.cleared {
+            if !self.cleared.contains(&crash) {
+                self.cleared.push(crash);
+            }
+        }
+        let excess = self.cleared.len().saturating_sub(CLEARED_MAX);
+        self.cleared.drain(..excess);
+        self.crashes.extend(strike.crashes);
+        self.crashes.sort_unstable();
+        self.crashes.dedup();
+        self.crashes.retain(|crash| !self.cleared.contains(crash));
+        self.crashes.truncate(STRIKES_MAX);
+    }
 }
 
 #[derive(Debug)]
@@ -115,11 +136,14 @@
         if !answered {
             return None;
         }
-        self.struck.remove(&running.fingerprint)?;
-        Some(Strike {
+        let struck = self.struck.get_mut(&running.fingerprint)?;
+        let clearing = Strike {
+            cleared: std::mem::take(&mut struck.crashes),
             crashes: Vec::new(),
             fingerprint: running.fingerprint,
-        })
+        };
+        struck.join(clearing.clone());
+        (!clearing.cleared.is_empty()).then_some(clearing)
     }
 
     /// Takes in that the upstream died while a request ran, and gives the strikes that follow. Where
@@ -133,7 +157,10 @@
             return Vec::new();
         }
         let struck = &self.struck;
-        let known = |running: &Running| struck.contains_key(&running.fingerprint);
+        let known = |running: &Running| {
+            let struck = struck.get(&running.fingerprint);
+            struck.is_some_and(|struck| !struck.crashes.is_empty())
+        };
         let suspected = self.running.values().any(known);
         let mut blamed: Vec<Fingerprint> = self
             .running
@@ -151,6 +178,7 @@
             self.learn(
                 now,
                 Strike {
+                    cleared: Vec::new(),
                     crashes: vec![crash],
                     fingerprint: *fingerprint,
                 },
@@ -167,37 +195,28 @@
     pub fn strike(&self, fingerprint: Fingerprint) -> Option<Strike> {
         let struck = self.struck.get(&fingerprint)?;
         Some(Strike {
+            cleared: struck.cleared.clone(),
             crashes: struck.crashes.clone(),
             fingerprint,
         })
     }
 
-    /// Takes in the strikes, or the clearing of them, that another node tells of. A quarantined
-    /// request stays so.
+    /// Takes in what another node knows of a request.
     pub fn learn(&mut self, now: Moment, strike: Strike) {
-        let quarantined = self
-            .struck
-            .get(&strike.fingerprint)
-            .is_some_and(Struck::quarantined);
-        if quarantined || self.disabled {
-            return;
-        }
-        if strike.crashes.is_empty() {
-            self.struck.remove(&strike.fingerprint);
+        if self.disabled {
             return;
         }
-        if self.struck.len() >= STRUCK_MAX {
+        let known = self.struck.contains_key(&strike.fingerprint);
+        if !known && self.struck.len() >= STRUCK_MAX {
             self.make_room();
         }
         let struck = self.struck.entry(strike.fingerprint).or_insert(Struck {
+            cleared: Vec::new(),
             crashes: Vec::new(),
             seen: now,
         });
         struck.seen = now;
-        struck.crashes.extend(strike.crashes);
-        struck.crashes.sort_unstable();
-        struck.crashes.dedup();
-        struck.crashes.truncate(STRIKES_MAX);
+        struck.join(strike);
     }
 
     fn make_room(&mut self) {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -36,6 +36,8 @@
     Members(Vec<Record>),
     /// What the sender knows of requests that crash upstreams.
     Strikes(Vec<Strike>),
+    /// A message about rollouts, which `rollout` encodes and decodes.
+    Rollout(Vec<u8>),
 }
 
 /// One part of a proxied request or answer.
@@ -51,6 +53,8 @@
     End(Vec<Header>),
     /// The request ends without a whole answer.
     Refusal(Refusal),
+    /// What the sender knows of requests that crash upstreams; an end acknowledges it.
+    Strikes(Vec<Strike>),
 }
 
 /// The name and value of an HTTP header.
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -11,5 +11,6 @@
 mod quarantine;
 mod requests;
 mod retry;
+mod settings;
 mod snapshot;
 mod test;
