--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -82,7 +82,10 @@
                 }
             }
             control::Action::Source(action) => drop(self.platform.send(action)),
-            control::Action::Update(records) => self.proxy.traffic().update(records),
+            control::Action::Update(records) => {
+                let now = self.clock.now();
+                self.proxy.traffic().update(now, records);
+            }
         }
     }
 }
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -4,8 +4,13 @@
 #[path = "../examples/standin/mod.rs"]
 mod standin;
 
+mod admit;
+mod caller;
+mod once;
 mod path;
+mod quarantine;
 mod requests;
+mod retry;
 mod security;
 mod settings;
 mod snapshot;
