Prove the whole path under kills, pauses and a platform that is down

Each node of the test mesh has threads of its own, so that one can be killed without a word to its peers or paused and resumed. Three proofs: a node started while the platform is down is given the configuration by peers and serves; a paused node catches up and its revision never falls; a killed node's endpoint gets no more requests after a while.

Ruled out: one runtime for all nodes, in which a pause stops the mesh.

--- /dev/null
+++ b/tests/faults.rs
@@ -0,0 +1,93 @@
+//! Nodes that are killed or paused, and a platform that is down, while requests go on.
+
+use {
+    crate::{
+        standin::platform::Faults,
+        test::{Test, call, eventually, whole_route},
+    },
+    mulberryshelf::{source::Verdict, world::Revision},
+    std::time::Duration,
+};
+
+async fn accepted(test: &Test, version: &str) -> Revision {
+    let verdict = test.apply(0, whole_route("dispatch-hub", version)).await;
+    let Verdict::Accepted(revision) = verdict else {
+        panic!("{verdict:?}");
+    };
+    revision
+}
+
+async fn pair() -> Test {
+    Test::new()
+        .host("a1", "luzon-a", "resident-desk", "desk-1")
+        .await
+        .host("a2", "luzon-a", "dispatch-hub", "hub-1")
+        .await
+}
+
+fn platform_down(test: &Test) {
+    test.platform.fail(Faults {
+        down: true,
+        ..Faults::default()
+    });
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn node_started_while_the_platform_is_down_gets_the_configuration_from_peers() {
+    let test = pair().await;
+    let revision = accepted(&test, "hub-1").await;
+    test.converged(revision).await;
+    platform_down(&test);
+    let test = test.host("a3", "luzon-a", "resident-desk", "desk-1").await;
+    test.converged(revision).await;
+    let proxy = test.hosts[2].node.proxy();
+    let mut status = 0;
+    for _ in 0..50 {
+        status = call(proxy, "dispatch-hub", "crew 7").await.0;
+        if status == 200 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_node_catches_up_and_never_goes_back() {
+    let test = pair().await;
+    let first = accepted(&test, "hub-1").await;
+    test.converged(first).await;
+    test.hosts[1].process.pause(Duration::from_secs(3));
+    let second = accepted(&test, "hub-2").await;
+    assert!(second > first);
+    let mut held = test.hosts[1].node.handle().snapshot().revision;
+    eventually(|| {
+        let now = test.hosts[1].node.handle().snapshot().revision;
+        assert!(now >= held, "{now} after {held}");
+        held = now;
+        held >= second
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_node_is_routed_around() {
+    let mut test = pair()
+        .await
+        .host("a3", "luzon-a", "dispatch-hub", "hub-1")
+        .await;
+    let revision = accepted(&test, "hub-1").await;
+    test.converged(revision).await;
+    test.hosts[2].process.kill();
+    let proxy = test.hosts[0].node.proxy();
+    let mut in_a_row = 0;
+    for _ in 0..400 {
+        let (status, ..) = call(proxy, "dispatch-hub", "crew 7").await;
+        in_a_row = if status == 200 { in_a_row + 1 } else { 0 };
+        if in_a_row == 20 {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("requests were still sent to the killed node");
+}
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -6,6 +6,7 @@
 
 mod admit;
 mod caller;
+mod faults;
 mod once;
 mod path;
 mod quarantine;
--- a/tests/test.rs
+++ b/tests/test.rs
@@ -13,9 +13,11 @@
     },
     serde_json::{Value, json},
     std::{
+        future::Future,
         net::{Ipv4Addr, SocketAddr},
         time::{Duration, Instant},
     },
+    tokio::runtime::Runtime,
 };
 
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -23,9 +25,50 @@
 /// A port that the system chooses.
 pub const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
+/// The threads of one node, apart from those of the others, as a process of its own would be.
+pub struct Process(Option<Runtime>);
+
+impl Process {
+    fn spawn() -> Self {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .unwrap();
+        Self(Some(runtime))
+    }
+
+    async fn run<T: Send + 'static>(&self, task: impl Future<Output = T> + Send + 'static) -> T {
+        let runtime = self.0.as_ref().unwrap();
+        runtime.spawn(task).await.unwrap()
+    }
+
+    /// Ends every thread at once: no connection is closed, no peer is told.
+    pub fn kill(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
+
+    /// Stops the node's threads for a while, and then lets them go on.
+    pub fn pause(&self, span: Duration) {
+        for _ in 0..2 {
+            let runtime = self.0.as_ref().unwrap();
+            runtime.spawn(async move { std::thread::sleep(span) });
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
 /// One host: its node and its upstream.
 pub struct Host {
     pub node: Node,
+    pub process: Process,
     pub upstream: Upstream,
 }
 
@@ -52,6 +95,7 @@
 
     /// Adds a host with an upstream that announces itself.
     pub async fn host(mut self, name: &str, domain: &str, service: &str, version: &str) -> Self {
+        let region = domain.split('-').next().unwrap().parse().unwrap();
         let (host, domain) = (name.parse().unwrap(), domain.parse().unwrap());
         let identity = self.authority.sign(&host, &domain).unwrap();
         let settings = Settings {
@@ -67,7 +111,7 @@
             platform: self.platform.url(),
             proxy: ANY,
             quic: ANY,
-            region: "luzon".parse().unwrap(),
+            region,
             statsd: None,
             stop: self.stop,
             tokens: Tokens {
@@ -75,7 +119,10 @@
                 write: "write".into(),
             },
         };
-        let node = Node::spawn(settings, &identity).await.unwrap();
+        let process = Process::spawn();
+        let node = process
+            .run(async move { Node::spawn(settings, &identity).await.unwrap() })
+            .await;
         let upstream = Upstream::bind(ANY, name).await.unwrap();
         node.handle().announce(Offer {
             address: upstream.address,
@@ -84,7 +131,11 @@
             slots: 12,
             version: version.parse().unwrap(),
         });
-        self.hosts.push(Host { node, upstream });
+        self.hosts.push(Host {
+            node,
+            process,
+            upstream,
+        });
         self
     }
 
@@ -131,6 +182,7 @@
     tokio::task::spawn_blocking(move || {
         let config = ureq::Agent::config_builder()
             .http_status_as_error(false)
+            .timeout_global(Some(PATIENCE))
             .build();
         let agent: ureq::Agent = config.into();
         let mut response = agent
