--- a/src/node.rs
+++ b/src/node.rs
@@ -14,6 +14,7 @@
         telemetry::Telemetry,
         tls::Identity,
         traffic::Traffic,
+        wire::Frame,
     },
     driver::Driver,
     std::{
@@ -56,7 +57,13 @@
             settings.region.clone(),
             rand::random(),
         );
-        let proxy = Proxy::new(clock, link.clone(), traffic, telemetry.clone());
+        let proxy = Proxy::new(
+            settings.host.clone(),
+            clock,
+            link.clone(),
+            traffic,
+            telemetry.clone(),
+        );
         let (events, from_edges) = unbounded_channel();
         let presence = Presence::new(settings.lease, settings.stop.spread);
         let handle = Handle {
@@ -167,8 +174,15 @@
 ) {
     while let Some(event) = from.recv().await {
         let event = match event {
-            link::Event::Connected(host) => control::Event::Connected(host),
+            link::Event::Connected(host) => {
+                proxy.greet(&host);
+                control::Event::Connected(host)
+            }
             link::Event::Disconnected(host) => control::Event::Disconnected(host),
+            link::Event::Received(_, Frame::Strikes(strikes)) => {
+                proxy.learn(strikes);
+                continue;
+            }
             link::Event::Received(host, frame) => control::Event::Received(host, frame),
             link::Event::Requested(_, send, recv) => {
                 let (proxy, seat) = (proxy.clone(), flight.enter());
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -43,12 +43,23 @@
                     control::Event::Tick
                 }
             };
+            self.count(&event);
             for action in self.control.handle(self.clock.now(), event) {
                 self.act(action);
             }
         }
     }
 
+    fn count(&self, event: &control::Event) {
+        match event {
+            control::Event::Read(None) => self.handle.telemetry.count("source.read.failed"),
+            control::Event::Transacted(_, outcome) => {
+                self.handle.telemetry.count(&format!("source.{outcome}"));
+            }
+            _ => {}
+        }
+    }
+
     fn act(&mut self, action: control::Action) {
         match action {
             control::Action::Connect(address) => {
@@ -71,7 +82,10 @@
                 }
             }
             control::Action::Source(action) => drop(self.platform.send(action)),
-            control::Action::Update(records) => self.proxy.traffic().update(records),
+            control::Action::Update(records) => {
+                let now = self.clock.now();
+                self.proxy.traffic().update(now, records);
+            }
         }
     }
 }
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -4,10 +4,16 @@
 #[path = "../examples/standin/mod.rs"]
 mod standin;
 
+mod admit;
+mod caller;
+mod once;
 mod path;
+mod quarantine;
 mod requests;
+mod retry;
 mod security;
 mod settings;
 mod snapshot;
+mod source;
 mod stop;
 mod test;
