--- a/examples/standin/platform.rs
+++ b/examples/standin/platform.rs
@@ -25,6 +25,8 @@
 pub struct Faults {
     /// Every request is answered with an error, and nothing takes effect.
     pub down: bool,
+    /// It is down as soon as the last answer that is to be lost is lost.
+    pub down_after_loss: bool,
     /// This many writes take effect, and their answers are lost.
     pub lose_answers: u32,
     /// Every request takes this much longer, in milliseconds.
@@ -207,6 +209,7 @@
         }
         if state.faults.lose_answers > 0 {
             state.faults.lose_answers -= 1;
+            state.faults.down |= state.faults.down_after_loss && state.faults.lose_answers == 0;
             return None;
         }
         Some(reply(200, &json!({})))
--- a/src/ctl/authority.rs
+++ b/src/ctl/authority.rs
@@ -14,33 +14,38 @@
     },
 };
 
-pub(super) fn run(arguments: &[String]) -> Result {
+pub(super) fn run(arguments: &[String], out: &mut dyn std::io::Write) -> Result {
     let mut options = Options::new();
     options.optopt("o", "out", "the directory to write to", "DIR");
     let brief = "Usage: mulberryctl authority --out DIR HOST.DOMAIN...
 
 Makes DIR/authority.pem unless it is there, and DIR/HOST.pem and DIR/HOST.key for each host.
 For development: the authority's key is left in DIR.";
-    let Some(matches) = parse(&mut options, brief, arguments)? else {
+    let Some(matches) = parse(&mut options, brief, arguments, out)? else {
         return Ok(());
     };
-    let out = matches
+    let directory = matches
         .opt_str("out")
         .map(PathBuf::from)
         .ok_or_else(|| usage("--out DIR is needed".into()))?;
-    let authority = open(&out)?;
+    let authority = open(&directory)?;
     for name in &matches.free {
         let (host, domain) = split(name)?;
         let identity = authority.sign(&host, &domain)?;
-        write(&out.join(format!("{host}.pem")), &identity.certificate)?;
-        write(&out.join(format!("{host}.key")), &identity.key)?;
+        write(
+            &directory.join(format!("{host}.pem")),
+            &identity.certificate,
+        )?;
+        write(&directory.join(format!("{host}.key")), &identity.key)?;
     }
-    println!(
-        "wrote {} certificates to {}",
-        matches.free.len(),
-        out.display()
-    );
-    Ok(())
+    super::show(
+        out,
+        format_args!(
+            "wrote {} certificates to {}",
+            matches.free.len(),
+            directory.display()
+        ),
+    )
 }
 
 fn split(name: &str) -> Result<(Host, Domain)> {
--- a/src/node.rs
+++ b/src/node.rs
@@ -6,15 +6,21 @@
         api::Port,
         control::{self, Control, Start},
         error::{Error, Result},
+        flight::Flight,
         link::{self, Link},
+        presence::Presence,
         proxy::{Proxy, egress, ingress::Ingress},
-        settings::Settings,
+        settings::{Settings, Stop},
         telemetry::Telemetry,
         tls::Identity,
         traffic::Traffic,
+        wire::Frame,
     },
     driver::Driver,
-    std::{net::SocketAddr, sync::Arc},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+    },
     tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
 };
 
@@ -33,6 +39,7 @@
     ingress: Ingress,
     link: Link,
     quic: SocketAddr,
+    stop: Stop,
 }
 
 impl Node {
@@ -50,12 +57,23 @@
             settings.region.clone(),
             rand::random(),
         );
-        let proxy = Proxy::new(clock, link.clone(), traffic, telemetry.clone());
+        let proxy = Proxy::new(
+            settings.host.clone(),
+            clock,
+            link.clone(),
+            traffic,
+            telemetry.clone(),
+        );
         let (events, from_edges) = unbounded_channel();
+        let presence = Presence::new(settings.lease, settings.stop.spread);
         let handle = Handle {
+            clock,
             coverage: Arc::default(),
             events: events.clone(),
             feed: Arc::default(),
+            flight: Flight::default(),
+            presence: Arc::new(Mutex::new(presence)),
+            proxy: proxy.clone(),
             snapshot: Arc::default(),
             telemetry,
             tickets: Arc::default(),
@@ -64,6 +82,7 @@
         let api = Port::api(settings.api, settings.tokens.clone(), handle.clone())?;
         let admin = admin::bind(settings.admin, handle.clone())?;
         let ingress = Ingress::bind(settings.proxy, proxy.clone()).await?;
+        handle.reserve(vec![api.address, admin.address, ingress.address]);
         let mut contact = settings.contact();
         contact.address = link.address().map_err(|source| Error::Bind {
             address: settings.quic,
@@ -84,7 +103,7 @@
             proxy: proxy.clone(),
         };
         tokio::spawn(driver.run(from_edges));
-        tokio::spawn(relay(from_link, events, proxy));
+        tokio::spawn(relay(from_link, events, proxy, handle.flight.clone()));
         Ok(Self {
             admin,
             api,
@@ -92,6 +111,7 @@
             ingress,
             link,
             quic,
+            stop: settings.stop,
         })
     }
 
@@ -125,10 +145,22 @@
         self.quic
     }
 
-    /// Stops: new work is refused, what runs is finished.
+    /// Stops: other nodes are told first and given time to send no more, then what runs is finished,
+    /// and only then the connections close. Requests that outlast the time limit are cut and counted.
     pub async fn stop(self) {
-        self.handle.drain();
-        self.ingress.stop().await;
+        self.handle.stop();
+        tokio::time::sleep(self.stop.spread).await;
+        let ingress = self.ingress.stop();
+        let finished = async {
+            ingress.await;
+            self.handle.flight.idle().await;
+        };
+        if tokio::time::timeout(self.stop.timeout, finished)
+            .await
+            .is_err()
+        {
+            self.handle.telemetry.count("stop.timeout");
+        }
         self.api.stop();
         self.admin.stop();
         self.link.close().await;
@@ -139,14 +171,26 @@
     mut from: UnboundedReceiver<link::Event>,
     to: UnboundedSender<control::Event>,
     proxy: Proxy,
+    flight: Flight,
 ) {
     while let Some(event) = from.recv().await {
         let event = match event {
-            link::Event::Connected(host) => control::Event::Connected(host),
+            link::Event::Connected(host) => {
+                proxy.greet(&host);
+                control::Event::Connected(host)
+            }
             link::Event::Disconnected(host) => control::Event::Disconnected(host),
+            link::Event::Received(_, Frame::Strikes(strikes)) => {
+                proxy.learn(strikes);
+                continue;
+            }
             link::Event::Received(host, frame) => control::Event::Received(host, frame),
             link::Event::Requested(_, send, recv) => {
-                tokio::spawn(egress::serve(proxy.clone(), send, recv));
+                let (proxy, seat) = (proxy.clone(), flight.enter());
+                tokio::spawn(async move {
+                    egress::serve(proxy, send, recv).await;
+                    drop(seat);
+                });
                 continue;
             }
         };
--- a/tests/api.rs
+++ b/tests/api.rs
@@ -339,6 +339,11 @@
     for name in ["v1", "v2", "v3"] {
         test.apply(0, json!([version(name)])).await;
     }
+    // With the platform down the second node gets the state whole, from the first one.
+    test.platform.fail(Faults {
+        down: true,
+        ..Faults::default()
+    });
     let test = test.host("a2", "luzon-a", "resident-desk", "desk-1").await;
     eventually(|| test.hosts[1].node.handle().snapshot().revision.0 == 3).await;
     let address = test.hosts[1].node.api();
