--- a/src/api/show.rs
+++ b/src/api/show.rs
@@ -11,6 +11,9 @@
     std::collections::BTreeMap,
 };
 
+/// What the mesh records beside what an operator declares; shown in the status.
+const RECORDED: [&str; 2] = ["outcome", "started"];
+
 /// A resource with its status.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Document {
@@ -31,6 +34,8 @@
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Status {
     conditions: Vec<Condition>,
+    #[serde(flatten)]
+    recorded: BTreeMap<String, Value>,
 }
 
 /// One thing that holds of a resource, or not.
@@ -55,20 +60,30 @@
             Spec::Route(spec) => serde_json::to_value(spec),
             Spec::Version(spec) => serde_json::to_value(spec),
         };
+        let mut spec = spec.unwrap_or_default();
+        let recorded = RECORDED.iter().filter_map(|name| {
+            let value = spec.as_object_mut()?.remove(*name)?;
+            Some(((*name).to_string(), value))
+        });
+        let recorded = recorded.collect();
         Self {
             kind: resource.key.kind,
             metadata: Metadata {
                 name: resource.key.name.clone(),
                 resource_version: resource.revision,
             },
-            spec: spec.unwrap_or_default(),
-            status: Status::new(resource.revision, coverage),
+            spec,
+            status: Status::new(resource.revision, coverage, recorded),
         }
     }
 }
 
 impl Status {
-    fn new(revision: Revision, coverage: &BTreeMap<Domain, Coverage>) -> Self {
+    fn new(
+        revision: Revision,
+        coverage: &BTreeMap<Domain, Coverage>,
+        recorded: BTreeMap<String, Value>,
+    ) -> Self {
         let accepted = Condition {
             domain: None,
             reason: "InTable",
@@ -81,6 +96,7 @@
             .map(|(domain, coverage)| Condition::in_force(revision, domain, *coverage));
         Self {
             conditions: std::iter::once(accepted).chain(in_force).collect(),
+            recorded,
         }
     }
 }
--- a/src/ctl/watch.rs
+++ b/src/ctl/watch.rs
@@ -148,8 +148,8 @@
             return Ok(false);
         }
         match phase(object).as_deref() {
-            Some("Completed") => Ok(true),
-            Some("RolledBack") => Err(Error::Refused {
+            Some("completed") => Ok(true),
+            Some("rolled-back") => Err(Error::Refused {
                 message: "the rollout was rolled back".into(),
             }),
             _ => Ok(event["type"] == "DELETE"),
@@ -157,9 +157,14 @@
     }
 }
 
-/// Gives how far a rollout is, if the status says so.
+/// Gives how a rollout ended, or the share that its new version has at the node that is watched.
 fn phase(object: &Value) -> Option<String> {
-    object["status"]["phase"].as_str().map(String::from)
+    let status = &object["status"];
+    let end = status["outcome"]["end"].as_str().map(String::from);
+    end.or_else(|| {
+        let share = status["progress"]["share"].as_u64()?;
+        Some(format!("{share}‰"))
+    })
 }
 
 fn cut(message: &str) -> Error {
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -9,6 +9,7 @@
 mod caller;
 mod ctl;
 mod faults;
+mod golden;
 mod once;
 mod path;
 mod quarantine;
