--- a/src/node.rs
+++ b/src/node.rs
@@ -70,6 +70,7 @@
             clock,
             coverage: Arc::default(),
             events: events.clone(),
+            feed: Arc::default(),
             flight: Flight::default(),
             presence: Arc::new(Mutex::new(presence)),
             proxy: proxy.clone(),
--- a/src/node/handle.rs
+++ b/src/node/handle.rs
@@ -3,6 +3,7 @@
 use {
     super::Clock,
     crate::{
+        api::Feed,
         control,
         flight::Flight,
         member::Offer,
@@ -35,6 +36,7 @@
 pub struct Handle {
     pub(super) clock: Clock,
     pub(super) coverage: Arc<ArcSwap<BTreeMap<Domain, Coverage>>>,
+    pub(super) feed: Arc<Feed>,
     pub(super) events: UnboundedSender<control::Event>,
     pub(super) flight: Flight,
     pub(super) presence: Arc<Mutex<Presence>>,
@@ -58,6 +60,12 @@
         self.coverage.load_full()
     }
 
+    /// Gives what was deleted of late.
+    #[must_use]
+    pub fn feed(&self) -> &Feed {
+        &self.feed
+    }
+
     /// Gives the counters.
     #[must_use]
     pub fn telemetry(&self) -> &Telemetry {
