Log changes of state only, list every counter, and show a node's health

Cause: counters were named where they were counted and listed nowhere; the log had three lines, none of a peer, the platform or a revision; /health gave the revision only.

Ruled out: an enum of all counters, as each decision would then depend on telemetry.

--- a/examples/demo/main.rs
+++ b/examples/demo/main.rs
@@ -15,6 +15,7 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
+    spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
     let mut mesh = mesh::Mesh::spawn().await;
     let mut promises = promises::Promises::default();
     scenes::play(&mut mesh, &mut promises).await;
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -7,11 +7,12 @@
         error::Result,
         node::Handle,
         presence::{self, Announcement},
+        reach::Reach,
         world::Revision,
     },
     serde::Serialize,
     serde_json::json,
-    std::net::SocketAddr,
+    std::{collections::BTreeMap, net::SocketAddr},
     tiny_http::{Method, Request},
 };
 
@@ -58,19 +59,63 @@
     }
 }
 
+/// What an operator sees of one node.
 #[derive(Debug, Serialize)]
 #[serde(rename_all = "camelCase")]
 struct Health {
+    coverage: BTreeMap<String, Domain>,
+    platform: Reach,
     resource_version: Revision,
     running: usize,
+    state: State,
     upstream: presence::State,
 }
 
+/// How far a failure domain has come.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "camelCase")]
+struct Domain {
+    reached: bool,
+    resource_version: Revision,
+}
+
+/// Whether the node serves callers.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "lowercase")]
+enum State {
+    /// It has no configuration yet.
+    Starting,
+    /// It serves.
+    Serving,
+    /// It serves, and its configuration may be out of date as the platform does not answer.
+    Degraded,
+    /// It stops.
+    Stopping,
+}
+
 impl Health {
     fn read(handle: &Handle) -> Self {
+        let resource_version = handle.snapshot().revision;
+        let platform = handle.reach();
+        let coverage = handle.coverage();
+        let domains = coverage.iter().map(|(name, coverage)| {
+            let domain = Domain {
+                reached: coverage.reached,
+                resource_version: coverage.revision,
+            };
+            (name.to_string(), domain)
+        });
         Self {
-            resource_version: handle.snapshot().revision,
+            coverage: domains.collect(),
+            platform,
+            resource_version,
             running: handle.running(),
+            state: match (handle.stopping(), resource_version, platform) {
+                (true, _, _) => State::Stopping,
+                (false, Revision(0), _) => State::Starting,
+                (false, _, Reach::Lost) => State::Degraded,
+                _ => State::Serving,
+            },
             upstream: handle.upstream(),
         }
     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -104,17 +104,16 @@
         .build()
         .map_err(Error::Telemetry)?;
     runtime.block_on(async {
-        let host = settings.host.clone();
         let node = Node::spawn(settings, identity).await?;
-        spdlog::info!(
-            "host={host} state=started proxy={} api={}",
+        println!(
+            "proxy {} api {} admin {} quic {}",
             node.proxy(),
-            node.api()
+            node.api(),
+            node.admin(),
+            node.quic()
         );
         terminated().await;
-        spdlog::info!("host={host} state=stopping");
         node.stop().await;
-        spdlog::info!("host={host} state=stopped");
         Ok(())
     })
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -7,6 +7,7 @@
         control::{self, Control, Start},
         error::{Error, Result},
         flight::Flight,
+        journal::{Change, Journal},
         link::{self, Link},
         presence::Presence,
         proxy::{Proxy, egress, ingress::Ingress},
@@ -71,8 +72,10 @@
             coverage: Arc::default(),
             events: events.clone(),
             flight: Flight::default(),
+            journal: Journal::open(settings.host.clone()),
             presence: Arc::new(Mutex::new(presence)),
             proxy: proxy.clone(),
+            reach: Arc::default(),
             snapshot: Arc::default(),
             telemetry,
             tickets: Arc::default(),
@@ -103,6 +106,7 @@
         };
         tokio::spawn(driver.run(from_edges));
         tokio::spawn(relay(from_link, events, proxy, handle.flight.clone()));
+        handle.journal.write(&Change::Started);
         Ok(Self {
             admin,
             api,
@@ -147,6 +151,7 @@
     /// Stops: other nodes are told first and given time to send no more, then what runs is finished,
     /// and only then the connections close. Requests that outlast the time limit are cut and counted.
     pub async fn stop(self) {
+        self.handle.journal.write(&Change::Stopping);
         self.handle.stop();
         tokio::time::sleep(self.stop.spread).await;
         let ingress = self.ingress.stop();
@@ -159,10 +164,13 @@
             .is_err()
         {
             self.handle.telemetry.count("stop.timeout");
+            let running = self.handle.running();
+            self.handle.journal.write(&Change::Cut(running));
         }
         self.api.stop();
         self.admin.stop();
         self.link.close().await;
+        self.handle.journal.write(&Change::Stopped);
     }
 }
 
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -4,6 +4,7 @@
     super::{Clock, Handle},
     crate::{
         control::{self, Control},
+        journal::Change,
         link::Link,
         proxy::Proxy,
         source,
@@ -44,6 +45,7 @@
                 }
             };
             self.count(&event);
+            self.note(&event);
             for action in self.control.handle(self.clock.now(), event) {
                 self.act(action);
             }
@@ -60,6 +62,21 @@
         }
     }
 
+    fn note(&self, event: &control::Event) {
+        let mut reach = self.handle.reach();
+        let change = match event {
+            control::Event::Connected(host) => Some(Change::Connected(host.clone())),
+            control::Event::Disconnected(host) => Some(Change::Disconnected(host.clone())),
+            event => reach.learn(event),
+        };
+        if reach != self.handle.reach() {
+            self.handle.reach.store(Arc::new(reach));
+        }
+        if let Some(change) = change {
+            self.handle.journal.write(&change);
+        }
+    }
+
     fn act(&mut self, action: control::Action) {
         match action {
             control::Action::Connect(address) => {
@@ -70,6 +87,8 @@
             control::Action::Cover(coverage) => self.handle.coverage.store(Arc::new(coverage)),
             control::Action::Install(snapshot) => {
                 self.handle.snapshot.store(snapshot.clone());
+                let change = Change::InForce(snapshot.revision);
+                self.handle.journal.write(&change);
                 self.proxy.traffic().install(snapshot);
             }
             // Nothing in this node judges rollouts yet.
--- a/src/node/handle.rs
+++ b/src/node/handle.rs
@@ -5,9 +5,11 @@
     crate::{
         control,
         flight::Flight,
+        journal::{Change, Journal},
         member::Offer,
         presence::{self, Announcement, Presence, Refusal},
         proxy::Proxy,
+        reach::Reach,
         snapshot::Snapshot,
         source::{Operation, Ticket, Verdict},
         spread::Coverage,
@@ -37,8 +39,10 @@
     pub(super) coverage: Arc<ArcSwap<BTreeMap<Domain, Coverage>>>,
     pub(super) events: UnboundedSender<control::Event>,
     pub(super) flight: Flight,
+    pub(super) journal: Journal,
     pub(super) presence: Arc<Mutex<Presence>>,
     pub(super) proxy: Proxy,
+    pub(super) reach: Arc<ArcSwap<Reach>>,
     pub(super) snapshot: Arc<ArcSwap<Snapshot>>,
     pub(super) telemetry: Telemetry,
     pub(super) tickets: Arc<AtomicU64>,
@@ -125,12 +129,24 @@
         self.carry_out(actions);
     }
 
+    /// Says whether the platform answers.
+    #[must_use]
+    pub fn reach(&self) -> Reach {
+        **self.reach.load()
+    }
+
     /// Says how far the upstream on this host has got.
     #[must_use]
     pub fn upstream(&self) -> presence::State {
         self.presence().state()
     }
 
+    /// Tells whether the node stops.
+    #[must_use]
+    pub fn stopping(&self) -> bool {
+        self.presence().stopping()
+    }
+
     /// Gives how many requests run here for other nodes.
     #[must_use]
     pub fn running(&self) -> usize {
@@ -155,9 +171,17 @@
         for action in actions {
             match action {
                 presence::Action::Close => self.proxy.offer(None),
-                presence::Action::Lapse => self.telemetry.count("upstream.lapsed"),
-                presence::Action::Leave => self.report(control::Event::Draining),
+                presence::Action::Lapse => {
+                    self.telemetry.count("upstream.lapsed");
+                    self.journal.write(&Change::Lapsed);
+                }
+                presence::Action::Leave => {
+                    self.journal.write(&Change::Leaving);
+                    self.report(control::Event::Draining);
+                }
                 presence::Action::Open(offer) => {
+                    let (service, version) = (offer.service.clone(), offer.version.clone());
+                    self.journal.write(&Change::Announced(service, version));
                     self.proxy.offer(Some(offer.clone()));
                     self.report(control::Event::Announced(offer));
                 }
--- a/src/presence.rs
+++ b/src/presence.rs
@@ -117,6 +117,12 @@
         self.state
     }
 
+    /// Tells whether the node stops.
+    #[must_use]
+    pub fn stopping(&self) -> bool {
+        self.stopping
+    }
+
     /// Takes an announcement.
     ///
     /// # Errors
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -11,6 +11,8 @@
     },
 };
 
+pub mod catalogue;
+
 const PREFIX: &str = "mulberryshelf";
 
 #[derive(Debug, Default)]
@@ -80,6 +82,7 @@
 
     /// Counts several occurrences, or bytes.
     pub fn add(&self, name: &str, count: u64) {
+        debug_assert!(catalogue::is_known(name), "`{name}` is in no catalogue");
         let count = i64::try_from(count).unwrap_or(i64::MAX);
         // A statsd server that is away must not disturb the node; the totals are kept here too.
         let _ = self.client.count(name, count);
--- /dev/null
+++ b/src/telemetry/catalogue.rs
@@ -0,0 +1,148 @@
+//! Every counter. docs/metrics.md shows this table; tests hold the page and the code to it.
+
+use std::fmt::{self, Display, Formatter};
+
+/// A counter, or several that differ in parts of their name.
+#[derive(Debug, Clone, Copy)]
+pub struct Counter {
+    /// What it counts.
+    pub meaning: &'static str,
+    /// The name, with a part in braces for each that differs.
+    pub name: &'static str,
+}
+
+const fn counter(name: &'static str, meaning: &'static str) -> Counter {
+    Counter { meaning, name }
+}
+
+/// Every counter, in the order of the names.
+pub const COUNTERS: &[Counter] = &[
+    counter(
+        "egress.cancelled",
+        "requests that the other node gave up while they waited or ran here",
+    ),
+    counter(
+        "egress.malformed",
+        "requests of another node that could not be read",
+    ),
+    counter(
+        "egress.refused.{outcome}.{reason}",
+        "requests of other nodes that were refused or failed here",
+    ),
+    counter(
+        "ingress.accept.failed",
+        "callers' connections that could not be taken",
+    ),
+    counter(
+        "keys.answered",
+        "repeated requests that were given the answer of the first one",
+    ),
+    counter(
+        "keys.joined",
+        "repeated requests that waited for the first one to end",
+    ),
+    counter(
+        "link.accept.refused",
+        "connections of nodes that failed: of another mesh, or with a certificate that does not hold",
+    ),
+    counter(
+        "link.accept.unnamed",
+        "connections whose certificate names no host",
+    ),
+    counter(
+        "link.connect.failed",
+        "nodes that could not be connected to",
+    ),
+    counter("link.frame.cut", "frames that broke off or were too long"),
+    counter(
+        "link.frame.impostor",
+        "frames in which a peer spoke for another host",
+    ),
+    counter("link.frame.malformed", "frames that could not be decoded"),
+    counter("link.received.bytes", "bytes of frames received"),
+    counter("link.send.failed", "frames that could not be sent"),
+    counter(
+        "link.send.unconnected",
+        "frames for a node that is not connected",
+    ),
+    counter("link.sent.bytes", "bytes of frames sent"),
+    counter(
+        "quarantine.late",
+        "strikes that some nodes had not confirmed when the caller was answered",
+    ),
+    counter(
+        "quarantine.struck",
+        "strikes against requests that upstreams died of",
+    ),
+    counter(
+        "quarantine.undelivered",
+        "strikes that did not reach a node",
+    ),
+    counter(
+        "refused.{outcome}.{reason}",
+        "callers' requests that ended without an upstream's whole answer; the reasons are in operators/refusals.md",
+    ),
+    counter("retry.denied.{denial}", "retries that were not made"),
+    counter(
+        "retry.{reason}",
+        "retries, by the reason why the attempt before failed",
+    ),
+    counter("source.committed", "transactions that took effect"),
+    counter("source.conflict", "transactions that another one overtook"),
+    counter("source.read.failed", "readings of the platform that failed"),
+    counter("source.unknown", "transactions without an answer"),
+    counter(
+        "source.unsent",
+        "transactions that were not sent, as the platform could not be reached",
+    ),
+    counter(
+        "stop.timeout",
+        "planned stops that cut requests at the time limit",
+    ),
+    counter(
+        "upstream.lapsed",
+        "announcements that were not repeated in time",
+    ),
+    counter(
+        "upstream.refused.drained",
+        "announcements of an incarnation that is drained",
+    ),
+    counter(
+        "upstream.refused.outdated",
+        "announcements of an incarnation that a later one has replaced",
+    ),
+    counter(
+        "upstream.refused.own-port",
+        "announcements of a port of the node itself",
+    ),
+    counter(
+        "upstream.refused.stopping",
+        "announcements at a node that stops",
+    ),
+];
+
+/// Tells whether a counter of this name is in the catalogue.
+#[must_use]
+pub fn is_known(name: &str) -> bool {
+    COUNTERS.iter().any(|counter| counter.covers(name))
+}
+
+impl Counter {
+    fn covers(&self, name: &str) -> bool {
+        let (mut mine, mut given) = (self.name.split('.'), name.split('.'));
+        loop {
+            match (mine.next(), given.next()) {
+                (None, None) => return true,
+                (Some(part), Some(other)) if part.starts_with('{') && !other.is_empty() => {}
+                (Some(part), Some(other)) if part == other => {}
+                _ => return false,
+            }
+        }
+    }
+}
+
+impl Display for Counter {
+    fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+        write!(f, "| `{}` | {} |", self.name, self.meaning)
+    }
+}
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -16,4 +16,5 @@
 mod snapshot;
 mod source;
 mod stop;
+mod telemetry;
 mod test;
--- /dev/null
+++ b/tests/telemetry.rs
@@ -0,0 +1,211 @@
+//! Counters are listed, lines are logged for changes of state only, and an operator sees a node's state.
+
+use {
+    crate::test::{Test, eventually, whole_route},
+    mulberryshelf::{
+        control::Event,
+        journal::Change,
+        reach::Reach,
+        source::Outcome,
+        telemetry::{
+            Telemetry,
+            catalogue::{COUNTERS, is_known},
+        },
+        world::Revision,
+    },
+    serde_json::{Value, json},
+    std::{
+        fs,
+        net::{SocketAddr, UdpSocket},
+        path::Path,
+    },
+};
+
+const PAGE: &str = include_str!("../docs/metrics.md");
+
+/// Gives the texts of all string literals of the sources but the catalogue's.
+fn literals(directory: &Path) -> Vec<String> {
+    let mut found = Vec::new();
+    for entry in fs::read_dir(directory).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            found.extend(literals(&path));
+        } else if !path.ends_with("catalogue.rs") {
+            let text = fs::read_to_string(&path).unwrap();
+            let lines = text.lines();
+            found.extend(
+                lines.flat_map(|line| line.split('"').skip(1).step_by(2).map(String::from)),
+            );
+        }
+    }
+    found
+}
+
+/// Gives the literals that name counters: their first part is that of a counter in the catalogue.
+fn names() -> Vec<String> {
+    let sources = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    let mut names = literals(&sources);
+    names.retain(|name| {
+        let plain = |byte: u8| byte.is_ascii_lowercase() || b".-{}()".contains(&byte);
+        let group = name.split_once('.').map(|(group, _)| format!("{group}."));
+        name.bytes().all(plain)
+            && group.is_some_and(|group| {
+                COUNTERS
+                    .iter()
+                    .any(|counter| counter.name.starts_with(&group))
+            })
+    });
+    names
+}
+
+/// Tells whether a name in the code, in which braces stand for any text, can give a listed one.
+fn gives(pattern: &str, name: &str) -> bool {
+    let Some((before, rest)) = pattern.split_once('{') else {
+        return pattern == name;
+    };
+    let after = rest.split_once('}').map_or("", |(_, after)| after);
+    let Some(rest) = name.strip_prefix(before) else {
+        return false;
+    };
+    (0..=rest.len())
+        .filter(|index| rest.is_char_boundary(*index))
+        .any(|index| index > 0 && gives(after, &rest[index..]))
+}
+
+#[test]
+fn page_lists_every_counter() {
+    let rows: Vec<&str> = PAGE
+        .lines()
+        .skip_while(|line| !line.starts_with("| `"))
+        .take_while(|line| !line.is_empty())
+        .collect();
+    let counters: Vec<String> = COUNTERS.iter().map(ToString::to_string).collect();
+    assert_eq!(rows, counters);
+}
+
+#[test]
+fn every_counter_in_the_code_is_listed() {
+    let unlisted: Vec<String> = names()
+        .into_iter()
+        .filter(|name| !COUNTERS.iter().any(|counter| gives(name, counter.name)))
+        .collect();
+    assert!(unlisted.is_empty(), "{unlisted:?}");
+}
+
+#[test]
+fn every_listed_counter_is_in_the_code() {
+    let names = names();
+    let idle: Vec<&str> = COUNTERS
+        .iter()
+        .map(|counter| counter.name)
+        .filter(|listed| !names.iter().any(|name| gives(name, listed)))
+        .collect();
+    assert!(idle.is_empty(), "{idle:?}");
+}
+
+#[test]
+fn unlisted_names_are_unknown() {
+    for known in [
+        "link.sent.bytes",
+        "retry.leaving",
+        "refused.not-run.no-route",
+    ] {
+        assert!(is_known(known), "{known}");
+    }
+    for unknown in ["", "link", "link.sent", "link.sent.bytes.more", "retry."] {
+        assert!(!is_known(unknown), "{unknown}");
+    }
+}
+
+#[test]
+#[cfg(debug_assertions)]
+#[should_panic(expected = "is in no catalogue")]
+fn unlisted_counter_is_caught_where_it_is_counted() {
+    Telemetry::open(None).unwrap().count("link.no-such");
+}
+
+#[test]
+fn counters_reach_a_statsd_server_and_stay_here() {
+    let server = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let telemetry = Telemetry::open(Some(server.local_addr().unwrap())).unwrap();
+    telemetry.count("stop.timeout");
+    telemetry.add("link.sent.bytes", 7);
+    let mut buffer = [0; 512];
+    let length = server.recv(&mut buffer).unwrap();
+    assert_eq!(&buffer[..length], b"mulberryshelf.stop.timeout:1|c");
+    assert_eq!(telemetry.totals()["link.sent.bytes"], 7);
+}
+
+#[test]
+fn platform_is_lost_and_back_once_however_often_calls_fail() {
+    let mut reach = Reach::default();
+    let mut learn = |event| reach.learn(&event);
+    let transacted = |outcome| Event::Transacted(Revision(1), outcome);
+    assert_eq!(learn(transacted(Outcome::Committed)), None);
+    assert_eq!(learn(Event::Read(None)), Some(Change::PlatformLost));
+    assert_eq!(learn(Event::Read(None)), None);
+    assert_eq!(learn(transacted(Outcome::Unknown)), None);
+    assert_eq!(learn(Event::Tick), None);
+    let back = learn(transacted(Outcome::Conflict));
+    assert_eq!(back, Some(Change::PlatformBack));
+    assert_eq!(learn(transacted(Outcome::Committed)), None);
+}
+
+#[test]
+fn lines_name_the_step_and_the_peer() {
+    let host = || "b1".parse().unwrap();
+    let changes = [
+        Change::Announced("dispatch-hub".parse().unwrap(), "hub-1".parse().unwrap()),
+        Change::Connected(host()),
+        Change::Cut(2),
+        Change::Disconnected(host()),
+        Change::InForce(Revision(7)),
+        Change::Lapsed,
+        Change::Leaving,
+        Change::PlatformBack,
+        Change::PlatformLost,
+        Change::Started,
+        Change::Stopped,
+        Change::Stopping,
+    ];
+    let lines: Vec<String> = changes.iter().map(ToString::to_string).collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+async fn get(admin: SocketAddr, path: &str) -> Value {
+    let url = format!("http://{admin}/{path}");
+    tokio::task::spawn_blocking(move || {
+        let mut response = ureq::get(url).call().unwrap();
+        serde_json::from_str(&response.body_mut().read_to_string().unwrap()).unwrap()
+    })
+    .await
+    .unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn health_and_counters_show_an_operator_the_node() {
+    let test = Test::new()
+        .host("a1", "luzon-a", "resident-desk", "desk-1")
+        .await;
+    let admin = test.hosts[0].node.admin();
+    assert_eq!(get(admin, "health").await["state"], "starting");
+    test.apply(0, whole_route("resident-desk", "desk-1")).await;
+    let handle = test.hosts[0].node.handle().clone();
+    eventually(|| handle.reach() == Reach::Reached && handle.snapshot().revision == Revision(1))
+        .await;
+    let health = get(admin, "health").await;
+    assert_eq!(health["state"], "serving");
+    assert_eq!(health["platform"], "reached");
+    assert_eq!(health["resourceVersion"], 1);
+    assert_eq!(health["upstream"], "ready");
+    assert_eq!(get(admin, "counters").await["source.committed"], json!(1));
+    test.platform.fail(crate::standin::platform::Faults {
+        down: true,
+        ..Default::default()
+    });
+    eventually(|| handle.reach() == Reach::Lost).await;
+    assert_eq!(get(admin, "health").await["state"], "degraded");
+    test.platform
+        .fail(crate::standin::platform::Faults::default());
+    eventually(|| handle.reach() == Reach::Reached).await;
+}
--- a/tests/test.rs
+++ b/tests/test.rs
@@ -39,6 +39,7 @@
 
 impl Test {
     pub fn new() -> Self {
+        spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
         Self {
             authority: Authority::create().unwrap(),
             hosts: Vec::new(),
