--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -19,4 +19,5 @@
 mod snapshot;
 mod source;
 mod stop;
+mod telemetry;
 mod test;
