--- /dev/null
+++ b/benches/choice.rs
@@ -0,0 +1,129 @@
+//! The decision on the hot path: the choice of an upstream and the end of its attempt, at the size
+//! that the mesh is designed for. See docs/design/requests.md.
+
+use {
+    criterion::{BatchSize, Criterion, criterion_group, criterion_main},
+    mulberryshelf::{
+        member::{Contact, Offer, Record, State},
+        resource::{Change, Key, Kind, Limits, Route, Spec, VersionSpec},
+        snapshot::Snapshot,
+        traffic::{
+            Ask, Traffic,
+            admit::{Admit, Limit, Ticket},
+            endpoint::Load,
+            outcome,
+            quarantine::{Fingerprint, Quarantine},
+        },
+        world::{Moment, Permille, Revision},
+    },
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+};
+
+const SERVICES: usize = 1000;
+const ENDPOINTS: usize = 14;
+
+fn snapshot() -> Snapshot {
+    let mut snapshot = Snapshot::default();
+    for service in 0..SERVICES {
+        let name: mulberryshelf::world::Name = format!("service-{service}").parse().unwrap();
+        let version = Spec::Version(VersionSpec {
+            service: name.clone().into(),
+        });
+        let route = Spec::Route(Route {
+            path: "/".into(),
+            service: name.clone().into(),
+            shares: BTreeMap::from([(name.clone().into(), Permille::WHOLE)]),
+        });
+        for (kind, spec) in [(Kind::Version, version), (Kind::Route, route)] {
+            let name = name.clone();
+            snapshot.change(Revision(1), &Change::Put(Key { kind, name }, spec));
+        }
+    }
+    snapshot
+}
+
+fn record(service: usize, endpoint: usize) -> Record {
+    let address = "127.0.0.1:1".parse().unwrap();
+    let name = format!("service-{service}");
+    Record {
+        contact: Contact {
+            address,
+            domain: format!("domain-{}", endpoint % 3).parse().unwrap(),
+            host: format!("host-{service}-{endpoint}").parse().unwrap(),
+            region: "luzon".parse().unwrap(),
+        },
+        incarnation: Moment(1),
+        offer: Some(Offer {
+            address,
+            connections: 120,
+            service: name.parse().unwrap(),
+            slots: 12,
+            version: name.parse().unwrap(),
+        }),
+        sequence: 1,
+        state: State::Ready,
+    }
+}
+
+fn traffic() -> Traffic {
+    let mut traffic = Traffic::new("domain-0".parse().unwrap(), "luzon".parse().unwrap(), 7);
+    traffic.install(Arc::new(snapshot()));
+    let services = 0..SERVICES;
+    let records = services.flat_map(|service| (0..ENDPOINTS).map(move |at| record(service, at)));
+    traffic.update(Moment(0), records.collect());
+    traffic
+}
+
+fn choice(criterion: &mut Criterion) {
+    let mut traffic = traffic();
+    let service = "service-500".parse().unwrap();
+    let mut now = Moment(1_000_000);
+    criterion.bench_function("choose and finish", |bencher| {
+        bencher.iter(|| {
+            now = now + Duration::from_micros(20);
+            let ask = Ask {
+                avoid: &[],
+                id: "7d5b6a2f0c9e4d318a1f5b7c9d2e4f60",
+                path: "/assign",
+                service: &service,
+            };
+            let choice = traffic.choose(now, ask).unwrap();
+            let load = Some(Load::default());
+            traffic.finish(now, &choice, outcome::Kind::Success, load);
+            choice
+        });
+    });
+}
+
+fn admission(criterion: &mut Criterion) {
+    let mut admit = Admit::new(Limit::Fixed);
+    admit.resize(12, &Limits::default());
+    let mut ticket = 0;
+    let now = Moment(1_000_000);
+    criterion.bench_function("admit and finish", |bencher| {
+        bencher.iter(|| {
+            ticket += 1;
+            let actions = admit.arrive(now, Ticket(ticket), now + Duration::from_secs(1));
+            admit.finish(now, Some(Duration::from_millis(20)));
+            actions
+        });
+    });
+}
+
+fn fingerprint(criterion: &mut Criterion) {
+    let body = vec![b'x'; 1000];
+    let mut quarantine = Quarantine::default();
+    criterion.bench_function("fingerprint of 1 kB and quarantine", |bencher| {
+        bencher.iter_batched(
+            || body.clone(),
+            |body| {
+                let fingerprint = Fingerprint::new("dispatch-hub", "POST", "/assign", &body);
+                quarantine.holds(Moment(1), fingerprint)
+            },
+            BatchSize::SmallInput,
+        );
+    });
+}
+
+criterion_group!(benches, choice, admission, fingerprint);
+criterion_main!(benches);
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -9,13 +9,7 @@
     crate::{
         body::{Body, Writer},
         refusal::Reason,
-        traffic::{
-            Ask, Choice,
-            endpoint::Load,
-            outcome::Kind,
-            quarantine::Fingerprint,
-            retry::{self, Denial, Stage, Verdict},
-        },
+        traffic::{Ask, Choice, endpoint::Load, outcome::Kind, quarantine::Fingerprint, retry},
         wire::{Answer, Failure, Part, Refusal, Request as Head},
         world::{Host, Version},
     },
@@ -116,38 +110,24 @@
 }
 
 fn again(proxy: &Proxy, outgoing: &Outgoing, failure: Failure, tried: &[Host]) -> bool {
-    let (call, reason) = (outgoing.call, failure.reason());
-    let now = proxy.now();
-    if let (Reason::Leaving | Reason::WrongVersion, Some(host)) = (reason, tried.last()) {
-        proxy.traffic().set_aside(now, host);
-    }
-    if retry::verdict(call.class, Stage::of(failure), reason) == Verdict::End {
-        return false;
-    }
+    let call = outgoing.call;
     let attempt = retry::Attempt {
         attempts: u32::try_from(tried.len()).unwrap_or(u32::MAX),
+        class: call.class,
         deadline: call.deadline,
         hop: call.hop,
         replayable: outgoing.beginning.trailers.is_some() || outgoing.rest.is_some(),
     };
-    let mut traffic = proxy.traffic();
-    let paid = if traffic.untried(now, ask(call, tried)) {
-        traffic.retry(now, &call.service, attempt)
-    } else {
-        Err(Denial::Endpoint)
+    let now = proxy.now();
+    let paid = proxy
+        .traffic()
+        .again(now, ask(call, tried), failure, attempt);
+    let counter = match paid {
+        Ok(()) => format!("retry.{}", failure.reason()),
+        Err(denial) => format!("retry.denied.{}", denial.name()),
     };
-    drop(traffic);
-    match paid {
-        Ok(()) => {
-            proxy.telemetry.count(&format!("retry.{reason}"));
-            true
-        }
-        Err(denial) => {
-            let name = denial.name();
-            proxy.telemetry.count(&format!("retry.denied.{name}"));
-            false
-        }
-    }
+    proxy.telemetry.count(&counter);
+    paid.is_ok()
 }
 
 async fn attempt(
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -6,12 +6,13 @@
         member::{Offer, Record, State},
         refusal::Reason,
         snapshot::Snapshot,
+        wire::Failure,
         world::{Domain, Host, Moment, Name, Region, Service, Version},
     },
     endpoint::{Endpoint, Id, Load, Policy},
     group::{Group, Spread},
     rand::{SeedableRng, rngs::StdRng},
-    retry::{Attempt, Budget, Denial},
+    retry::{Attempt, Budget, Denial, Stage, Verdict},
     slotmap::SlotMap,
     spill::Tier,
     std::{
@@ -213,21 +214,6 @@
         route.cloned().ok_or(Reason::NoRoute)
     }
 
-    /// Says whether there is an endpoint where a request was not tried yet.
-    #[must_use]
-    pub fn untried(&self, now: Moment, ask: Ask) -> bool {
-        let spread = Spread {
-            avoid: ask.avoid,
-            endpoints: &self.endpoints,
-            now,
-            policy: self.policy,
-        };
-        self.routes
-            .find(ask.service, ask.path)
-            .and_then(|route| self.groups.get(route.version(ask.id)?))
-            .is_some_and(|group| group.untried(&spread))
-    }
-
     /// Chooses an upstream for a request, and counts the attempt as begun.
     ///
     /// # Errors
@@ -283,7 +269,7 @@
     }
 
     /// Sends nothing to a host for a while, which said that it takes no new work.
-    pub fn set_aside(&mut self, now: Moment, host: &Host) {
+    fn set_aside(&mut self, now: Moment, host: &Host) {
         if let Some(id) = self.ids.get(host) {
             self.endpoints[*id].set_aside(now);
         }
@@ -304,20 +290,44 @@
         self.budgets.entry(service.clone()).or_default().succeed();
     }
 
-    /// Pays for a retry.
+    /// Decides whether a request whose last attempt failed is sent again, and pays for it.
     ///
     /// # Errors
-    /// Says why it isn't made.
-    pub fn retry(
+    /// Says why it isn't.
+    pub fn again(
         &mut self,
         now: Moment,
-        service: &Service,
+        ask: Ask,
+        failure: Failure,
         attempt: Attempt,
     ) -> Result<(), Denial> {
-        let budget = self.budgets.entry(service.clone()).or_default();
+        let reason = failure.reason();
+        if let (Reason::Leaving | Reason::WrongVersion, Some(host)) = (reason, ask.avoid.last()) {
+            self.set_aside(now, host);
+        }
+        if retry::verdict(attempt.class, Stage::of(failure), reason) == Verdict::End {
+            return Err(Denial::Verdict);
+        }
+        if !self.untried(now, ask) {
+            return Err(Denial::Endpoint);
+        }
+        let budget = self.budgets.entry(ask.service.clone()).or_default();
         budget.pay(now, attempt)
     }
 
+    fn untried(&self, now: Moment, ask: Ask) -> bool {
+        let spread = Spread {
+            avoid: ask.avoid,
+            endpoints: &self.endpoints,
+            now,
+            policy: self.policy,
+        };
+        self.routes
+            .find(ask.service, ask.path)
+            .and_then(|route| self.groups.get(route.version(ask.id)?))
+            .is_some_and(|group| group.untried(&spread))
+    }
+
     /// Gives the share of a version's traffic that leaves for the slow link.
     #[must_use]
     pub fn remote(&self, version: &Version) -> f64 {
--- a/src/traffic/retry.rs
+++ b/src/traffic/retry.rs
@@ -158,6 +158,8 @@
     Endpoint,
     /// Only the first node of a chain of calls retries.
     Hop,
+    /// The request may not run again, or it would fail in the same way.
+    Verdict,
 }
 
 impl Denial {
@@ -171,6 +173,7 @@
             Self::Deadline => "deadline",
             Self::Endpoint => "endpoint",
             Self::Hop => "hop",
+            Self::Verdict => "verdict",
         }
     }
 }
@@ -180,6 +183,8 @@
 pub struct Attempt {
     /// How many attempts were made.
     pub attempts: u32,
+    /// Whether it may run more than once.
+    pub class: Class,
     /// When the caller waits no more.
     pub deadline: Moment,
     /// How many nodes took the request in before this one.
--- a/src/traffic/spill.rs
+++ b/src/traffic/spill.rs
@@ -7,11 +7,15 @@
 /// How often a share moves by one step.
 pub const STEP_INTERVAL: Duration = Duration::from_millis(100);
 /// The utilisation above which more traffic leaves.
-const HIGH: f64 = 0.85;
+const HIGH: f64 = 0.9;
 /// The utilisation below which traffic comes back.
-const LOW: f64 = 0.65;
-const STEP_OUT: f64 = 0.04;
-const STEP_BACK: f64 = 0.02;
+const LOW: f64 = 0.8;
+/// The step for each unit of utilisation beyond the band.
+const GAIN: f64 = 0.3;
+const STEP_OUT_MAX: f64 = 0.1;
+const STEP_BACK_MAX: f64 = 0.02;
+/// The weight of a new utilisation in the average.
+const SMOOTHING: f64 = 0.3;
 
 /// Where endpoints are, seen from this node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,6 +41,7 @@
 pub struct Spill {
     begun: bool,
     leaving: [f64; 2],
+    smoothed: [Utilisation; 3],
     stepped_at: Moment,
 }
 
@@ -50,14 +55,25 @@
     /// Moves the shares by one step, from the utilisation of the tiers, nearest first.
     pub fn step(&mut self, now: Moment, tiers: [Utilisation; 3]) {
         self.stepped_at = now;
-        let farther = [tiers[1].or(tiers[2]), tiers[2]];
+        for (smoothed, new) in self.smoothed.iter_mut().zip(tiers) {
+            *smoothed = match (*smoothed, new) {
+                (Some(held), Some(new)) => Some(held + SMOOTHING * (new - held)),
+                (_, new) => new,
+            };
+        }
+        let [_, region, remote] = self.smoothed;
+        let farther = [region.or(remote), remote];
         for (index, leaving) in self.leaving.iter_mut().enumerate() {
-            *leaving = match (tiers[index], farther[index]) {
+            *leaving = match (self.smoothed[index], farther[index]) {
                 (None, _) => 1.0,
                 (Some(_), None) => 0.0,
                 (Some(_), _) if !self.begun => 0.0,
-                (Some(near), Some(far)) if near > HIGH && far < near => *leaving + STEP_OUT,
-                (Some(near), Some(_)) if near < LOW => *leaving - STEP_BACK,
+                (Some(near), Some(far)) if near > HIGH && far < near => {
+                    *leaving + (GAIN * (near - HIGH)).min(STEP_OUT_MAX)
+                }
+                (Some(near), Some(_)) if near < LOW => {
+                    *leaving - (GAIN * (LOW - near)).min(STEP_BACK_MAX)
+                }
                 (Some(_), Some(_)) => *leaving,
             }
             .clamp(0.0, 1.0);
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -26,6 +26,7 @@
 fn attempt(attempts: u32, hop: u32) -> Attempt {
     Attempt {
         attempts,
+        class: Class::Idempotent,
         deadline: Moment(10_000_000),
         hop,
         replayable: true,
