Strike requests that were cancelled before their upstream died

A caller that waits 50 ms for a request that kills its upstream after 100 ms took all 5 upstreams: nothing was in flight when they died.

Headers that only the mesh sets are taken out of upstreams' answers: one that passed the refusal of its own call on was shown as not-run though it had run itself. Tests of draining, of the connection limit, of trailers and of long bodies come with it. The test of draining passes without the retry after a refusal as leaving, because the membership is quicker in one process; the state machine's test covers the retry.

--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -99,7 +99,7 @@
     let (id, service) = (head.id.clone(), head.service.clone());
     let (mut connection, response) = hand_over(proxy, &offer, head, recv, deadline, &slot).await?;
     let load = Some(proxy.gate.load());
-    if let Err(failure) = answer(id, load, response, send).await {
+    if let Err(failure) = answer(id, load, own_words(response), send).await {
         return Err(crashed(proxy, &offer, &slot, failure).await);
     }
     clear(proxy, &service, &mut slot);
@@ -168,7 +168,13 @@
     let left = || deadline.since(proxy.now());
     let taking = proxy.pool.take(offer.address, offer.connections);
     let mut connection = match tokio::time::timeout(left(), taking).await {
-        Ok(taken) => taken.map_err(Failure::NotRun)?,
+        Ok(Ok(connection)) => connection,
+        Ok(Err(reason)) => {
+            if reason == Reason::Dial {
+                proxy.strike(&offer.service, proxy.gate.gone()).await;
+            }
+            return Err(Failure::NotRun(reason));
+        }
         Err(_) => return Err(Failure::NotRun(Reason::Deadline)),
     };
     slot.hand_over(head.fingerprint);
@@ -234,6 +240,15 @@
     }
 }
 
+/// Takes out what only the mesh says. An upstream that passes on how one of its own calls was refused
+/// has itself run.
+fn own_words(mut response: Response<Incoming>) -> Response<Incoming> {
+    for name in [headers::OUTCOME, headers::REASON, headers::VERSION] {
+        response.headers_mut().remove(name);
+    }
+    response
+}
+
 async fn answer<B>(
     id: String,
     load: Option<Load>,
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -184,6 +184,17 @@
         self.state().quarantine.learn(now, strike);
     }
 
+    /// Notes that the upstream takes no connection; gives the strikes that follow.
+    #[must_use]
+    pub fn gone(&self) -> Vec<Strike> {
+        let now = self.clock.now();
+        let mut state = self.state();
+        if state.offer.is_none() {
+            return Vec::new();
+        }
+        state.quarantine.gone(now, Crash(rand::random()))
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -213,7 +224,8 @@
     #[must_use]
     pub fn answer(&mut self) -> Option<Strike> {
         self.answered = true;
-        self.gate.state().quarantine.end(self.ticket, true)
+        let now = self.gate.clock.now();
+        self.gate.state().quarantine.end(now, self.ticket, true)
     }
 }
 
@@ -221,7 +233,7 @@
     fn drop(&mut self) {
         let now = self.gate.clock.now();
         let mut state = self.gate.state();
-        state.quarantine.end(self.ticket, false);
+        state.quarantine.end(now, self.ticket, false);
         state.waiting.remove(&self.ticket);
         let actions = if state.granted.remove(&self.ticket) {
             let run_time = self.started.filter(|_| self.answered);
--- a/src/traffic/quarantine.rs
+++ b/src/traffic/quarantine.rs
@@ -7,7 +7,7 @@
     crate::world::Moment,
     serde::{Deserialize, Serialize},
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, HashMap, VecDeque},
         time::Duration,
     },
     xxhash_rust::xxh3::Xxh3,
@@ -17,6 +17,9 @@
 pub const STRIKES_MAX: usize = 2;
 /// How long a strike counts since the request was last seen.
 pub const REMEMBERED: Duration = Duration::from_secs(3600);
+/// How long a request that was cancelled or late may still run at its upstream.
+const LINGERS: Duration = Duration::from_secs(10);
+const LINGERING_MAX: usize = 256;
 /// The most cleared strikes that are remembered of one request.
 const CLEARED_MAX: usize = 8;
 /// The most struck requests that one node remembers.
@@ -84,6 +87,13 @@
     }
 }
 
+/// A request that ended without an answer, and may still run at the upstream.
+#[derive(Debug)]
+struct Lingering {
+    ended: Moment,
+    fingerprint: Fingerprint,
+}
+
 #[derive(Debug)]
 struct Running {
     blamed: bool,
@@ -94,6 +104,7 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     disabled: bool,
+    lingering: VecDeque<Lingering>,
     running: BTreeMap<Ticket, Running>,
     struck: HashMap<Fingerprint, Struck>,
 }
@@ -131,9 +142,12 @@
     }
 
     /// Ends a request; gives what other nodes have to know if that clears a strike.
-    pub fn end(&mut self, ticket: Ticket, answered: bool) -> Option<Strike> {
+    pub fn end(&mut self, now: Moment, ticket: Ticket, answered: bool) -> Option<Strike> {
         let running = self.running.remove(&ticket)?;
         if !answered {
+            if !running.blamed {
+                self.linger(now, running.fingerprint);
+            }
             return None;
         }
         let struck = self.struck.get_mut(&running.fingerprint)?;
@@ -146,43 +160,58 @@
         (!clearing.cleared.is_empty()).then_some(clearing)
     }
 
-    /// Takes in that the upstream died while a request ran, and gives the strikes that follow. Where
-    /// one of the running requests was struck before, only such requests are blamed.
+    fn linger(&mut self, now: Moment, fingerprint: Fingerprint) {
+        if self.lingering.len() >= LINGERING_MAX {
+            self.lingering.pop_front();
+        }
+        self.lingering.push_back(Lingering {
+            ended: now,
+            fingerprint,
+        });
+    }
+
+    /// Takes in that the upstream died while a request ran, and gives the strikes that follow.
     pub fn crash(&mut self, now: Moment, crash: Crash, ticket: Ticket) -> Vec<Strike> {
-        let blamed = self
-            .running
-            .get(&ticket)
-            .is_none_or(|running| running.blamed);
-        if blamed || self.disabled {
+        let running = self.running.get(&ticket);
+        if running.is_none_or(|running| running.blamed) {
             return Vec::new();
         }
-        let struck = &self.struck;
-        let known = |running: &Running| {
-            let struck = struck.get(&running.fingerprint);
-            struck.is_some_and(|struck| !struck.crashes.is_empty())
-        };
-        let suspected = self.running.values().any(known);
-        let mut blamed: Vec<Fingerprint> = self
-            .running
-            .values()
-            .filter(|running| !running.blamed)
-            .filter(|running| !suspected || known(running))
-            .map(|running| running.fingerprint)
-            .collect();
+        self.gone(now, crash)
+    }
+
+    /// Takes in that the upstream has died, and gives the strikes that follow. What ran there is
+    /// blamed, and what had ended without an answer shortly before. Where one of these requests was
+    /// struck before, only such requests are blamed.
+    pub fn gone(&mut self, now: Moment, crash: Crash) -> Vec<Strike> {
+        let lingering = std::mem::take(&mut self.lingering);
+        if self.disabled {
+            return Vec::new();
+        }
+        let lingering = lingering
+            .into_iter()
+            .filter(|lingering| now.since(lingering.ended) < LINGERS)
+            .map(|lingering| lingering.fingerprint);
+        let running = self.running.values_mut().filter(|running| !running.blamed);
+        let running = running.map(|running| {
+            running.blamed = true;
+            running.fingerprint
+        });
+        let mut blamed: Vec<Fingerprint> = running.chain(lingering).collect();
         blamed.sort_unstable();
         blamed.dedup();
-        for running in self.running.values_mut() {
-            running.blamed = true;
+        if blamed
+            .iter()
+            .any(|fingerprint| self.is_struck(*fingerprint))
+        {
+            blamed.retain(|fingerprint| self.is_struck(*fingerprint));
         }
         for fingerprint in &blamed {
-            self.learn(
-                now,
-                Strike {
-                    cleared: Vec::new(),
-                    crashes: vec![crash],
-                    fingerprint: *fingerprint,
-                },
-            );
+            let strike = Strike {
+                cleared: Vec::new(),
+                crashes: vec![crash],
+                fingerprint: *fingerprint,
+            };
+            self.learn(now, strike);
         }
         blamed
             .into_iter()
@@ -190,6 +219,11 @@
             .collect()
     }
 
+    fn is_struck(&self, fingerprint: Fingerprint) -> bool {
+        let struck = self.struck.get(&fingerprint);
+        struck.is_some_and(|struck| !struck.crashes.is_empty())
+    }
+
     /// Gives what is known of a request.
     #[must_use]
     pub fn strike(&self, fingerprint: Fingerprint) -> Option<Strike> {
--- a/tests/admit.rs
+++ b/tests/admit.rs
@@ -10,8 +10,10 @@
             Ask, Traffic,
             admit::{Action, Admit, Limit, Ticket},
             outcome::Kind,
+            retry::{Attempt, Class},
             spill::{Spill, Tier},
         },
+        wire::Failure,
         world::{Host, Moment},
     },
     std::{collections::BTreeMap, sync::Arc, time::Duration},
@@ -259,6 +261,34 @@
     assert_eq!(used(&hosts[2..]), ["c1"]);
 }
 
+#[test]
+fn request_that_a_leaving_host_refused_is_sent_elsewhere_and_so_are_the_next() {
+    let mut traffic = traffic(&SIX);
+    let service = "dispatch-hub".parse().unwrap();
+    let mut ask = Ask {
+        avoid: &[],
+        id: "assign",
+        path: "/",
+        service: &service,
+    };
+    let choice = traffic.choose(at(0), ask).unwrap();
+    traffic.finish(at(1), &choice, Kind::Refused, None);
+    let tried = [choice.host.clone()];
+    ask.avoid = &tried;
+    let attempt = Attempt {
+        attempts: 1,
+        class: Class::OnceOnly,
+        deadline: FAR,
+        hop: 0,
+        replayable: true,
+    };
+    let refused = Failure::NotRun(Reason::Leaving);
+    assert_eq!(traffic.again(at(1), ask, refused, attempt), Ok(()));
+    assert_ne!(traffic.choose(at(1), ask).unwrap().host, choice.host);
+    let counts = drive(&mut traffic, 2, 400, |_| (Kind::Success, 5));
+    assert_eq!(counts.get(choice.host.as_str()), None, "{counts:?}");
+}
+
 #[test]
 fn unreachable_domain_is_left_at_once_and_taken_back_gradually() {
     let mut traffic = traffic(&[("a1", "luzon-a", "luzon"), ("b1", "luzon-b", "luzon")]);
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -6,6 +6,7 @@
         standin::upstream::Faults,
     },
     mulberryshelf::{
+        member::Offer,
         resource::{Change, Key, Kind, Route, Spec, VersionSpec},
         snapshot::Snapshot,
         source::Verdict,
@@ -270,3 +271,98 @@
     assert_eq!(answers.matches("HTTP/1.1 200").count(), 3, "{answers}");
     assert_eq!(test.hosts[1].upstream.runs("kept"), 3);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn upstream_that_leaves_loses_nothing() {
+    let test = mesh(3).await;
+    let proxy = test.hosts[0].node.proxy();
+    for host in &test.hosts {
+        host.upstream.fail(Faults {
+            slow_ms: 20,
+            ..Faults::default()
+        });
+    }
+    let mut calls = tokio::task::JoinSet::new();
+    for index in 0..200 {
+        let id = format!("leaving-{index}");
+        let caller = Caller::post(proxy, &id, "x");
+        calls.spawn(async move { (id, caller.send().await) });
+        if index == 60 {
+            test.hosts[1].node.handle().drain();
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(2)).await;
+    }
+    while let Some(call) = calls.join_next().await {
+        let (id, reply) = call.unwrap();
+        assert_eq!(reply.status, 200, "{reply:?}");
+        let runs: u64 = test.hosts.iter().map(|host| host.upstream.runs(&id)).sum();
+        assert_eq!(runs, 1);
+    }
+    let before = test.hosts[1].upstream.total();
+    for index in 0..50 {
+        Caller::get(proxy, &format!("after-{index}")).send().await;
+    }
+    assert_eq!(test.hosts[1].upstream.total(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_stay_within_what_the_upstream_announced() {
+    let test = mesh(1).await;
+    let host = &test.hosts[1];
+    let limit = host.upstream.connections_most() + 2;
+    host.node.handle().announce(Offer {
+        address: host.upstream.address,
+        connections: u32::try_from(limit).unwrap(),
+        service: SERVICE.parse().unwrap(),
+        slots: 24,
+        version: "hub-1".parse().unwrap(),
+    });
+    host.upstream.fail(Faults {
+        slow_ms: 300,
+        ..Faults::default()
+    });
+    let proxy = test.hosts[0].node.proxy();
+    let mut calls = tokio::task::JoinSet::new();
+    for index in 0..24 {
+        let caller = Caller::post(proxy, &format!("many-{index}"), "x");
+        calls.spawn(async move { caller.send().await });
+    }
+    let replies = calls.join_all().await;
+    assert!(host.upstream.connections_most() <= limit);
+    let refused = (503, "not-run", "connections");
+    assert!(
+        replies.iter().any(|reply| reply.refusal() == refused),
+        "{replies:?}"
+    );
+    for reply in replies.iter().filter(|reply| reply.status != 200) {
+        assert_eq!(reply.refusal(), refused);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chunked_request_with_trailers_is_served_whole() {
+    let test = mesh(1).await;
+    let request = "POST / HTTP/1.1\r\nhost: dispatch-hub\r\nconnection: close\r\n\
+                   transfer-encoding: chunked\r\ntrailer: x-sum\r\n\r\n\
+                   4\r\ncrew\r\n2\r\n 7\r\n0\r\nx-sum: 6\r\n\r\n";
+    let answer = raw(test.hosts[0].node.proxy(), request).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.contains("crew 7"), "{answer}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn long_bodies_pass_whole_both_ways() {
+    let test = mesh(1).await;
+    let lines: Vec<String> = (0..200_000).map(|index| format!("{index:06}")).collect();
+    let body = lines.join(",");
+    let reply = Caller::post(test.hosts[0].node.proxy(), "long", &body)
+        .send()
+        .await;
+    assert_eq!(reply.status, 200);
+    assert!(
+        reply.body == body,
+        "{} of {} bytes",
+        reply.body.len(),
+        body.len()
+    );
+}
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -237,6 +237,20 @@
     assert_eq!(got, (502, "unknown".into(), "lost".into()));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn upstream_that_passes_a_refusal_on_is_not_taken_for_one() {
+    let test = mesh(1).await;
+    let refusal = "HTTP/1.1 503 x\r\nx-mulberry-outcome: not-run\r\nx-mulberry-reason: overloaded\r\n\
+                   content-length: 0\r\n\r\n";
+    announce(&test, 1, Some(breaking(10, refusal).await), 12);
+    let proxy = test.hosts[0].node.proxy();
+    let mut reply = Caller::post(proxy, "passed on", "x").send().await;
+    while reply.status == 200 {
+        reply = Caller::post(proxy, "passed on", "x").send().await;
+    }
+    assert_eq!(reply.refusal(), (503, "", ""));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_answer_of_a_once_only_request_is_unknown_and_runs_once() {
     let test = mesh(2).await;
