Make refusals final for operations that are asked again, and list the API's counter

Cause: a client that asked again at another node, while its first write was held up on the way, could be told of a refusal that the first write then overtook. A client now says that it asks `again`, and the node moves the head past any earlier write before it refuses; mulberryctl does so by itself.

Without the doubt, refusal_of_one_that_is_asked_again_elsewhere_is_final sees the refused operation applied 1 time, not 0, and one_that_is_asked_again_in_an_outage_stays_unknown gets Unavailable, not Unknown.

Ruled out: a fence for every refusal, as each mistake of an operator would be a revision sent to every node.

--- a/src/api.rs
+++ b/src/api.rs
@@ -197,10 +197,8 @@
         target: &Target,
     ) -> Result<Option<watch::Watch>, Reply> {
         known(target, &["watch", "resourceVersion", "timeoutSeconds"])?;
-        match target.parameter("watch") {
-            None | Some("false") => return Ok(None),
-            Some("" | "true") => {}
-            Some(_) => return Err(bad_parameter("watch", "must be `true` or `false`")),
+        if !flag(target, "watch")? {
+            return Ok(None);
         }
         let since: Option<Revision> = number(target, "resourceVersion")?.map(Revision);
         let longest = watch::WATCH_MAX.as_secs();
@@ -275,9 +273,10 @@
     }
 
     fn delete(&self, key: Key, target: &Target) -> Result<Reply, Reply> {
-        known(target, &["operation", "resourceVersion"])?;
+        known(target, &["again", "operation", "resourceVersion"])?;
         let precondition = number(target, "resourceVersion")?.map(Revision);
         let apply = Apply {
+            again: flag(target, "again")?,
             changes: vec![(Change::Delete(key), precondition)],
             operation: operation(target)?,
             ..Apply::default()
@@ -306,7 +305,12 @@
             }
             return refused(&apply.faults);
         }
-        match self.handle.submit(operation) {
+        let verdict = if apply.again {
+            self.handle.resubmit(operation)
+        } else {
+            self.handle.submit(operation)
+        };
+        match verdict {
             Verdict::Accepted(revision) => accepted(done, &id, revision),
             Verdict::Refused(faults) => refused(&faults),
             Verdict::Busy => busy(),
@@ -355,6 +359,14 @@
     Err(bad_parameter(name, &format!("is no parameter here{hint}")))
 }
 
+fn flag(target: &Target, name: &str) -> Result<bool, Reply> {
+    match target.parameter(name) {
+        None | Some("false") => Ok(false),
+        Some("" | "true") => Ok(true),
+        Some(_) => Err(bad_parameter(name, "must be `true` or `false`")),
+    }
+}
+
 fn number(target: &Target, name: &str) -> Result<Option<u64>, Reply> {
     target
         .parameter(name)
@@ -372,10 +384,11 @@
 }
 
 fn one(target: &Target, request: &mut Request) -> Result<Apply, Reply> {
-    known(target, &["operation"])?;
+    known(target, &["again", "operation"])?;
     let id = operation(target)?;
     let text = port::text(request)?;
     let mut apply = Apply::parse_one(&text).map_err(|error| malformed(&error))?;
+    apply.again = flag(target, "again")?;
     apply.operation = id;
     Ok(apply)
 }
@@ -397,7 +410,7 @@
     let body = json!({
         "status": 504,
         "title": "the outcome is unknown",
-        "detail": "ask again with the same operation id: it is never applied twice",
+        "detail": "ask again with the same operation id and `again`: it is never applied twice",
         "operation": id,
         "outcome": "unknown",
     });
--- a/src/api/document.rs
+++ b/src/api/document.rs
@@ -22,6 +22,8 @@
 /// The changes that a request asks for, as far as they could be read.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Apply {
+    /// Whether the operation was asked for before, and its outcome is unknown.
+    pub again: bool,
     /// The changes, each with the resource version it replaces if one was stated.
     pub changes: Vec<(Change, Option<Revision>)>,
     /// Everything that is wrong with the request's form.
@@ -56,13 +58,14 @@
     }
 
     fn read(&mut self, json: &Json) {
-        let known = ["delete", "operation", "resources"];
+        let known = ["again", "delete", "operation", "resources"];
         let place = Place::new("", "");
         let mut faults = Vec::new();
         let Some(mut fields) = Fields::open(json, place, &known, &mut faults) else {
             self.faults = faults;
             return;
         };
+        self.again = fields.flag("again");
         self.operation = fields.optional_text("operation");
         let resources = list(&mut fields, "resources");
         let deleted = list(&mut fields, "delete");
--- a/src/api/fields.rs
+++ b/src/api/fields.rs
@@ -107,6 +107,19 @@
         number(json, &self.place.field(name), self.faults)
     }
 
+    /// Reads a boolean that is false if left out.
+    pub(super) fn flag(&mut self, name: &str) -> bool {
+        match self.get(name) {
+            None => false,
+            Some(Json::Bool(flag)) => *flag,
+            Some(other) => {
+                let message = format!("must be a boolean, not {}", other.name());
+                self.faults.push(self.place.field(name).fault(message));
+                false
+            }
+        }
+    }
+
     fn parse<T: FromStr<Err: Display>>(&mut self, name: &str, json: &Json) -> Option<T> {
         let place = self.place.field(name);
         let parsed = match json {
--- a/src/control.rs
+++ b/src/control.rs
@@ -33,6 +33,8 @@
     Read(Option<Page>),
     /// A frame from a node.
     Received(Host, Frame),
+    /// A client wants an operation accepted that it has asked for before, with an unknown outcome.
+    Resubmitted(Ticket, Operation),
     /// A client wants an operation accepted.
     Submitted(Ticket, Operation),
     /// Time has passed.
@@ -152,6 +154,10 @@
                 let actions = self.source.look(now, &self.snapshot, ticket, id);
                 self.accept(now, actions)
             }
+            Event::Resubmitted(ticket, operation) => {
+                let actions = self.source.resubmit(now, &self.snapshot, ticket, operation);
+                self.accept(now, actions)
+            }
             Event::Submitted(ticket, operation) => {
                 let actions = self.source.submit(now, &self.snapshot, ticket, operation);
                 self.accept(now, actions)
--- a/src/ctl/apply.rs
+++ b/src/ctl/apply.rs
@@ -59,10 +59,12 @@
     };
     let patience = patience(&matches)?;
     let operation = operation(&matches);
-    let body = json!({ "operation": operation, "resources": resources }).to_string();
     let client = Client::open(&matches)?;
-    let answer = settled_within(patience, &operation, || {
-        client.write("POST", "/v1/apply", &body)
+    let known = matches.opt_present("operation");
+    let answer = settled_within(patience, &operation, |again| {
+        let again = known || again;
+        let body = json!({ "again": again, "operation": operation, "resources": resources });
+        client.write("POST", "/v1/apply", &body.to_string())
     })?;
     show(
         out,
@@ -86,20 +88,21 @@
         .unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()))
 }
 
-/// Asks until the outcome is known, or for as long as patience lasts.
-pub(super) fn settled(operation: &str, ask: impl FnMut() -> Result<Value>) -> Result<Value> {
+/// Asks until the outcome is known, or for as long as patience lasts; `ask` is told whether it asks
+/// again.
+pub(super) fn settled(operation: &str, ask: impl FnMut(bool) -> Result<Value>) -> Result<Value> {
     settled_within(PATIENCE, operation, ask)
 }
 
 fn settled_within(
     patience: Duration,
     operation: &str,
-    mut ask: impl FnMut() -> Result<Value>,
+    mut ask: impl FnMut(bool) -> Result<Value>,
 ) -> Result<Value> {
     let start = Instant::now();
     let mut doubt = None;
     loop {
-        let message = match ask() {
+        let message = match ask(doubt.is_some()) {
             Err(Error::OutcomeUnknown { message }) => message,
             // Once the outcome is unknown, a node that sent nothing this time does not settle it.
             Err(error @ (Error::Peer { .. } | Error::Refused { .. })) => match doubt.take() {
--- a/src/ctl/delete.rs
+++ b/src/ctl/delete.rs
@@ -40,7 +40,14 @@
         path.push_str(&segment(&version));
     }
     let client = Client::open(&matches)?;
-    let answer = settled(&operation, || client.write("DELETE", &path, ""))?;
+    let answer = settled(&operation, |again| {
+        let again = if again || matches.opt_present("operation") {
+            "&again=true"
+        } else {
+            ""
+        };
+        client.write("DELETE", &format!("{path}{again}"), "")
+    })?;
     show(
         out,
         format_args!("deleted as {}", answer["resourceVersion"]),
--- a/src/node/handle.rs
+++ b/src/node/handle.rs
@@ -82,6 +82,12 @@
         self.wait(|ticket| control::Event::Submitted(ticket, operation))
     }
 
+    /// Has an operation accepted whose outcome an earlier call, here or elsewhere, left unknown.
+    #[must_use]
+    pub fn resubmit(&self, operation: Operation) -> Verdict {
+        self.wait(|ticket| control::Event::Resubmitted(ticket, operation))
+    }
+
     /// Asks the platform what became of an operation.
     #[must_use]
     pub fn look(&self, id: String) -> Verdict {
--- a/src/source.rs
+++ b/src/source.rs
@@ -161,31 +161,40 @@
         ticket: Ticket,
         operation: Operation,
     ) -> Vec<Action> {
-        self.ask(now, snapshot, ticket, Request::Accept(operation))
+        let pending = Pending::new(now, ticket, Request::Accept(operation));
+        self.ask(now, snapshot, pending)
     }
 
-    /// Takes a client's question of what became of an operation.
-    pub fn look(
+    /// Takes an operation that its client has asked for before, perhaps at another node, and whose
+    /// outcome it does not know: an earlier transaction with it may still be on its way.
+    pub fn resubmit(
         &mut self,
         now: Moment,
         snapshot: &Snapshot,
         ticket: Ticket,
-        id: String,
+        operation: Operation,
     ) -> Vec<Action> {
-        self.ask(now, snapshot, ticket, Request::Look(id))
+        let pending = Pending::new(now, ticket, Request::Accept(operation));
+        self.ask(now, snapshot, pending.in_doubt())
     }
 
-    fn ask(
+    /// Takes a client's question of what became of an operation.
+    pub fn look(
         &mut self,
         now: Moment,
         snapshot: &Snapshot,
         ticket: Ticket,
-        request: Request,
+        id: String,
     ) -> Vec<Action> {
+        let pending = Pending::new(now, ticket, Request::Look(id));
+        self.ask(now, snapshot, pending)
+    }
+
+    fn ask(&mut self, now: Moment, snapshot: &Snapshot, pending: Pending) -> Vec<Action> {
         if self.queue.len() >= QUEUE_MAX {
-            return vec![Action::Reply(ticket, Verdict::Busy)];
+            return vec![Action::Reply(pending.ticket, Verdict::Busy)];
         }
-        self.queue.push_back(Pending::new(now, ticket, request));
+        self.queue.push_back(pending);
         self.pump(now, snapshot)
     }
 
--- a/src/source/batch.rs
+++ b/src/source/batch.rs
@@ -43,6 +43,13 @@
         }
     }
 
+    /// Takes it that a transaction with it was sent, though not as which revision.
+    pub(super) fn in_doubt(mut self) -> Self {
+        self.doubtful = true;
+        self.sent = Some(Revision(u64::MAX));
+        self
+    }
+
     pub(super) fn id(&self) -> &str {
         match &self.request {
             Request::Accept(operation) => &operation.id,
@@ -64,7 +71,12 @@
         let Some((_, receipt)) = receipt else {
             self.absent = Some(page.head);
             self.doubtful = false;
-            self.sent = self.sent.filter(|revision| *revision > page.head);
+            // Whoever sent it earlier built on a head that was no later than this one.
+            let latest = page.head.next();
+            self.sent = self
+                .sent
+                .map(|revision| revision.min(latest))
+                .filter(|revision| *revision > page.head);
             return match &self.request {
                 Request::Accept(_) => None,
                 Request::Look(_) => Some(Verdict::Absent),
--- a/src/telemetry/catalogue.rs
+++ b/src/telemetry/catalogue.rs
@@ -17,6 +17,10 @@
 
 /// Every counter, in the order of the names.
 pub const COUNTERS: &[Counter] = &[
+    counter(
+        "api.refused.{status}",
+        "operators' requests that were refused or failed, by HTTP status",
+    ),
     counter(
         "egress.cancelled",
         "requests that the other node gave up while they waited or ran here",
--- a/tests/source.rs
+++ b/tests/source.rs
@@ -266,6 +266,15 @@
         self.nodes[node].submit(&mut self.table, self.now, ticket, operation);
     }
 
+    fn resubmit(&mut self, node: usize, ticket: u64, operation: Operation) {
+        let snapshot = self.nodes[node].snapshot.clone();
+        let actions =
+            self.nodes[node]
+                .source
+                .resubmit(self.now, &snapshot, Ticket(ticket), operation);
+        self.nodes[node].run(&mut self.table, self.now, actions);
+    }
+
     fn look(&mut self, node: usize, ticket: u64, id: &str) {
         self.nodes[node].look(&mut self.table, self.now, ticket, id);
     }
@@ -373,6 +382,38 @@
     assert_eq!(mesh.times("b"), 0);
 }
 
+#[test]
+fn refusal_of_one_that_is_asked_again_elsewhere_is_final() {
+    let mut mesh = Mesh::new(2);
+    mesh.table.down = true;
+    mesh.pass(Duration::from_secs(1));
+    mesh.submit(0, 1, operation("a", [version("desk-1")]));
+    mesh.submit(0, 2, operation("b", [route("desk-1")]));
+    (mesh.table.down, mesh.table.lag) = (false, 1);
+    while mesh.table.late.is_empty() {
+        mesh.pass(TICK);
+        assert_eq!(mesh.table.head, Revision(0));
+    }
+    // The first node is gone, and its transaction is still on its way.
+    mesh.nodes.remove(0);
+    mesh.resubmit(0, 3, operation("b", [route("desk-1")]));
+    mesh.pass(Duration::from_secs(1));
+    mesh.table.arrive();
+    mesh.pass(Duration::from_secs(1));
+    assert_eq!(mesh.nodes[0].refused(3).len(), 1);
+    assert_eq!(mesh.times("b"), 0);
+}
+
+#[test]
+fn one_that_is_asked_again_in_an_outage_stays_unknown() {
+    let mut mesh = Mesh::new(1);
+    mesh.table.down = true;
+    mesh.pass(Duration::from_secs(1));
+    mesh.resubmit(0, 1, operation("a", [version("desk-1")]));
+    mesh.pass(WAIT_MAX);
+    assert_eq!(mesh.nodes[0].verdict(1), Some(&Verdict::Unknown));
+}
+
 #[test]
 fn outcome_is_unknown_only_while_the_table_is_away_and_the_id_settles_it() {
     let mut mesh = Mesh::new(2);
