--- a/tests/source.rs
+++ b/tests/source.rs
@@ -1,9 +1,12 @@
 //! What is accepted is accepted once, in one order, and the client's answer is the truth.
 
 use {
-    crate::standin::platform::{Faults, Platform as Standin},
+    crate::{
+        standin::platform::{Faults, Platform as Standin},
+        test::{Test, eventually},
+    },
     mulberryshelf::{
-        platform::Platform,
+        platform::{LOG, Platform, Row, Transaction},
         resource::{Change, Key, Kind, Route, Spec, VersionSpec},
         snapshot::{Delta, Snapshot},
         source::{
@@ -821,3 +824,43 @@
         }
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cold_node_starts_from_the_snapshot_that_another_one_stored() {
+    let mut test = Test::new();
+    let platform = Platform::open(&test.platform.url());
+    let mut state = Snapshot::default();
+    for number in 1..=SNAPSHOT_EVERY * 2 + 8 {
+        let entry = entry(&mut state, &format!("id-{number}"), version("desk-1"));
+        assert_eq!(platform.transact(&entry), Outcome::Committed);
+    }
+    test = test.host("a1", "luzon-a", "desk", "desk-1").await;
+    test.converged(state.revision).await;
+    let cold = Query::default();
+    let stored = || platform.read(&cold).and_then(|page| page.snapshot);
+    eventually(|| stored().is_some()).await;
+    let snapshot = stored().unwrap();
+    assert_eq!(snapshot.verify(snapshot.digest), Ok(()));
+    assert!(snapshot.revision.0 >= SNAPSHOT_EVERY);
+    // The one that stored it is gone, and so is the beginning of the log: there is nothing else to
+    // get the state from.
+    let trim = Transaction {
+        checks: Vec::new(),
+        puts: (1..=100)
+            .map(|number| Row {
+                key: format!("{LOG}{number:020}"),
+                value: serde_json::Value::Null,
+            })
+            .collect(),
+    };
+    let body = serde_json::to_string(&trim).unwrap();
+    let url = format!("{}/v1/transact", test.platform.url());
+    tokio::task::spawn_blocking(move || ureq::post(url).send(body).unwrap())
+        .await
+        .unwrap();
+    let host = test.hosts.remove(0);
+    host.node.stop().await;
+    let test = test.host("a2", "luzon-a", "desk", "desk-1").await;
+    test.converged(state.revision).await;
+    assert_eq!(*test.hosts[0].node.handle().snapshot(), state);
+}
