Pace, judge and take back rollouts, as one state machine

Cause: a declared rollout moved nothing. Every node now runs one state machine (rollout::Controller) that paces the share per failure domain, judges the new version against the old one beside it by an anytime-valid test without its worst host, and floods a veto; ends are recorded by one conditional operation. Rules refuse a second rollout on a route, changes of a moving route, and every step after a rollback.

Found by its test: two rollouts with the same start blamed the first one; the held one now goes on.

Not wired into the node yet.

--- a/src/api.rs
+++ b/src/api.rs
@@ -5,7 +5,7 @@
         error::{Error, Result},
         member::Offer,
         node::Handle,
-        resource::{Change, Key, Kind, Resource, Spec},
+        resource::{Change, Key, Kind, Resource, Rollout, Spec},
         settings::Tokens,
         source::{Operation, Verdict},
         validate::Fault,
@@ -79,20 +79,27 @@
     /// Shows an accepted resource.
     #[must_use]
     pub fn show(resource: &Resource) -> Self {
-        let spec = match &resource.spec {
+        let shown = match &resource.spec {
             Spec::Limits(spec) => serde_json::to_value(spec),
             Spec::Rollout(spec) => serde_json::to_value(spec),
             Spec::Route(spec) => serde_json::to_value(spec),
             Spec::Version(spec) => serde_json::to_value(spec),
         };
+        let mut spec = shown.unwrap_or_default();
+        let mut status = Value::Null;
+        for recorded in ["outcome", "started"] {
+            if let Some(value) = spec.as_object_mut().and_then(|spec| spec.remove(recorded)) {
+                status[recorded] = value;
+            }
+        }
         Self {
             kind: resource.key.kind,
             metadata: Metadata {
                 name: resource.key.name.clone(),
                 resource_version: Some(resource.revision),
             },
-            spec: spec.unwrap_or_default(),
-            status: Value::Null,
+            spec,
+            status,
         }
     }
 
@@ -104,7 +111,9 @@
         let spec = self.spec.clone();
         let spec = match self.kind {
             Kind::Limits => serde_json::from_value(spec).map(Spec::Limits),
-            Kind::Rollout => serde_json::from_value(spec).map(Spec::Rollout),
+            Kind::Rollout => serde_json::from_value(spec)
+                .map(Rollout::declared)
+                .map(Spec::Rollout),
             Kind::Route => serde_json::from_value(spec).map(Spec::Route),
             Kind::Version => serde_json::from_value(spec).map(Spec::Version),
         };
--- a/src/control.rs
+++ b/src/control.rs
@@ -4,6 +4,7 @@
 use {
     crate::{
         member::{Contact, Offer, Record, Roster, State},
+        rollout,
         snapshot::{Delta, Snapshot},
         source::{self, Entry, Operation, Outcome, Source, Ticket, Verdict},
         wire::Frame,
@@ -127,7 +128,8 @@
             Event::Draining => self.draining(),
             Event::Read(entries) => self.read(entries),
             Event::Received(host, frame) => self.received(&host, frame),
-            Event::Submitted(ticket, operation) => {
+            Event::Submitted(ticket, mut operation) => {
+                rollout::rules::stamp(now, &self.snapshot, &mut operation);
                 source_actions(self.source.submit(&self.snapshot, ticket, operation))
             }
             Event::Tick => self.tick(now),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod proxy;
 pub mod refusal;
 pub mod resource;
+pub mod rollout;
 pub mod settings;
 pub mod snapshot;
 pub mod source;
--- a/src/resource.rs
+++ b/src/resource.rs
@@ -1,7 +1,10 @@
 //! Declared resources: what operators write and every node runs. See docs/api.md.
 
 use {
-    crate::world::{Moment, Name, Permille, Revision, Service, Version},
+    crate::{
+        rollout::outcome::Outcome,
+        world::{Moment, Name, Permille, Revision, Service, Version},
+    },
     serde::{Deserialize, Serialize},
     std::{
         collections::BTreeMap,
@@ -124,16 +127,34 @@
     pub deadline: Moment,
     /// The version that has the traffic now.
     pub from: Version,
+    /// How it ended; recorded by the mesh, and ignored if an operator states it.
+    #[serde(default)]
+    pub outcome: Option<Box<Outcome>>,
     /// What to favour where timely completion and safety pull apart.
     #[serde(default)]
     pub preference: Preference,
     /// The route whose traffic moves.
     pub route: Name,
+    /// When it was accepted; set by the mesh. Sets this attempt apart from earlier ones of its name.
+    #[serde(default)]
+    pub started: Moment,
     /// The version that takes the traffic over.
     pub to: Version,
 }
 
-/// What a rollout favours where evidence is scarce. See docs/rollouts.md.
+impl Rollout {
+    /// Gives what an operator declares, without what the mesh records.
+    #[must_use]
+    pub fn declared(self) -> Self {
+        Self {
+            outcome: None,
+            started: Moment::default(),
+            ..self
+        }
+    }
+}
+
+/// What a rollout favours where evidence is scarce. See docs/design/rollouts.md.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Preference {
--- a/src/validate.rs
+++ b/src/validate.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         resource::{Change, Kind, Route, Spec},
+        rollout,
         snapshot::Snapshot,
         source::Operation,
         world::{Permille, Revision},
@@ -45,6 +46,7 @@
         message: format!("refers to {target}, which does not exist"),
         resource: key.to_string(),
     }));
+    faults.extend(rollout::rules::faults(state, &next, operation));
     if faults.is_empty() {
         Ok(next)
     } else {
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -4,7 +4,12 @@
 #[path = "../examples/standin/mod.rs"]
 mod standin;
 
+#[path = "rollout/mesh.rs"]
+mod mesh;
 mod path;
 mod requests;
+mod rollout;
 mod snapshot;
+#[path = "rollout/specimen.rs"]
+mod specimen;
 mod test;
--- /dev/null
+++ b/tests/rollout.rs
@@ -0,0 +1,626 @@
+//! Rollouts: good versions are done in time, bad ones are taken back, also when cut off. The mesh is
+//! in virtual time, with fixed seeds; bounds are the targets of docs/design/rollouts.md.
+
+use {
+    crate::{
+        mesh::{self, BEGIN, Case, Fault, Mesh, Policy, Rates, STEP, Setup, Specimen, key, name},
+        specimen,
+    },
+    mulberryshelf::{
+        member::{Contact, Offer, Record, State},
+        resource::{Change, Kind, Preference, Rollout, Route, Spec},
+        rollout::{
+            Action, Controller, Event, Start,
+            evidence::Count,
+            message::Message,
+            outcome::{Cause, End},
+        },
+        snapshot::Snapshot,
+        traffic::{self, Ramp},
+        validate::Fault as Refusal,
+        world::{Moment, Name, Permille, Revision},
+    },
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+};
+
+const SPAN: Duration = Duration::from_secs(300);
+const TAIL: Duration = Duration::from_secs(120);
+
+fn setup(specimen: Specimen, rate: u32) -> Setup {
+    Setup {
+        policy: Policy::Sequential,
+        preference: Preference::Completion,
+        rate,
+        seed: 7,
+        span: SPAN,
+        specimen,
+        tail: TAIL,
+    }
+}
+
+fn specimens(good: bool) -> impl Iterator<Item = Specimen> {
+    specimen::tuning()
+        .into_iter()
+        .chain(specimen::held_back())
+        .filter(move |specimen| specimen.good == good)
+}
+
+/// Gives a version that fails three in ten from a time on, and what goes wrong beside it.
+fn bad(rates: fn(&Case) -> Rates, faults: Vec<Fault>) -> Specimen {
+    Specimen {
+        name: "bad",
+        good: false,
+        rates,
+        faults,
+    }
+}
+
+const FINE: Rates = Rates {
+    crash: 0.0,
+    fail: 0.0,
+    late: 0.0,
+};
+
+const FAILING: Rates = Rates {
+    crash: 0.0,
+    fail: 0.3,
+    late: 0.0,
+};
+
+fn later(case: &Case) -> Rates {
+    if case.new && case.time >= 0.4 {
+        FAILING
+    } else {
+        FINE
+    }
+}
+
+#[test]
+fn bad_versions_are_taken_back_within_the_bound() {
+    let weak = ["fails 1 in 20", "crashes", "leaks"];
+    for specimen in specimens(false).filter(|specimen| !weak.contains(&specimen.name)) {
+        let kind = specimen.name;
+        let figures = Mesh::new(setup(specimen, 100)).run();
+        assert!(figures.taken_back, "{kind}: {figures:?}");
+        assert!(
+            f64::from(figures.late_requests) <= figures.bound,
+            "{kind}: {figures:?}"
+        );
+        assert_eq!(figures.outcome.unwrap().end, End::RolledBack, "{kind}");
+    }
+}
+
+#[test]
+fn weakly_bad_versions_are_taken_back() {
+    let weak = ["fails 1 in 20", "crashes", "leaks"];
+    for specimen in specimens(false).filter(|specimen| weak.contains(&specimen.name)) {
+        let kind = specimen.name;
+        let figures = Mesh::new(setup(specimen, 100)).run();
+        assert!(figures.taken_back, "{kind}: {figures:?}");
+    }
+}
+
+#[test]
+fn good_versions_are_completed_in_time_whatever_goes_wrong_beside_them() {
+    for specimen in specimens(true) {
+        for rate in [1, 50] {
+            let kind = specimen.name;
+            let figures = Mesh::new(setup(specimen.clone(), rate)).run();
+            assert!(figures.in_time, "{kind} at {rate}/s: {figures:?}");
+            let outcome = figures.outcome.unwrap();
+            assert_eq!(outcome.end, End::Completed, "{kind} at {rate}/s");
+        }
+    }
+}
+
+#[test]
+fn rival_policies_keep_bad_versions_or_take_good_ones_back() {
+    let of = |policy, index: usize| Setup {
+        policy,
+        ..setup(specimen::tuning().remove(index), 100)
+    };
+    let timetable = Mesh::new(of(Policy::Timetable, 3)).run();
+    assert!(
+        !timetable.taken_back,
+        "without a judge a bad version goes on"
+    );
+    let threshold = Mesh::new(of(Policy::Threshold, 1)).run();
+    assert!(
+        threshold.taken_back,
+        "without a comparison noise is held against it"
+    );
+}
+
+#[test]
+fn little_evidence_is_decided_by_the_preference() {
+    let plain = || specimen::tuning().remove(0);
+    let brief = |preference| Setup {
+        preference,
+        span: SPAN / 2,
+        ..setup(plain(), 1)
+    };
+    let completed = Mesh::new(brief(Preference::Completion)).run();
+    assert_eq!(completed.outcome.unwrap().end, End::Completed);
+    let outcome = Mesh::new(brief(Preference::Rollback))
+        .run()
+        .outcome
+        .unwrap();
+    assert_eq!(outcome.end, End::RolledBack);
+    assert_eq!(outcome.finding.unwrap().cause, Cause::TooLittleEvidence);
+}
+
+#[test]
+fn veto_reaches_every_node_within_two_seconds_without_the_platform() {
+    let down = bad(later, vec![Fault::PlatformDown(-1.0, 0.9)]);
+    let mut mesh = Mesh::new(setup(down, 100));
+    mesh.run_until(0.4);
+    assert_eq!(mesh.senders(), mesh.nodes.len());
+    while mesh.senders() == mesh.nodes.len() {
+        mesh.step();
+    }
+    let raised = mesh.now;
+    while mesh.senders() > 0 {
+        mesh.step();
+    }
+    assert!(mesh.now.since(raised) <= Duration::from_secs(2));
+    assert_eq!(mesh.end(), None, "nothing can be recorded yet");
+    mesh.run_until(1.0);
+    assert_eq!(mesh.end(), Some(End::RolledBack));
+}
+
+#[test]
+fn resumed_node_neither_advances_nor_completes_a_vetoed_rollout() {
+    let down = bad(later, vec![Fault::PlatformDown(-1.0, 1.2)]);
+    let mut mesh = Mesh::new(setup(down, 100));
+    mesh.run_until(0.3);
+    let held = mesh.share(0);
+    mesh.pause(0);
+    mesh.run_until(1.1);
+    assert!((1..mesh.nodes.len()).all(|node| mesh.share(node) == Permille(0)));
+    mesh.resume(0);
+    let resumed = mesh.now;
+    while mesh.share(0) > Permille(0) {
+        assert!(mesh.share(0) <= held, "it advanced to {}", mesh.share(0));
+        assert!(mesh.now.since(resumed) <= Duration::from_secs(2));
+        mesh.step();
+    }
+    mesh.place();
+    mesh.run_until(1.4);
+    assert_eq!(mesh.end(), Some(End::RolledBack));
+    let id = &mesh.accepted[0].id;
+    assert!(
+        mesh.accepted.len() == 1 && id.ends_with("rolled-back"),
+        "{id}"
+    );
+}
+
+#[test]
+fn domains_that_judged_differently_while_apart_agree_on_the_safe_side() {
+    let beyond = |case: &Case| {
+        if case.new && case.host_domain >= 2 {
+            FAILING
+        } else {
+            FINE
+        }
+    };
+    let mut mesh = Mesh::new(setup(bad(beyond, vec![Fault::CutRegions(0.0, 1.2)]), 100));
+    mesh.run_until(1.19);
+    assert_eq!(mesh.end(), Some(End::Completed), "luzon has seen no harm");
+    assert_eq!(mesh.share(0), Permille::WHOLE);
+    assert_eq!(mesh.share(11), Permille(0));
+    let completed = mesh.table.revision;
+    mesh.run_until(1.25);
+    assert_eq!(mesh.senders(), 0);
+    assert_eq!(mesh.end(), Some(End::RolledBack));
+    assert!(
+        mesh.table.revision > completed,
+        "a rollback is a new revision"
+    );
+}
+
+#[test]
+fn outcome_says_when_why_and_who_for_every_domain() {
+    let mesh = Mesh::new(setup(bad(later, vec![]), 100));
+    let before = mesh.table.revision;
+    let figures = mesh.run();
+    let outcome = figures.outcome.unwrap();
+    let finding = outcome.finding.unwrap();
+    assert_eq!(finding.cause, Cause::Failures);
+    assert_eq!(finding.route, name::<Name>("desk"));
+    assert!(finding.candidate.failed > 0 && finding.candidate.done > finding.candidate.failed);
+    assert_eq!(finding.baseline.failed, 0);
+    assert!(finding.at > BEGIN + SPAN.mul_f64(0.4) && outcome.at >= finding.at);
+    let domains: Vec<&str> = outcome
+        .domains
+        .iter()
+        .map(|report| report.domain.as_str())
+        .collect();
+    assert_eq!(domains, mesh::DOMAINS);
+    assert!(outcome.domains.iter().all(|report| report.reached));
+    assert!(before < Revision(4));
+}
+
+fn record(host: &str, version: &str, slots: u32, state: State) -> Record {
+    Record {
+        contact: Contact {
+            address: "127.0.0.1:1".parse().unwrap(),
+            domain: name("luzon-a"),
+            host: name(host),
+            region: name("luzon"),
+        },
+        incarnation: BEGIN,
+        offer: Some(Offer {
+            address: "127.0.0.1:1".parse().unwrap(),
+            connections: 120,
+            service: name("desk"),
+            slots,
+            version: name(version),
+        }),
+        sequence: 1,
+        state,
+    }
+}
+
+fn count(host: &str, version: &str, route: &str, done: u32, failed: u32) -> Count {
+    Count {
+        busy: Duration::from_millis(100) * done,
+        crashed: 0,
+        done,
+        failed,
+        host: name(host),
+        late: 0,
+        route: name(route),
+        version: name(version),
+    }
+}
+
+/// A single node, driven by hand.
+struct Lone {
+    controller: Controller,
+    now: Moment,
+    ramps: BTreeMap<Name, Ramp>,
+    submitted: Vec<String>,
+}
+
+impl Lone {
+    fn new(table: Snapshot, records: Vec<Record>) -> Self {
+        let controller = Controller::new(Start {
+            domain: name("luzon-a"),
+            host: name("n0"),
+            now: BEGIN,
+        });
+        let mut lone = Self {
+            controller,
+            now: BEGIN,
+            ramps: BTreeMap::new(),
+            submitted: Vec::new(),
+        };
+        lone.drive(Event::Members(records));
+        lone.drive(Event::Installed(Arc::new(table)));
+        lone
+    }
+
+    fn drive(&mut self, event: Event) {
+        for action in self.controller.handle(self.now, event) {
+            match action {
+                Action::Ramps(ramps) => self.ramps = ramps,
+                Action::Submit(operation) => self.submitted.push(operation.id),
+                Action::Send(..) => {}
+            }
+        }
+    }
+
+    fn step(&mut self, counts: Vec<Count>) {
+        self.now = self.now + STEP;
+        self.drive(Event::Counted(counts));
+        self.drive(Event::Tick);
+    }
+
+    fn share(&self, rollout: &str) -> Permille {
+        self.ramps[&name::<Name>(rollout)].share
+    }
+}
+
+fn table(rollouts: &[(&str, Rollout)]) -> Snapshot {
+    let mut table = Snapshot::default();
+    mesh::accept(&mut table, BEGIN, mesh::base()).unwrap();
+    for (title, rollout) in rollouts {
+        let path = format!("/{}", rollout.route);
+        let shares = [(rollout.from.clone(), Permille::WHOLE)].into();
+        let service = name("desk");
+        let route = Route {
+            path,
+            service,
+            shares,
+        };
+        let route = Change::Put(key(Kind::Route, rollout.route.as_str()), Spec::Route(route));
+        mesh::accept(&mut table, BEGIN, vec![route]).unwrap();
+        mesh::accept(&mut table, BEGIN, vec![put(title, rollout.clone())]).unwrap();
+    }
+    table
+}
+
+fn put(title: &str, rollout: Rollout) -> Change {
+    Change::Put(key(Kind::Rollout, title), Spec::Rollout(rollout))
+}
+
+fn on(route: &str) -> Rollout {
+    Rollout {
+        route: name(route),
+        ..mesh::rollout(BEGIN + SPAN, Preference::Completion)
+    }
+}
+
+fn hosts(slots: u32) -> Vec<Record> {
+    vec![
+        record("old-0", "desk-1", 120, State::Ready),
+        record("old-1", "desk-1", 120, State::Ready),
+        record("new-0", "desk-2", slots, State::Ready),
+        record("new-1", "desk-2", slots, State::Ready),
+    ]
+}
+
+#[test]
+fn version_that_is_bad_on_one_route_of_many_is_taken_back_there_only() {
+    let table = table(&[
+        ("first", on("one")),
+        ("second", on("two")),
+        ("third", on("three")),
+    ]);
+    let mut lone = Lone::new(table, hosts(1200));
+    for _ in 0..240 {
+        let mut counts = Vec::new();
+        for route in ["one", "two", "three"] {
+            let failed = u32::from(route == "two");
+            counts.push(count("old-0", "desk-1", route, 20, 0));
+            counts.push(count("new-0", "desk-2", route, 2, failed));
+            counts.push(count("new-1", "desk-2", route, 2, failed));
+        }
+        lone.step(counts);
+    }
+    assert_eq!(lone.share("second"), Permille(0));
+    assert!(lone.share("first") > Permille(0) && lone.share("third") > Permille(0));
+    assert!(lone.submitted.iter().all(|id| id.contains("second")));
+    assert!(!lone.submitted.is_empty());
+}
+
+#[test]
+fn share_never_runs_ahead_of_the_slots_of_the_new_version() {
+    let mut lone = Lone::new(table(&[("move", on("one"))]), hosts(4));
+    for _ in 0..1160 {
+        // 40 requests at a time; 8 slots carry a fifth of them.
+        lone.step(vec![
+            count("old-0", "desk-1", "one", 90, 0),
+            count("new-0", "desk-2", "one", 5, 0),
+            count("new-1", "desk-2", "one", 5, 0),
+        ]);
+        assert!(
+            lone.share("move") <= Permille(200),
+            "{}",
+            lone.share("move")
+        );
+    }
+    while lone.submitted.is_empty() {
+        lone.step(vec![count("old-0", "desk-1", "one", 90, 0)]);
+    }
+    assert!(
+        lone.submitted[0].ends_with("rolled-back"),
+        "it could not be done in time"
+    );
+    assert_eq!(lone.share("move"), Permille(0));
+}
+
+#[test]
+fn old_version_takes_the_traffic_back_when_the_new_one_leaves() {
+    let mut lone = Lone::new(table(&[("move", on("one"))]), hosts(1200));
+    for _ in 0..400 {
+        lone.step(vec![
+            count("old-0", "desk-1", "one", 20, 0),
+            count("new-0", "desk-2", "one", 20, 0),
+        ]);
+    }
+    assert!(lone.share("move") > Permille(100));
+    let leaving = ["new-0", "new-1"].map(|host| record(host, "desk-2", 1200, State::Leaving));
+    lone.drive(Event::Members(leaving.into()));
+    lone.step(vec![]);
+    assert_eq!(lone.share("move"), Permille(0));
+}
+
+#[test]
+fn run_of_failures_stops_a_node_before_any_verdict() {
+    let mut lone = Lone::new(table(&[("move", on("one"))]), hosts(1200));
+    lone.step(vec![count("old-0", "desk-1", "one", 5, 0)]);
+    assert_eq!(lone.share("move"), Permille(20));
+    lone.step(vec![
+        count("new-0", "desk-2", "one", 3, 3),
+        count("new-1", "desk-2", "one", 2, 2),
+        count("old-0", "desk-1", "one", 5, 0),
+    ]);
+    assert_eq!(lone.share("move"), Permille(0));
+    assert!(lone.submitted.is_empty());
+}
+
+#[test]
+fn run_of_failures_that_the_old_version_shows_as_well_stops_nothing() {
+    let mut lone = Lone::new(table(&[("move", on("one"))]), hosts(1200));
+    lone.step(vec![
+        count("old-0", "desk-1", "one", 5, 5),
+        count("new-0", "desk-2", "one", 3, 3),
+        count("new-1", "desk-2", "one", 3, 3),
+    ]);
+    assert_eq!(lone.share("move"), Permille(20));
+}
+
+#[test]
+fn veto_overtakes_the_configuration_that_it_is_about() {
+    let table = table(&[("move", on("one"))]);
+    let mut vetoed = Lone::new(table.clone(), hosts(1200));
+    let mut veto = None;
+    while veto.is_none() {
+        vetoed.now = vetoed.now + STEP;
+        let peers = mulberryshelf::rollout::Role {
+            siblings: [name("n1")].into(),
+            ..Default::default()
+        };
+        vetoed.drive(Event::Role(peers));
+        let counts = vec![
+            count("old-0", "desk-1", "one", 20, 0),
+            count("new-0", "desk-2", "one", 2, 2),
+            count("new-1", "desk-2", "one", 2, 2),
+        ];
+        vetoed.drive(Event::Counted(counts));
+        let actions = vetoed.controller.handle(vetoed.now, Event::Tick);
+        veto = actions.into_iter().find_map(|action| match action {
+            Action::Send(_, message @ Message::Veto(..)) => Some(message),
+            _ => None,
+        });
+    }
+    let mut fresh = Lone::new(Snapshot::default(), hosts(1200));
+    fresh.drive(Event::Received(name("n0"), veto.unwrap()));
+    fresh.drive(Event::Installed(Arc::new(table)));
+    assert_eq!(fresh.share("move"), Permille(0));
+}
+
+#[test]
+fn growing_share_moves_a_request_one_way_only() {
+    let table = table(&[]);
+    let ramps = |share| {
+        let ramp = Ramp {
+            from: name("desk-1"),
+            route: name("desk"),
+            share: Permille(share),
+            to: name("desk-2"),
+        };
+        BTreeMap::from([(name::<Name>("move"), ramp)])
+    };
+    let shares: Vec<traffic::route::Index> = [0, 20, 50, 100, 300, 700, 1000]
+        .into_iter()
+        .map(|share| traffic::route::Index::new(&table, &ramps(share)))
+        .collect();
+    for request in 0..500 {
+        let id = format!("key-{request}");
+        let moved: Vec<bool> = shares
+            .iter()
+            .map(|index| {
+                let route = index.find(&name("desk"), "/").unwrap();
+                route.version(&id).unwrap().as_str() == "desk-2"
+            })
+            .collect();
+        assert!(moved.is_sorted(), "{id}: {moved:?}");
+        assert!(!moved[0] && moved[6]);
+    }
+}
+
+fn refusal(result: Result<(), Vec<Refusal>>) -> String {
+    let faults: Vec<String> = result
+        .unwrap_err()
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    faults.join("; ")
+}
+
+#[test]
+fn second_rollout_on_a_route_is_refused_and_names_the_first() {
+    let mut table = table(&[("move", on("one"))]);
+    let refused = refusal(mesh::accept(
+        &mut table,
+        BEGIN,
+        vec![put("again", on("one"))],
+    ));
+    insta::assert_snapshot!(refused, @"rollout/again spec.route: is moved by rollout/move already");
+}
+
+#[test]
+fn deadline_may_be_moved_and_nothing_else() {
+    let mut table = table(&[("move", on("one"))]);
+    let later = Rollout {
+        deadline: BEGIN + SPAN * 2,
+        ..on("one")
+    };
+    let now = BEGIN + Duration::from_secs(9);
+    mesh::accept(&mut table, now, vec![put("move", later.clone())]).unwrap();
+    let Spec::Rollout(held) = &table.get(Kind::Rollout, &name("move")).unwrap().spec else {
+        panic!("not a rollout");
+    };
+    assert_eq!((held.deadline, held.started), (BEGIN + SPAN * 2, BEGIN));
+    let other = Rollout {
+        to: name("desk-3"),
+        ..later
+    };
+    let refused = refusal(mesh::accept(&mut table, now, vec![put("move", other)]));
+    insta::assert_snapshot!(refused, @"rollout/move spec.to: is fixed once accepted; delete the rollout to begin another one");
+}
+
+#[test]
+fn version_and_route_of_a_running_rollout_are_kept() {
+    let mut table = table(&[("move", on("one"))]);
+    let delete = |kind, text: &str| vec![Change::Delete(key(kind, text))];
+    let refused = refusal(mesh::accept(
+        &mut table,
+        BEGIN,
+        delete(Kind::Version, "desk-2"),
+    ));
+    insta::assert_snapshot!(refused, @"rollout/move spec.to: refers to version/desk-2, which does not exist");
+    let half = Route {
+        path: "/one".into(),
+        service: name("desk"),
+        shares: [
+            (name("desk-1"), Permille(500)),
+            (name("desk-2"), Permille(500)),
+        ]
+        .into(),
+    };
+    let half = Change::Put(key(Kind::Route, "one"), Spec::Route(half));
+    let refused = refusal(mesh::accept(&mut table, BEGIN, vec![half]));
+    insta::assert_snapshot!(refused, @"route/one spec: is moved by rollout/move; delete that first");
+}
+
+#[test]
+fn cancelled_rollout_gives_the_old_version_all_traffic_back() {
+    let mut table = table(&[("move", on("one"))]);
+    let mut lone = Lone::new(table.clone(), hosts(1200));
+    lone.step(vec![]);
+    assert_eq!(lone.share("move"), Permille(20));
+    let delete = vec![Change::Delete(key(Kind::Rollout, "move"))];
+    mesh::accept(&mut table, lone.now, delete).unwrap();
+    lone.drive(Event::Installed(Arc::new(table)));
+    assert!(lone.ramps.is_empty());
+}
+
+#[test]
+fn end_of_a_rollout_is_final_and_the_loser_is_told() {
+    let mut mesh = Mesh::new(setup(bad(later, vec![]), 100));
+    mesh.run_until(0.9);
+    assert_eq!(mesh.end(), Some(End::RolledBack));
+    let resource = mesh
+        .table
+        .get(Kind::Rollout, &name("move"))
+        .unwrap()
+        .clone();
+    let Spec::Rollout(mut rollout) = resource.spec else {
+        panic!("not a rollout");
+    };
+    let mut outcome = mesh.outcome().unwrap();
+    outcome.end = End::Completed;
+    rollout.outcome = Some(Box::new(outcome));
+    let refused = refusal(mesh::accept(
+        &mut mesh.table,
+        mesh.now,
+        vec![put("move", rollout.clone())],
+    ));
+    insta::assert_snapshot!(refused, @"rollout/move status.outcome: the rollout has ended, and its end stands");
+    let again = Rollout {
+        deadline: mesh.now + SPAN,
+        ..rollout.declared()
+    };
+    let refused = refusal(mesh::accept(
+        &mut mesh.table,
+        mesh.now,
+        vec![put("move", again.clone())],
+    ));
+    insta::assert_snapshot!(refused, @"rollout/move spec.deadline: can't be moved, as the rollout has ended; delete it to begin another one");
+    let anew = vec![Change::Delete(resource.key), put("move", again)];
+    mesh::accept(&mut mesh.table, mesh.now, anew).unwrap();
+    assert_eq!(mesh.end(), None);
+}
--- /dev/null
+++ b/tests/rollout/mesh.rs
@@ -0,0 +1,824 @@
+//! A small mesh in virtual time: the real state machines of rollouts, a table that can be out of reach,
+//! links that can be cut, and fakes that yield the outcomes of two versions.
+
+use {
+    mulberryshelf::{
+        member::{Contact, Offer, Record, State},
+        resource::{Change, Key, Kind, Preference, Rollout, Route, Spec, VersionSpec},
+        rollout::{
+            Action, Controller, Event, Role, Start,
+            evidence::Count,
+            message::Message,
+            outcome::{End, Outcome},
+        },
+        snapshot::Snapshot,
+        source::Operation,
+        traffic::Ramp,
+        validate, wire,
+        world::{Host, Moment, Name, Permille, Revision},
+    },
+    rand::{Rng, SeedableRng, rngs::StdRng},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+pub const DOMAINS: [&str; 4] = ["luzon-a", "luzon-b", "visayas-a", "visayas-b"];
+pub const STEP: Duration = Duration::from_millis(250);
+pub const BEGIN: Moment = Moment(1_000_000_000_000_000);
+const NODES_A_DOMAIN: usize = 3;
+const NODES: f64 = 12.0;
+
+/// The evidence, in nats, after which badness has shown: see the targets in docs/design/rollouts.md.
+pub const SHOWN: f64 = 15.0;
+
+/// The chances of one answer.
+#[derive(Debug, Clone, Copy)]
+pub struct Rates {
+    pub crash: f64,
+    pub fail: f64,
+    pub late: f64,
+}
+
+/// What the chances of an answer depend on.
+pub struct Case {
+    /// Whether the new version answers.
+    pub new: bool,
+    /// The number of the host within its version.
+    pub host: usize,
+    pub host_domain: usize,
+    pub caller_domain: usize,
+    /// The part of the rollout's time that has passed.
+    pub time: f64,
+    pub share: f64,
+    /// Noise that all hosts share at this moment, from 0 to 1.
+    pub noise: f64,
+}
+
+/// What else goes wrong.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Fault {
+    /// The domain is cut off from all others and the platform for a part of the time.
+    CutDomain(usize, f64, f64),
+    /// The regions are cut off from each other.
+    CutRegions(f64, f64),
+    /// The new version has no host in the last domain.
+    NoHostInLastDomain,
+    /// A request that crashes two upstreams, at these times.
+    Poison([f64; 3]),
+    /// The platform can't be reached.
+    PlatformDown(f64, f64),
+    /// The roots of the trees die in turn.
+    RootsDie,
+}
+
+/// A kind of version, and what stands beside it.
+#[derive(Clone)]
+pub struct Specimen {
+    pub name: &'static str,
+    pub good: bool,
+    pub rates: fn(&Case) -> Rates,
+    pub faults: Vec<Fault>,
+}
+
+/// How shares are set.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Policy {
+    Timetable,
+    Threshold,
+    Conductor,
+    Sequential,
+}
+
+#[derive(Clone)]
+pub struct Setup {
+    pub policy: Policy,
+    pub preference: Preference,
+    pub rate: u32,
+    pub seed: u64,
+    pub span: Duration,
+    pub specimen: Specimen,
+    /// How long it runs on after the deadline.
+    pub tail: Duration,
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct Figures {
+    pub bytes: u32,
+    /// The requests that the new version got while it was bad.
+    pub bad_requests: u32,
+    /// Those after its badness had shown.
+    pub late_requests: u32,
+    /// What the target allows: 200 requests and 5 s of the share of the rate when badness showed.
+    pub bound: f64,
+    pub in_time: bool,
+    pub link_bytes: u32,
+    pub outcome: Option<Outcome>,
+    pub seconds: Option<f64>,
+    pub shown: bool,
+    pub taken_back: bool,
+}
+
+pub struct Node {
+    pub controller: Controller,
+    pub domain: usize,
+    pub host: Host,
+    pub alive: bool,
+    pub paused: bool,
+    pub ramps: BTreeMap<Name, Ramp>,
+    snapshot: Revision,
+    pending: Vec<(Moment, Vec<Count>)>,
+}
+
+impl Node {
+    fn serves(&self) -> bool {
+        self.alive && !self.paused
+    }
+}
+
+struct Upstream {
+    domain: usize,
+    host: Host,
+    index: usize,
+    down_until: Moment,
+}
+
+pub struct Mesh {
+    pub setup: Setup,
+    pub now: Moment,
+    pub nodes: Vec<Node>,
+    pub table: Snapshot,
+    pub figures: Figures,
+    pub refused: Vec<validate::Fault>,
+    pub accepted: Vec<Operation>,
+    inbox: Vec<(Moment, usize, usize, Message)>,
+    rng: StdRng,
+    upstreams: [Vec<Upstream>; 2],
+    known: f64,
+    shown_at: Option<Moment>,
+    last_new_at: Moment,
+    rival: Rival,
+}
+
+/// The state of the policies that are compared with.
+#[derive(Default)]
+struct Rival {
+    stopped: bool,
+    window: Vec<(Moment, u32, u32)>,
+}
+
+pub fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().unwrap()
+}
+
+pub fn key(kind: Kind, text: &str) -> Key {
+    Key {
+        kind,
+        name: name(text),
+    }
+}
+
+pub fn rollout(deadline: Moment, preference: Preference) -> Rollout {
+    Rollout {
+        deadline,
+        from: name("desk-1"),
+        outcome: None,
+        preference,
+        route: name("desk"),
+        started: Moment::default(),
+        to: name("desk-2"),
+    }
+}
+
+pub fn base() -> Vec<Change> {
+    let version = |text: &str| {
+        let service = name("desk");
+        let spec = Spec::Version(VersionSpec { service });
+        Change::Put(key(Kind::Version, text), spec)
+    };
+    let route = Route {
+        path: "/".into(),
+        service: name("desk"),
+        shares: [(name("desk-1"), Permille::WHOLE)].into(),
+    };
+    vec![
+        version("desk-1"),
+        version("desk-2"),
+        version("desk-3"),
+        Change::Put(key(Kind::Route, "desk"), Spec::Route(route)),
+    ]
+}
+
+/// Accepts changes as an operator's, at a time.
+pub fn accept(
+    table: &mut Snapshot,
+    now: Moment,
+    changes: Vec<Change>,
+) -> Result<(), Vec<validate::Fault>> {
+    let mut operation = Operation {
+        changes: changes.into_iter().map(|change| (change, None)).collect(),
+        id: "operator".into(),
+    };
+    mulberryshelf::rollout::rules::stamp(now, table, &mut operation);
+    submit(table, &operation)
+}
+
+pub fn submit(table: &mut Snapshot, operation: &Operation) -> Result<(), Vec<validate::Fault>> {
+    let mut next = table.clone();
+    next.revision = table.revision.next();
+    *table = validate::operation(&next, operation)?;
+    Ok(())
+}
+
+impl Mesh {
+    pub fn new(setup: Setup) -> Self {
+        let mut table = Snapshot::default();
+        accept(&mut table, BEGIN, base()).unwrap();
+        let move_ = rollout(BEGIN + setup.span, setup.preference);
+        let change = Change::Put(key(Kind::Rollout, "move"), Spec::Rollout(move_));
+        accept(&mut table, BEGIN, vec![change]).unwrap();
+        let lonely = setup.specimen.faults.contains(&Fault::NoHostInLastDomain);
+        let upstreams = ["old", "new"].map(|version| {
+            (0..8)
+                .filter(|index| *index < 7 || version == "old")
+                .filter(|index| version == "old" || !lonely || index % 4 != 3)
+                .map(|index| Upstream {
+                    domain: index % 4,
+                    host: name(&format!("{version}-{index}")),
+                    index,
+                    down_until: Moment::default(),
+                })
+                .collect()
+        });
+        let mut nodes = Vec::new();
+        for (domain, title) in DOMAINS.iter().enumerate() {
+            for index in 0..NODES_A_DOMAIN {
+                let host: Host = name(&format!("n{domain}-{index}"));
+                nodes.push(Node {
+                    controller: Controller::new(Start {
+                        domain: name(title),
+                        host: host.clone(),
+                        now: BEGIN,
+                    }),
+                    domain,
+                    host,
+                    alive: true,
+                    paused: false,
+                    ramps: BTreeMap::new(),
+                    snapshot: Revision::default(),
+                    pending: Vec::new(),
+                });
+            }
+        }
+        let mut mesh = Self {
+            now: BEGIN,
+            nodes,
+            table,
+            figures: Figures::default(),
+            refused: Vec::new(),
+            accepted: Vec::new(),
+            inbox: Vec::new(),
+            rng: StdRng::seed_from_u64(setup.seed),
+            upstreams,
+            known: 0.0,
+            shown_at: None,
+            last_new_at: BEGIN,
+            rival: Rival::default(),
+            setup,
+        };
+        for node in 0..mesh.nodes.len() {
+            mesh.introduce(node);
+        }
+        mesh.place();
+        mesh
+    }
+
+    /// Tells a node what it knows from its start: the hosts and the configuration.
+    fn introduce(&mut self, node: usize) {
+        let records = self.records();
+        self.drive(node, Event::Members(records));
+        self.install(node);
+    }
+
+    fn install(&mut self, node: usize) {
+        self.nodes[node].snapshot = self.table.revision;
+        let snapshot = Arc::new(self.table.clone());
+        self.drive(node, Event::Installed(snapshot));
+    }
+
+    fn records(&self) -> Vec<Record> {
+        ["desk-1", "desk-2"]
+            .iter()
+            .zip(&self.upstreams)
+            .flat_map(|(version, upstreams)| {
+                upstreams.iter().map(move |upstream| Record {
+                    contact: Contact {
+                        address: "127.0.0.1:1".parse().unwrap(),
+                        domain: name(DOMAINS[upstream.domain]),
+                        host: upstream.host.clone(),
+                        region: name(&DOMAINS[upstream.domain][..5]),
+                    },
+                    incarnation: BEGIN,
+                    offer: Some(Offer {
+                        address: "127.0.0.1:1".parse().unwrap(),
+                        connections: 120,
+                        service: name("desk"),
+                        slots: 1200,
+                        version: name(version),
+                    }),
+                    sequence: 1,
+                    state: State::Ready,
+                })
+            })
+            .collect()
+    }
+
+    /// Gives every live node its place: the first live one of a domain is the root of its tree.
+    pub fn place(&mut self) {
+        let conductor = self.setup.policy == Policy::Conductor;
+        let mut roots = Vec::new();
+        for domain in 0..DOMAINS.len() {
+            let live = |node: &&Node| node.serves() && (conductor || node.domain == domain);
+            let root = self.nodes.iter().find(live).map(|node| node.host.clone());
+            roots.push(root);
+        }
+        for index in 0..self.nodes.len() {
+            let node = &self.nodes[index];
+            if !node.serves() {
+                continue;
+            }
+            let root = roots[node.domain].clone().unwrap();
+            let is_root = root == node.host;
+            let mine = |other: &&Node| {
+                other.alive && other.host != node.host && (conductor || other.domain == node.domain)
+            };
+            let children = self.nodes.iter().filter(mine);
+            let children = children.map(|node| node.host.clone()).collect();
+            let siblings = roots.iter().flatten().filter(|host| **host != root);
+            let role = Role {
+                children: if is_root { children } else { BTreeSet::new() },
+                parent: (!is_root).then_some(root.clone()),
+                siblings: if is_root {
+                    siblings.cloned().collect()
+                } else {
+                    BTreeSet::new()
+                },
+            };
+            self.drive(index, Event::Role(role));
+        }
+    }
+
+    /// Gives the part of the rollout's time that has passed.
+    pub fn time(&self) -> f64 {
+        self.now.since(BEGIN).as_secs_f64() / self.setup.span.as_secs_f64()
+    }
+
+    fn platform_up(&self) -> bool {
+        let time = self.time();
+        !self.setup.specimen.faults.iter().any(
+            |fault| matches!(fault, Fault::PlatformDown(from, to) if (*from..*to).contains(&time)),
+        )
+    }
+
+    /// Tells whether two domains reach each other; the platform is in the first one.
+    fn linked(&self, a: usize, b: usize) -> bool {
+        let time = self.time();
+        a == b
+            || !self.setup.specimen.faults.iter().any(|fault| match fault {
+                Fault::CutDomain(domain, from, to) => {
+                    (a == *domain || b == *domain) && (*from..*to).contains(&time)
+                }
+                Fault::CutRegions(from, to) => (a < 2) != (b < 2) && (*from..*to).contains(&time),
+                _ => false,
+            })
+    }
+
+    pub fn drive(&mut self, node: usize, event: Event) {
+        if self.nodes[node].paused {
+            return;
+        }
+        let actions = self.nodes[node].controller.handle(self.now, event);
+        for action in actions {
+            self.act(node, action);
+        }
+    }
+
+    fn act(&mut self, node: usize, action: Action) {
+        match action {
+            Action::Ramps(ramps) => self.nodes[node].ramps = ramps,
+            Action::Send(host, message) => self.send(node, &host, message),
+            Action::Submit(operation) => self.submitted(node, &operation),
+        }
+    }
+
+    fn send(&mut self, from: usize, host: &Host, message: Message) {
+        let Some(to) = self.nodes.iter().position(|node| node.host == *host) else {
+            return;
+        };
+        let (a, b) = (self.nodes[from].domain, self.nodes[to].domain);
+        if !self.nodes[to].alive || !self.linked(a, b) {
+            return;
+        }
+        if self.setup.policy == Policy::Conductor && !self.platform_up() {
+            return;
+        }
+        let bytes = u32::try_from(wire::encode(&message).unwrap().len()).unwrap();
+        self.figures.bytes += bytes;
+        if (a < 2) != (b < 2) {
+            self.figures.link_bytes += bytes;
+        }
+        let lag = self.rng.random_range(Duration::from_millis(1)..STEP);
+        self.inbox.push((self.now + lag, from, to, message));
+    }
+
+    fn submitted(&mut self, node: usize, operation: &Operation) {
+        if !self.platform_up() || !self.linked(self.nodes[node].domain, 0) {
+            return;
+        }
+        match submit(&mut self.table, operation) {
+            Ok(()) => self.accepted.push(operation.clone()),
+            Err(faults) => self.refused.extend(faults),
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, kept) = std::mem::take(&mut self.inbox)
+            .into_iter()
+            .partition(|(at, ..)| *at <= now);
+        self.inbox = kept;
+        for (_, from, to, message) in due {
+            let host = self.nodes[from].host.clone();
+            if self.nodes[to].alive {
+                self.drive(to, Event::Received(host, message));
+            }
+        }
+    }
+
+    /// Lets one step of time pass.
+    pub fn step(&mut self) {
+        self.now = self.now + STEP;
+        self.fail();
+        self.deliver();
+        self.spread();
+        self.load();
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].alive {
+                self.report(node);
+                if matches!(self.setup.policy, Policy::Sequential | Policy::Conductor) {
+                    self.drive(node, Event::Tick);
+                }
+            }
+        }
+        self.compare();
+        if self.now == BEGIN + self.setup.span {
+            let done = (0..self.nodes.len())
+                .filter(|node| self.nodes[*node].alive)
+                .all(|node| self.share(node) >= Permille::WHOLE);
+            self.figures.in_time = done;
+        }
+    }
+
+    /// Runs until a part of the rollout's time has passed.
+    pub fn run_until(&mut self, time: f64) {
+        while self.time() < time {
+            self.step();
+        }
+    }
+
+    /// Runs to the end.
+    pub fn run(mut self) -> Figures {
+        let end = BEGIN + self.setup.span + self.setup.tail;
+        while self.now < end {
+            self.step();
+        }
+        self.finish()
+    }
+
+    pub fn finish(mut self) -> Figures {
+        let taken_back = (0..self.nodes.len()).all(|node| self.share(node) == Permille(0));
+        self.figures.taken_back = taken_back;
+        self.figures.shown = self.shown_at.is_some();
+        self.figures.seconds = self
+            .shown_at
+            .filter(|_| taken_back)
+            .map(|at| self.last_new_at.since(at).as_secs_f64());
+        self.figures.outcome = self.outcome();
+        self.figures
+    }
+
+    pub fn outcome(&self) -> Option<Outcome> {
+        let held = self.table.get(Kind::Rollout, &name("move"))?;
+        match &held.spec {
+            Spec::Rollout(rollout) => rollout.outcome.as_deref().cloned(),
+            _ => None,
+        }
+    }
+
+    pub fn end(&self) -> Option<End> {
+        self.outcome().map(|outcome| outcome.end)
+    }
+
+    /// Hands the table's state to the nodes that reach it or one that has it.
+    fn spread(&mut self) {
+        for node in 0..self.nodes.len() {
+            let stale = self.nodes[node].snapshot < self.table.revision;
+            let reached = self.linked(self.nodes[node].domain, 0);
+            if stale && reached && self.nodes[node].alive && !self.nodes[node].paused {
+                self.install(node);
+            }
+        }
+    }
+
+    fn fail(&mut self) {
+        let time = self.time();
+        let step = STEP.as_secs_f64() / self.setup.span.as_secs_f64();
+        let passed = |at: f64| time >= at && time < at + step;
+        let poisoned = self.setup.specimen.faults.iter().any(
+            |fault| matches!(fault, Fault::Poison(times) if times.iter().any(|at| passed(*at))),
+        );
+        if poisoned {
+            self.poison();
+        }
+        if self.setup.specimen.faults.contains(&Fault::RootsDie) {
+            let turns: Vec<u8> = (0..16)
+                .filter(|turn| passed(f64::from(*turn) / 16.0 + 0.02))
+                .collect();
+            for turn in turns.into_iter().map(usize::from) {
+                self.kill((turn % 4) * NODES_A_DOMAIN + (turn / 4) % NODES_A_DOMAIN);
+            }
+        }
+    }
+
+    /// One request that crashes whatever runs it, sent again once.
+    fn poison(&mut self) {
+        for _ in 0..2 {
+            let caller = self.rng.random_range(0..self.nodes.len());
+            let share = f64::from(self.share(caller).0) / 1000.0;
+            let side = usize::from(self.rng.random_bool(share));
+            let picked = self.rng.random_range(0..self.upstreams[side].len());
+            let upstream = &mut self.upstreams[side][picked];
+            upstream.down_until = self.now + Duration::from_secs(10);
+            let count = Count {
+                crashed: 8,
+                done: 8,
+                ..empty(&upstream.host, side)
+            };
+            let now = self.now;
+            self.nodes[caller].pending.push((now, vec![count]));
+        }
+    }
+
+    /// Replaces a node by a fresh one, which comes back after the others have taken over.
+    fn kill(&mut self, node: usize) {
+        let all: Vec<usize> = (0..self.nodes.len()).collect();
+        for other in all {
+            if !self.nodes[other].alive {
+                self.nodes[other].alive = true;
+                self.introduce(other);
+            }
+        }
+        let dead = &mut self.nodes[node];
+        dead.alive = false;
+        dead.ramps.clear();
+        dead.controller = Controller::new(Start {
+            domain: name(DOMAINS[dead.domain]),
+            host: dead.host.clone(),
+            now: self.now,
+        });
+        self.place();
+    }
+
+    /// Stops a node without its knowledge; another one takes its place.
+    pub fn pause(&mut self, node: usize) {
+        self.nodes[node].paused = true;
+        self.place();
+    }
+
+    /// Wakes a paused node, which still takes itself for what it was; what was sent to it is lost.
+    pub fn resume(&mut self, node: usize) {
+        self.nodes[node].paused = false;
+        self.drive(node, Event::Tick);
+    }
+
+    /// Gives the nodes whose callers still send to the new version.
+    pub fn senders(&self) -> usize {
+        let sends = |node: &usize| self.share(*node) > Permille(0);
+        (0..self.nodes.len()).filter(sends).count()
+    }
+
+    /// Gives the share of the new version at a node.
+    pub fn share(&self, node: usize) -> Permille {
+        match self.setup.policy {
+            Policy::Threshold if self.rival.stopped => Permille(0),
+            Policy::Threshold | Policy::Timetable => self.timetable(),
+            Policy::Conductor | Policy::Sequential => self.ramped(node),
+        }
+    }
+
+    fn ramped(&self, node: usize) -> Permille {
+        if let Some(ramp) = self.nodes[node].ramps.get(&name::<Name>("move")) {
+            return ramp.share;
+        }
+        match &self.table.get(Kind::Route, &name("desk")).unwrap().spec {
+            Spec::Route(route) => {
+                let share = route.shares.get(&name("desk-2"));
+                share.copied().unwrap_or_default()
+            }
+            _ => Permille(0),
+        }
+    }
+
+    fn timetable(&self) -> Permille {
+        let passed = self.now.since(BEGIN).as_millis() * 1000;
+        let share = passed / self.setup.span.mul_f64(0.8).as_millis();
+        Permille(u16::try_from(share.clamp(20, 1000)).unwrap())
+    }
+
+    fn load(&mut self) {
+        let noise = noise(self.now, self.setup.seed);
+        let mean = f64::from(self.setup.rate) * STEP.as_secs_f64() / NODES;
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].alive {
+                let requests = poisson(&mut self.rng, mean);
+                self.requests(node, requests, noise);
+            }
+        }
+    }
+
+    fn requests(&mut self, node: usize, requests: u32, noise: f64) {
+        let share = f64::from(self.share(node).0) / 1000.0;
+        let domain = self.nodes[node].domain;
+        let mut counts: BTreeMap<(usize, usize), Count> = BTreeMap::new();
+        for _ in 0..requests {
+            let side = usize::from(share > 0.0 && self.rng.random_bool(share));
+            let Some(picked) = self.pick(side, domain) else {
+                continue;
+            };
+            let upstream = &self.upstreams[side][picked];
+            let case = Case {
+                new: side == 1,
+                host: upstream.index,
+                host_domain: upstream.domain,
+                caller_domain: domain,
+                time: self.time(),
+                share,
+                noise,
+            };
+            let rates = (self.setup.specimen.rates)(&case);
+            let host = upstream.host.clone();
+            let point = self.rng.random::<f64>();
+            let count = counts
+                .entry((side, picked))
+                .or_insert_with(|| empty(&host, side));
+            count.done += 1;
+            count.busy += Duration::from_millis(20);
+            let bad = point < rates.crash + rates.fail + rates.late;
+            if point < rates.crash {
+                count.crashed += 1;
+            } else if point < rates.crash + rates.fail {
+                count.failed += 1;
+            } else if bad {
+                count.late += 1;
+            }
+            self.observe(&case, point);
+        }
+        let at = self.now + Duration::from_millis(200);
+        let counts: Vec<Count> = counts.into_values().collect();
+        if !counts.is_empty() {
+            self.nodes[node].pending.push((at, counts));
+        }
+    }
+
+    /// Collects what the best paired test would know of a version, which knows both versions' rates and
+    /// when they change. Without traffic of the old version it knows what that had been, with the margin
+    /// that the judge allows as well.
+    fn observe(&mut self, case: &Case, point: f64) {
+        if self.setup.specimen.good {
+            return;
+        }
+        let of = |new| (self.setup.specimen.rates)(&Case { new, ..*case });
+        let (old, new) = (of(false), of(true));
+        let failing = new.fail + new.crash > old.fail + old.crash;
+        let (from, to, was) = if failing {
+            (0.0, new.fail + new.crash, old.fail + old.crash)
+        } else {
+            (new.crash + new.fail, new.late, old.late)
+        };
+        let mine = if case.new { to } else { was };
+        let bad = (from..from + mine).contains(&point);
+        if to > was {
+            self.known = (self.known + gain(case, to, was, bad)).max(0.0);
+        }
+        if case.new {
+            self.last_new_at = self.now;
+            self.figures.late_requests += u32::from(self.shown_at.is_some());
+            self.figures.bad_requests += u32::from(to > was);
+        }
+        if self.known >= SHOWN && self.shown_at.is_none() {
+            self.shown_at = Some(self.now);
+            self.figures.bound = 200.0 + 5.0 * case.share * f64::from(self.setup.rate);
+        }
+    }
+
+    fn pick(&mut self, side: usize, domain: usize) -> Option<usize> {
+        let now = self.now;
+        let up = |upstream: &&Upstream| upstream.down_until <= now;
+        let all: Vec<usize> = (0..self.upstreams[side].len())
+            .filter(|index| up(&&self.upstreams[side][*index]))
+            .filter(|index| self.linked(domain, self.upstreams[side][*index].domain))
+            .collect();
+        let own: Vec<usize> = all
+            .iter()
+            .copied()
+            .filter(|index| self.upstreams[side][*index].domain == domain)
+            .collect();
+        let from = if own.is_empty() { all } else { own };
+        (!from.is_empty()).then(|| from[self.rng.random_range(0..from.len())])
+    }
+
+    fn report(&mut self, node: usize) {
+        let now = self.now;
+        let (due, kept) = std::mem::take(&mut self.nodes[node].pending)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.nodes[node].pending = kept;
+        let due: Vec<(Moment, Vec<Count>)> = due;
+        for (_, counts) in due {
+            for count in counts
+                .iter()
+                .filter(|count| count.version.as_str() == "desk-2")
+            {
+                let bad = count.failed + count.crashed + count.late;
+                self.rival.window.push((now, count.done, bad));
+            }
+            self.drive(node, Event::Counted(counts));
+        }
+    }
+
+    /// Applies the plain threshold: over a tenth bad of at least 20 answers in 10 s.
+    fn compare(&mut self) {
+        let now = self.now;
+        self.rival
+            .window
+            .retain(|(at, ..)| now.since(*at) < Duration::from_secs(10));
+        let done: u32 = self.rival.window.iter().map(|(_, done, _)| done).sum();
+        let bad: u32 = self.rival.window.iter().map(|(_, _, bad)| bad).sum();
+        self.rival.stopped |= done >= 20 && bad * 10 > done;
+    }
+}
+
+fn gain(case: &Case, to: f64, was: f64, bad: bool) -> f64 {
+    let was = 1.5 * was + 0.005;
+    if to <= was {
+        return 0.0;
+    }
+    if case.share >= 1.0 {
+        let was = (2.0 * was).max(0.02);
+        let log = if bad {
+            to / was
+        } else {
+            (1.0 - to) / (1.0 - was)
+        };
+        return if to > was { log.ln() } else { 0.0 };
+    }
+    let ratio = to / was;
+    let mean = ratio * case.share + 1.0 - case.share;
+    match (bad, case.new) {
+        (false, _) => 0.0,
+        (true, true) => (ratio / mean).ln(),
+        (true, false) => -mean.ln(),
+    }
+}
+
+fn empty(host: &Host, side: usize) -> Count {
+    Count {
+        busy: Duration::ZERO,
+        crashed: 0,
+        done: 0,
+        failed: 0,
+        host: host.clone(),
+        late: 0,
+        route: name("desk"),
+        version: name(if side == 1 { "desk-2" } else { "desk-1" }),
+    }
+}
+
+/// Gives noise that changes every five seconds and is the same for all hosts.
+fn noise(now: Moment, seed: u64) -> f64 {
+    let slot = now.0 / 5_000_000;
+    StdRng::seed_from_u64(slot ^ seed).random()
+}
+
+fn poisson(rng: &mut StdRng, mean: f64) -> u32 {
+    let limit = (-mean).exp();
+    let mut product: f64 = rng.random();
+    let mut count = 0;
+    while product > limit {
+        product *= rng.random::<f64>();
+        count += 1;
+    }
+    count
+}
