--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -9,6 +9,7 @@
 mod path;
 mod requests;
 mod rollout;
+mod settings;
 mod snapshot;
 #[path = "rollout/specimen.rs"]
 mod specimen;
