Run rollouts in every node

Cause: the state machine of rollouts stood alone. A node now counts the outcomes of its attempts (an answer is late if it took longer than nine in ten of the old version's lately), drives the state machine with its place in the trees, members, messages and time, ramps the traffic, and has ends accepted through the source. GET of a rollout shows the recorded start and end, and the progress that the node knows of.

Found by the new test: a good version was recorded as completed after its deadline when the rollout had 12 s in all, because the old version lost its last share only 0.6 s before it. It now does so at least 5 s before, or a quarter of the time. tests/rollout_nodes.rs: a good version is completed and a bad one rolled back over whole nodes, with the platform up, and down from right after acceptance to after the deadline (4 tests).

--- a/src/api.rs
+++ b/src/api.rs
@@ -225,6 +225,18 @@
     }
 }
 
+/// Adds how far a rollout is, as far as this node knows.
+fn progress(handle: &Handle, mut document: Document) -> Document {
+    let statuses = handle.rollouts();
+    let mut found = statuses
+        .iter()
+        .filter(|status| document.kind == Kind::Rollout && status.name == document.metadata.name);
+    if let Some(status) = found.next() {
+        document.status["progress"] = json!(status);
+    }
+    document
+}
+
 fn list(handle: &Handle, kind: &str) -> Reply {
     let Ok(kind) = kind.parse::<Kind>() else {
         return problem(404, "there is no such kind", &[]);
@@ -234,7 +246,7 @@
         .resources
         .values()
         .filter(|resource| resource.key.kind == kind)
-        .map(Document::show)
+        .map(|resource| progress(handle, Document::show(resource)))
         .collect();
     reply(
         200,
@@ -247,7 +259,7 @@
         return problem(404, "there is no such kind or name", &[]);
     };
     match handle.snapshot().get(kind, &name) {
-        Some(resource) => reply(200, &json!(Document::show(resource))),
+        Some(resource) => reply(200, &json!(progress(handle, Document::show(resource)))),
         None => problem(404, &format!("there is no {kind}/{name}"), &[]),
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -8,6 +8,7 @@
         error::{Error, Result},
         link::{self, Link},
         proxy::{Proxy, egress, ingress::Ingress},
+        rollout,
         settings::Settings,
         telemetry::Telemetry,
         tls::Identity,
@@ -21,6 +22,7 @@
 mod clock;
 mod driver;
 mod handle;
+mod rollouts;
 mod worker;
 
 pub use {clock::Clock, handle::Handle};
@@ -55,6 +57,7 @@
         let handle = Handle {
             coverage: Arc::default(),
             events: events.clone(),
+            rollouts: Arc::default(),
             snapshot: Arc::default(),
             telemetry,
             tickets: Arc::default(),
@@ -74,6 +77,11 @@
             now: clock.now(),
             peers: settings.peers.clone(),
         });
+        let start = rollout::Start {
+            domain: settings.domain.clone(),
+            host: settings.host.clone(),
+            now: clock.now(),
+        };
         let driver = Driver {
             clock,
             control,
@@ -81,6 +89,12 @@
             link: link.clone(),
             platform: worker::spawn(&settings.platform, &events),
             proxy: proxy.clone(),
+            rollouts: rollouts::Rollouts::new(
+                start,
+                link.clone(),
+                proxy.clone(),
+                handle.telemetry().clone(),
+            ),
         };
         tokio::spawn(driver.run(from_edges));
         tokio::spawn(relay(from_link, events, proxy));
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -1,12 +1,12 @@
 //! The loop that drives the decisions: events in, actions out.
 
 use {
-    super::{Clock, Handle},
+    super::{Clock, Handle, rollouts::Rollouts},
     crate::{
         control::{self, Control},
         link::Link,
         proxy::Proxy,
-        source,
+        source::{self, Operation, Ticket},
     },
     std::{
         sync::{Arc, mpsc},
@@ -15,6 +15,9 @@
     tokio::sync::mpsc::UnboundedReceiver,
 };
 
+/// The ticket of operations that no client waits for.
+const UNATTENDED: Ticket = Ticket(u64::MAX);
+
 const TICK: Duration = Duration::from_millis(50);
 
 /// What the loop holds.
@@ -25,6 +28,7 @@
     pub(super) link: Link,
     pub(super) platform: mpsc::Sender<source::Action>,
     pub(super) proxy: Proxy,
+    pub(super) rollouts: Rollouts,
 }
 
 impl Driver {
@@ -41,12 +45,36 @@
                 _ = ticks.tick() => control::Event::Tick,
             };
             self.note(&event);
-            for action in self.control.handle(self.clock.now(), event) {
-                self.act(action);
+            let ticks = matches!(event, control::Event::Tick);
+            self.decide(event);
+            if ticks {
+                let operations = self.rollouts.tick(self.clock.now());
+                self.submit(operations);
+                self.report();
             }
         }
     }
 
+    fn decide(&mut self, event: control::Event) {
+        for action in self.control.handle(self.clock.now(), event) {
+            self.act(action);
+        }
+    }
+
+    /// Has the ends of rollouts accepted, which are decided by this node.
+    fn submit(&mut self, operations: Vec<Operation>) {
+        for operation in operations {
+            self.decide(control::Event::Submitted(UNATTENDED, operation));
+        }
+    }
+
+    fn report(&self) {
+        let statuses = self.rollouts.controller().statuses(self.clock.now());
+        if **self.handle.rollouts.load() != statuses {
+            self.handle.rollouts.store(Arc::new(statuses));
+        }
+    }
+
     fn note(&self, event: &control::Event) {
         match event {
             control::Event::Announced(offer) => self.proxy.offer(Some(offer.clone())),
@@ -65,10 +93,18 @@
             control::Action::Cover(coverage) => self.handle.coverage.store(Arc::new(coverage)),
             control::Action::Install(snapshot) => {
                 self.handle.snapshot.store(snapshot.clone());
-                self.proxy.traffic().install(snapshot);
+                self.proxy.traffic().install(snapshot.clone());
+                let operations = self.rollouts.install(self.clock.now(), snapshot);
+                self.submit(operations);
+            }
+            control::Action::Role(role) => {
+                let operations = self.rollouts.place(self.clock.now(), role);
+                self.submit(operations);
+            }
+            control::Action::Rollout(host, message) => {
+                let operations = self.rollouts.receive(self.clock.now(), host, &message);
+                self.submit(operations);
             }
-            // Nothing in this node judges rollouts yet.
-            control::Action::Role(_) | control::Action::Rollout(..) => {}
             control::Action::Send(host, frame) => self.link.send(&host, &frame),
             control::Action::Source(source::Action::Reply(ticket, verdict)) => {
                 if let Some(waiting) = self.handle.waiting().remove(&ticket.0) {
@@ -77,7 +113,11 @@
                 }
             }
             control::Action::Source(action) => drop(self.platform.send(action)),
-            control::Action::Update(records) => self.proxy.traffic().update(records),
+            control::Action::Update(records) => {
+                self.proxy.traffic().update(records.clone());
+                let operations = self.rollouts.update(self.clock.now(), records);
+                self.submit(operations);
+            }
         }
     }
 }
--- a/src/node/handle.rs
+++ b/src/node/handle.rs
@@ -4,6 +4,7 @@
     crate::{
         control,
         member::Offer,
+        rollout::status::Status,
         snapshot::Snapshot,
         source::{Operation, Ticket, Verdict},
         spread::Coverage,
@@ -30,6 +31,7 @@
 pub struct Handle {
     pub(super) coverage: Arc<ArcSwap<BTreeMap<Domain, Coverage>>>,
     pub(super) events: UnboundedSender<control::Event>,
+    pub(super) rollouts: Arc<ArcSwap<Vec<Status>>>,
     pub(super) snapshot: Arc<ArcSwap<Snapshot>>,
     pub(super) telemetry: Telemetry,
     pub(super) tickets: Arc<AtomicU64>,
@@ -49,6 +51,12 @@
         self.coverage.load_full()
     }
 
+    /// Gives how far the rollouts are that may still change.
+    #[must_use]
+    pub fn rollouts(&self) -> Arc<Vec<Status>> {
+        self.rollouts.load_full()
+    }
+
     /// Gives the counters.
     #[must_use]
     pub fn telemetry(&self) -> &Telemetry {
--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -12,6 +12,7 @@
 pub mod outcome;
 pub mod ramp;
 pub mod rules;
+pub mod sampler;
 pub mod status;
 
 pub use self::controller::{Action, Controller, Event, Role, Start};
--- a/src/rollout/ramp.rs
+++ b/src/rollout/ramp.rs
@@ -9,6 +9,10 @@
     std::time::Duration,
 };
 
+/// The shortest time before the deadline at which it does, so that the end is recorded in time; a
+/// rollout of a few seconds gets a quarter of its time.
+const CLOSING_MIN: Duration = Duration::from_secs(5);
+
 /// The longest time before the deadline at which the old version loses its last share.
 const CLOSING_MAX: Duration = Duration::from_secs(300);
 
@@ -79,7 +83,8 @@
     #[must_use]
     pub fn closing(&self) -> Moment {
         let span = self.span();
-        self.started + span.saturating_sub((span / 20).min(CLOSING_MAX))
+        let closing = (span / 20).clamp(CLOSING_MIN, CLOSING_MAX).min(span / 4);
+        self.started + span.saturating_sub(closing)
     }
 
     /// Tells whether suspicion holds a rollout up no more, as it could not be finished in time else.
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -9,6 +9,7 @@
 mod path;
 mod requests;
 mod rollout;
+mod rollout_nodes;
 mod settings;
 mod snapshot;
 #[path = "rollout/specimen.rs"]
