--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -42,9 +42,12 @@
                     Some(event) => event,
                     None => return,
                 },
-                _ = ticks.tick() => control::Event::Tick,
+                _ = ticks.tick() => {
+                    self.handle.tick();
+                    control::Event::Tick
+                }
             };
-            self.note(&event);
+            self.count(&event);
             let ticks = matches!(event, control::Event::Tick);
             self.decide(event);
             if ticks {
@@ -75,10 +78,12 @@
         }
     }
 
-    fn note(&self, event: &control::Event) {
+    fn count(&self, event: &control::Event) {
         match event {
-            control::Event::Announced(offer) => self.proxy.offer(Some(offer.clone())),
-            control::Event::Draining => self.proxy.offer(None),
+            control::Event::Read(None) => self.handle.telemetry.count("source.read.failed"),
+            control::Event::Transacted(_, outcome) => {
+                self.handle.telemetry.count(&format!("source.{outcome}"));
+            }
             _ => {}
         }
     }
@@ -114,8 +119,9 @@
             }
             control::Action::Source(action) => drop(self.platform.send(action)),
             control::Action::Update(records) => {
-                self.proxy.traffic().update(records.clone());
-                let operations = self.rollouts.update(self.clock.now(), records);
+                let now = self.clock.now();
+                self.proxy.traffic().update(now, records.clone());
+                let operations = self.rollouts.update(now, records);
                 self.submit(operations);
             }
         }
--- a/src/rollout/controller.rs
+++ b/src/rollout/controller.rs
@@ -733,10 +733,7 @@
                 put(&resource.key, Spec::Rollout(ended), resource.revision),
                 put(&route.key, Spec::Route(shares), route.revision),
             ],
-            id: format!(
-                "rollout-{}-{}-{}-{end}",
-                id.name, id.started.0, resource.revision
-            ),
+            id: format!("rollout-{:08x}-{}-{end}", id.tag().0, resource.revision),
         })
     }
 }
--- a/src/rollout/rules.rs
+++ b/src/rollout/rules.rs
@@ -15,14 +15,6 @@
 /// Fills in what operators don't state: the start of a new rollout, and what the mesh has recorded of one
 /// that exists.
 pub fn stamp(now: Moment, state: &Snapshot, operation: &mut Operation) {
-    let deleted: Vec<Key> = operation
-        .changes
-        .iter()
-        .filter_map(|(change, _)| match change {
-            Change::Delete(key) => Some(key.clone()),
-            Change::Put(..) => None,
-        })
-        .collect();
     for (change, _) in &mut operation.changes {
         let Change::Put(key, Spec::Rollout(rollout)) = change else {
             continue;
@@ -30,16 +22,12 @@
         if rollout.started != Moment::default() {
             continue;
         }
-        let held = held(state, key).filter(|_| !deleted.contains(key));
+        let held = state.resources.get(key).and_then(self::rollout);
         rollout.started = held.map_or(now, |held| held.started);
         rollout.outcome = held.and_then(|held| held.outcome.clone());
     }
 }
 
-fn held<'a>(state: &'a Snapshot, key: &Key) -> Option<&'a Rollout> {
-    rollout(state.resources.get(key)?)
-}
-
 fn rollout(resource: &Resource) -> Option<&Rollout> {
     match &resource.spec {
         Spec::Rollout(rollout) => Some(rollout),
@@ -55,26 +43,49 @@
         .filter(|(_, rollout)| rollout.outcome.is_none())
 }
 
-/// Names the faults of the step from `state` to `next` that rollouts have.
+/// A step of the configuration: the resources that it changes as they were, and the state that results.
+struct Step<'a> {
+    before: &'a [(Key, Option<Resource>)],
+    next: &'a Snapshot,
+}
+
+impl Step<'_> {
+    /// Gives a resource as it was.
+    fn held(&self, kind: Kind, name: &Name) -> Option<&Resource> {
+        let changed = |(key, _): &&(Key, Option<Resource>)| key.kind == kind && key.name == *name;
+        match self.before.iter().find(changed) {
+            Some((_, held)) => held.as_ref(),
+            None => self.next.get(kind, name),
+        }
+    }
+
+    /// Gives a rollout as it was.
+    fn rollout(&self, name: &Name) -> Option<&Rollout> {
+        self.held(Kind::Rollout, name).and_then(rollout)
+    }
+}
+
+/// Names the faults that rollouts have in the step from `before`, the changed resources as they were, to
+/// `next`.
 #[must_use]
-pub fn faults(state: &Snapshot, next: &Snapshot, operation: &Operation) -> Vec<Fault> {
+pub fn faults(before: &[(Key, Option<Resource>)], next: &Snapshot) -> Vec<Fault> {
+    let concerned = |(key, _): &(Key, _)| matches!(key.kind, Kind::Rollout | Kind::Route);
+    if !before.iter().any(concerned) {
+        return Vec::new();
+    }
+    let step = Step { before, next };
     let mut faults = Vec::new();
-    let mut anew: Vec<&Key> = Vec::new();
-    for (change, _) in &operation.changes {
-        match change {
-            Change::Delete(key) => anew.push(key),
-            Change::Put(key, Spec::Rollout(wanted)) => {
-                let held = held(state, key).filter(|_| !anew.contains(&key));
-                faults.extend(match held {
-                    Some(held) => changed(key, held, wanted),
-                    None => begun(next, key, wanted),
-                });
-            }
-            Change::Put(..) => {}
-        }
+    for (key, held) in before {
+        let Some(wanted) = next.resources.get(key).and_then(rollout) else {
+            continue;
+        };
+        faults.extend(match held.as_ref().and_then(rollout) {
+            Some(held) => changed(key, held, wanted),
+            None => begun(next, key, wanted),
+        });
     }
-    faults.extend(crossed(state, next));
-    faults.extend(doubled(state, next));
+    faults.extend(crossed(&step));
+    faults.extend(doubled(&step));
     faults
 }
 
@@ -137,9 +148,6 @@
         let message = "is recorded by the mesh, for a rollout that exists";
         faults.push(fault(&key.name, "status.outcome", message.into()));
     }
-    if wanted.deadline <= wanted.started {
-        faults.push(fault(&key.name, "spec.deadline", "has passed".into()));
-    }
     if let Some(Spec::Route(route)) = next.get(Kind::Route, &wanted.route).map(|held| &held.spec)
         && route.shares.get(&wanted.from) != Some(&Permille::WHOLE)
     {
@@ -151,20 +159,17 @@
 
 /// Nobody changes the shares of a route that is being moved, or takes it away, except by the end of
 /// the move.
-fn crossed(state: &Snapshot, next: &Snapshot) -> Vec<Fault> {
-    let route = |state: &Snapshot, name: &Name| match &state.get(Kind::Route, name)?.spec {
-        Spec::Route(route) => Some(route.clone()),
-        _ => None,
-    };
-    moving(next)
+fn crossed(step: &Step) -> Vec<Fault> {
+    moving(step.next)
         .filter(|(name, rollout)| {
-            let key = Key {
-                kind: Kind::Rollout,
-                name: (*name).clone(),
-            };
-            held(state, &key).is_some_and(|held| held.started == rollout.started)
+            let held = step.rollout(name);
+            held.is_some_and(|held| held.started == rollout.started)
+        })
+        .filter(|(_, rollout)| {
+            let held = step.held(Kind::Route, &rollout.route);
+            let next = step.next.get(Kind::Route, &rollout.route);
+            held.map(|route| &route.spec) != next.map(|route| &route.spec)
         })
-        .filter(|(_, rollout)| route(state, &rollout.route) != route(next, &rollout.route))
         .map(|(name, rollout)| Fault {
             field: "spec".into(),
             message: format!("is moved by rollout/{name}; delete that first"),
@@ -175,10 +180,9 @@
 
 /// A route is moved by one rollout at a time; the one that was accepted first goes on, whatever the
 /// clocks of the accepting nodes say.
-fn doubled(state: &Snapshot, next: &Snapshot) -> Vec<Fault> {
-    let held: Vec<&Name> = moving(state).map(|(name, _)| name).collect();
-    let mut all: Vec<(&Name, &Rollout)> = moving(next).collect();
-    all.sort_by_key(|(name, _)| !held.contains(name));
+fn doubled(step: &Step) -> Vec<Fault> {
+    let mut all: Vec<(&Name, &Rollout)> = moving(step.next).collect();
+    all.sort_by_key(|(name, _)| step.rollout(name).is_none());
     let mut faults = Vec::new();
     for (index, (name, rollout)) in all.iter().enumerate() {
         let mut earlier = all[..index].iter();
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -4,14 +4,22 @@
 #[path = "../examples/standin/mod.rs"]
 mod standin;
 
+mod admit;
+mod caller;
 #[path = "rollout/mesh.rs"]
 mod mesh;
+mod once;
 mod path;
+mod quarantine;
 mod requests;
+mod retry;
 mod rollout;
 mod rollout_nodes;
+mod security;
 mod settings;
 mod snapshot;
+mod source;
 #[path = "rollout/specimen.rs"]
 mod specimen;
+mod stop;
 mod test;
