--- a/src/api.rs
+++ b/src/api.rs
@@ -28,7 +28,7 @@
     feed::{DELETIONS_MAX, Feed},
     json::VALUES_MAX,
     port::{BODY_MAX, Port},
-    show::Document,
+    show::{Document, View},
     target::{BadTarget, Target},
     watch::HEARTBEAT,
 };
@@ -166,12 +166,12 @@
             return Ok(Answer::Watch(watch));
         }
         let snapshot = self.handle.snapshot();
-        let coverage = self.handle.coverage();
+        let view = View::of(&self.handle);
         let items: Vec<Document> = snapshot
             .resources
             .values()
             .filter(|resource| resource.key.kind == kind)
-            .map(|resource| Document::new(resource, &coverage))
+            .map(|resource| Document::new(resource, &view))
             .collect();
         let body = json!({ "items": items, "resourceVersion": snapshot.revision });
         Ok(Answer::Reply(reply(200, &body)))
@@ -186,7 +186,7 @@
             .resources
             .get(key)
             .ok_or_else(|| problem(404, &format!("there is no {key}"), &[]))?;
-        let document = Document::new(resource, &self.handle.coverage());
+        let document = Document::new(resource, &View::of(&self.handle));
         Ok(Answer::Reply(reply(200, &json!(document))))
     }
 
--- a/src/node/handle.rs
+++ b/src/node/handle.rs
@@ -11,6 +11,7 @@
         presence::{self, Announcement, Presence, Refusal},
         proxy::Proxy,
         reach::Reach,
+        rollout::status::Status,
         snapshot::Snapshot,
         source::{Operation, Ticket, Verdict},
         spread::Coverage,
@@ -40,6 +41,7 @@
     pub(super) coverage: Arc<ArcSwap<BTreeMap<Domain, Coverage>>>,
     pub(super) feed: Arc<Feed>,
     pub(super) events: UnboundedSender<control::Event>,
+    pub(super) rollouts: Arc<ArcSwap<Vec<Status>>>,
     pub(super) flight: Flight,
     pub(super) journal: Journal,
     pub(super) presence: Arc<Mutex<Presence>>,
@@ -70,6 +72,12 @@
         &self.feed
     }
 
+    /// Gives how far the rollouts are that may still change.
+    #[must_use]
+    pub fn rollouts(&self) -> Arc<Vec<Status>> {
+        self.rollouts.load_full()
+    }
+
     /// Gives the counters.
     #[must_use]
     pub fn telemetry(&self) -> &Telemetry {
--- a/src/telemetry/catalogue.rs
+++ b/src/telemetry/catalogue.rs
@@ -17,6 +17,10 @@
 
 /// Every counter, in the order of the names.
 pub const COUNTERS: &[Counter] = &[
+    counter(
+        "api.refused.{status}",
+        "operators' requests that the resource API refused, by HTTP status",
+    ),
     counter(
         "egress.cancelled",
         "requests that the other node gave up while they waited or ran here",
@@ -87,6 +91,10 @@
         "retry.{reason}",
         "retries, by the reason why the attempt before failed",
     ),
+    counter(
+        "rollout.malformed",
+        "messages about rollouts that could not be encoded or decoded",
+    ),
     counter("source.committed", "transactions that took effect"),
     counter("source.conflict", "transactions that another one overtook"),
     counter("source.read.failed", "readings of the platform that failed"),
