--- a/src/api/document.rs
+++ b/src/api/document.rs
@@ -201,8 +201,10 @@
     Some(Rollout {
         deadline: deadline?.0,
         from: from?,
+        outcome: None,
         preference: preference.unwrap_or_default(),
         route: route?,
+        started: Moment::default(),
         to: to?,
     })
 }
--- a/src/api/show.rs
+++ b/src/api/show.rs
@@ -2,17 +2,26 @@
 
 use {
     crate::{
-        resource::{Resource, Spec},
+        node::Handle,
+        resource::{Key, Kind, Resource, Rollout, Spec},
+        rollout::{
+            outcome::{End, Outcome},
+            status::Status as Progress,
+        },
         spread::Coverage,
-        world::{Domain, Revision},
+        world::{Domain, Moment, Revision},
     },
     serde::Serialize,
     serde_json::Value,
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, sync::Arc},
 };
 
-/// What the mesh records beside what an operator declares; shown in the status.
-const RECORDED: [&str; 2] = ["outcome", "started"];
+/// What a node knows of the mesh beside the resources themselves.
+#[derive(Debug)]
+pub struct View {
+    coverage: Arc<BTreeMap<Domain, Coverage>>,
+    rollouts: Arc<Vec<Progress>>,
+}
 
 /// A resource with its status.
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -34,8 +43,19 @@
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Status {
     conditions: Vec<Condition>,
-    #[serde(flatten)]
-    recorded: BTreeMap<String, Value>,
+    #[serde(flatten, skip_serializing_if = "Option::is_none")]
+    rollout: Option<Course>,
+}
+
+/// How far a rollout is.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+struct Course {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    outcome: Option<Box<Outcome>>,
+    phase: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    progress: Option<Progress>,
+    started: Moment,
 }
 
 /// One thing that holds of a resource, or not.
@@ -53,37 +73,67 @@
 impl Document {
     /// Shows an accepted resource.
     #[must_use]
-    pub fn new(resource: &Resource, coverage: &BTreeMap<Domain, Coverage>) -> Self {
+    pub fn new(resource: &Resource, view: &View) -> Self {
         let spec = match &resource.spec {
             Spec::Limits(spec) => serde_json::to_value(spec),
-            Spec::Rollout(spec) => serde_json::to_value(spec),
+            Spec::Rollout(spec) => spec.show(),
             Spec::Route(spec) => serde_json::to_value(spec),
             Spec::Version(spec) => serde_json::to_value(spec),
         };
-        let mut spec = spec.unwrap_or_default();
-        let recorded = RECORDED.iter().filter_map(|name| {
-            let value = spec.as_object_mut()?.remove(*name)?;
-            Some(((*name).to_string(), value))
-        });
-        let recorded = recorded.collect();
         Self {
             kind: resource.key.kind,
             metadata: Metadata {
                 name: resource.key.name.clone(),
                 resource_version: resource.revision,
             },
-            spec,
-            status: Status::new(resource.revision, coverage, recorded),
+            spec: spec.unwrap_or_default(),
+            status: Status::new(resource, view),
+        }
+    }
+}
+
+impl View {
+    /// Takes what a node knows now.
+    #[must_use]
+    pub fn of(handle: &Handle) -> Self {
+        Self {
+            coverage: handle.coverage(),
+            rollouts: handle.rollouts(),
+        }
+    }
+
+    fn progress(&self, key: &Key) -> Option<Progress> {
+        let mut rollouts = self.rollouts.iter();
+        let found = rollouts.find(|rollout| key.kind == Kind::Rollout && rollout.name == key.name);
+        found.cloned()
+    }
+}
+
+impl Course {
+    fn new(rollout: &Rollout, progress: Option<Progress>) -> Self {
+        let phase = match &rollout.outcome {
+            None => "Progressing",
+            Some(outcome) => match outcome.end {
+                End::Completed => "Completed",
+                End::RolledBack => "RolledBack",
+            },
+        };
+        Self {
+            outcome: rollout.outcome.clone(),
+            phase,
+            progress,
+            started: rollout.started,
         }
     }
 }
 
 impl Status {
-    fn new(
-        revision: Revision,
-        coverage: &BTreeMap<Domain, Coverage>,
-        recorded: BTreeMap<String, Value>,
-    ) -> Self {
+    fn new(resource: &Resource, view: &View) -> Self {
+        let revision = resource.revision;
+        let rollout = match &resource.spec {
+            Spec::Rollout(rollout) => Some(Course::new(rollout, view.progress(&resource.key))),
+            _ => None,
+        };
         let accepted = Condition {
             domain: None,
             reason: "InTable",
@@ -91,12 +141,13 @@
             status: "True",
             r#type: "Accepted",
         };
-        let in_force = coverage
+        let in_force = view
+            .coverage
             .iter()
             .map(|(domain, coverage)| Condition::in_force(revision, domain, *coverage));
         Self {
             conditions: std::iter::once(accepted).chain(in_force).collect(),
-            recorded,
+            rollout,
         }
     }
 }
--- a/src/api/watch.rs
+++ b/src/api/watch.rs
@@ -1,7 +1,7 @@
 //! A watch: a stream of changes that resumes from a resource version. See docs/api.md.
 
 use {
-    super::show::Document,
+    super::show::{Document, View},
     crate::{
         node::Handle,
         resource::{Key, Kind},
@@ -146,7 +146,7 @@
             .filter(|(_, key)| !whole && self.watch.covers(key))
             .map(|(revision, key)| (revision, Line::Delete(revision, key)))
             .collect();
-        let coverage = self.handle.coverage();
+        let view = View::of(self.handle);
         for resource in snapshot.resources.values() {
             if !self.watch.covers(&resource.key) {
                 continue;
@@ -155,7 +155,7 @@
             if !fresh && !self.watch.follows_status() {
                 continue;
             }
-            let document = Document::new(resource, &coverage);
+            let document = Document::new(resource, &view);
             let held = self.shown.get(&resource.key);
             if fresh || held.is_some_and(|held| *held != document) {
                 let line = Line::Put(Box::new(document.clone()));
--- a/src/ctl/watch.rs
+++ b/src/ctl/watch.rs
@@ -140,16 +140,16 @@
         }
         if self.form == Form::Table {
             let kind = event["type"].as_str().unwrap_or("?");
-            let phase = phase(object).map_or_else(String::new, |phase| format!("  {phase}"));
+            let course = course(object);
             let cells = table::row(object).join("  ");
-            show(out, format_args!("{kind:6}  {cells}{phase}"))?;
+            show(out, format_args!("{kind:6}  {cells}{course}"))?;
         }
         if !self.ends {
             return Ok(false);
         }
-        match phase(object).as_deref() {
-            Some("completed") => Ok(true),
-            Some("rolled-back") => Err(Error::Refused {
+        match phase(object) {
+            Some("Completed") => Ok(true),
+            Some("RolledBack") => Err(Error::Refused {
                 message: "the rollout was rolled back".into(),
             }),
             _ => Ok(event["type"] == "DELETE"),
@@ -157,14 +157,18 @@
     }
 }
 
-/// Gives how a rollout ended, or the share that its new version has at the node that is watched.
-fn phase(object: &Value) -> Option<String> {
-    let status = &object["status"];
-    let end = status["outcome"]["end"].as_str().map(String::from);
-    end.or_else(|| {
-        let share = status["progress"]["share"].as_u64()?;
-        Some(format!("{share}‰"))
-    })
+/// Gives how far a rollout is: its phase, and the share of its new version at the node that is watched.
+fn course(object: &Value) -> String {
+    let phase = phase(object).unwrap_or_default();
+    match object["status"]["progress"]["share"].as_u64() {
+        Some(share) => format!("  {phase} {share}‰"),
+        None if phase.is_empty() => String::new(),
+        None => format!("  {phase}"),
+    }
+}
+
+fn phase(object: &Value) -> Option<&str> {
+    object["status"]["phase"].as_str()
 }
 
 fn cut(message: &str) -> Error {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod reach;
 pub mod refusal;
 pub mod resource;
+pub mod rollout;
 pub mod settings;
 pub mod snapshot;
 pub mod source;
--- a/src/telemetry/catalogue.rs
+++ b/src/telemetry/catalogue.rs
@@ -19,7 +19,7 @@
 pub const COUNTERS: &[Counter] = &[
     counter(
         "api.refused.{status}",
-        "operators' requests that were refused or failed, by HTTP status",
+        "operators' requests that the resource API refused, by HTTP status",
     ),
     counter(
         "egress.cancelled",
@@ -91,6 +91,10 @@
         "retry.{reason}",
         "retries, by the reason why the attempt before failed",
     ),
+    counter(
+        "rollout.malformed",
+        "messages about rollouts that could not be encoded or decoded",
+    ),
     counter("source.committed", "transactions that took effect"),
     counter("source.conflict", "transactions that another one overtook"),
     counter("source.read.failed", "readings of the platform that failed"),
--- a/src/validate.rs
+++ b/src/validate.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         resource::{Change, Key, Kind, Limits, Resource, Rollout, Route, Spec},
+        rollout,
         snapshot::{self, Snapshot},
         source::Operation,
         world::{Moment, Permille, Revision, Service},
@@ -112,6 +113,7 @@
         state,
     };
     faults.extend(fit.faults(sweep));
+    faults.extend(rollout::rules::faults(&before, state));
     if faults.is_empty() {
         return Ok(());
     }
@@ -168,7 +170,10 @@
     match spec {
         Spec::Limits(limits) => limits_faults(limits, &mut add),
         Spec::Rollout(rollout) => {
-            let same = held.is_some_and(|held| held.spec == *spec);
+            let same = held.is_some_and(|held| match &held.spec {
+                Spec::Rollout(held) => held.deadline == rollout.deadline,
+                _ => false,
+            });
             rollout_faults(rollout, now, same, &mut add);
         }
         Spec::Route(route) => route_faults(route, &mut add),
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -10,15 +10,21 @@
 mod ctl;
 mod faults;
 mod golden;
+#[path = "rollout/mesh.rs"]
+mod mesh;
 mod once;
 mod path;
 mod quarantine;
 mod requests;
 mod retry;
+mod rollout;
+mod rollout_nodes;
 mod security;
 mod settings;
 mod snapshot;
 mod source;
+#[path = "rollout/specimen.rs"]
+mod specimen;
 mod stop;
 mod telemetry;
 mod test;
