--- a/tests/ctl.rs
+++ b/tests/ctl.rs
@@ -5,7 +5,13 @@
         standin::platform::Faults,
         test::{Test, whole_route},
     },
-    mulberryshelf::ctl,
+    mulberryshelf::{
+        ctl,
+        resource::{Change, Key, Kind, Route, Spec},
+        rollout::outcome::{End, Outcome},
+        source::{Operation, Verdict},
+        world::Permille,
+    },
     serde_json::{Value, json},
     std::net::SocketAddr,
     tempfile::TempDir,
@@ -258,3 +264,72 @@
     assert_eq!(code, ctl::DONE, "{report}");
     assert_eq!(out, "PUT     version  v1  1  1/1  {\"service\":\"desk\"}\n");
 }
+
+/// Has the end of the rollout `move` recorded, as the nodes do.
+fn end(test: &Test, end: End) {
+    let handle = test.hosts[0].node.handle();
+    let snapshot = handle.snapshot();
+    let (kind, name) = (Kind::Rollout, "move".parse().unwrap());
+    let Spec::Rollout(mut rollout) = snapshot.get(kind, &name).unwrap().spec.clone() else {
+        panic!("a rollout");
+    };
+    rollout.outcome = Some(Box::new(Outcome {
+        at: rollout.started,
+        domains: Vec::new(),
+        end,
+        finding: None,
+    }));
+    let whole = match end {
+        End::Completed => rollout.to.clone(),
+        End::RolledBack => rollout.from.clone(),
+    };
+    let route = Route {
+        path: "/".into(),
+        service: "desk".parse().unwrap(),
+        shares: [(whole, Permille::WHOLE)].into(),
+    };
+    let key = |kind, name: &str| Key {
+        kind,
+        name: name.parse().unwrap(),
+    };
+    let changes = vec![
+        (Change::Put(key(kind, "move"), Spec::Rollout(rollout)), None),
+        (
+            Change::Put(key(Kind::Route, "desk"), Spec::Route(route)),
+            None,
+        ),
+    ];
+    let id = "end".into();
+    let verdict = handle.submit(Operation { changes, id });
+    assert!(matches!(verdict, Verdict::Accepted(_)), "{verdict:?}");
+}
+
+async fn watched(how: End) -> Done {
+    let (test, desk) = one_host().await;
+    let mut resources = whole_route("desk", "v1");
+    let list = resources.as_array_mut().unwrap();
+    list.push(version("v2"));
+    test.apply(0, resources).await;
+    let rollout = json!({
+        "kind": "rollout",
+        "metadata": { "name": "move" },
+        "spec": { "route": "desk", "from": "v1", "to": "v2", "deadline": "2100-01-01T00:00:00Z" },
+    });
+    test.apply(0, json!([rollout])).await;
+    let later = async {
+        tokio::time::sleep(std::time::Duration::from_secs(1)).await;
+        tokio::task::block_in_place(|| end(&test, how));
+    };
+    tokio::join!(desk.run(&["watch", "rollout", "move"]), later).0
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn watch_of_a_rollout_ends_with_it() {
+    let (code, out, report) = watched(End::Completed).await;
+    assert_eq!(code, ctl::DONE, "{report}");
+    assert!(out.lines().next().unwrap().contains("Progressing"), "{out}");
+    assert!(out.lines().last().unwrap().contains("Completed"), "{out}");
+    let (code, out, report) = watched(End::RolledBack).await;
+    assert_eq!(code, ctl::REFUSED, "{out}");
+    assert!(report.contains("the rollout was rolled back"), "{report}");
+}
