--- a/src/control.rs
+++ b/src/control.rs
@@ -3,18 +3,34 @@
 
 use {
     crate::{
-        member::{Contact, Offer, Record, Roster, State},
-        snapshot::{Delta, Snapshot},
+        member::{Attendance, Contact, Offer, Record, Roster, State},
+        snapshot::Snapshot,
         source::{self, Entry, Operation, Outcome, Source, Ticket, Verdict},
-        spread::{Coverage, Role},
+        spread::{Backoff, Bucket, Coverage, FANOUT, History, Neighbor, Reports, Role, Tree},
         wire::Frame,
         world::{Domain, Host, Moment, Revision},
     },
-    std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
+    rand::{SeedableRng, rngs::StdRng},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        sync::Arc,
+        time::Duration,
+    },
 };
 
-/// How often a connected peer is told what this node knows.
-pub const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
+mod beat;
+mod configuration;
+mod membership;
+mod siblings;
+mod topology;
+
+pub use {
+    beat::BEAT_INTERVAL,
+    configuration::{ORPHAN_POLL_INTERVAL, SNAPSHOT_BURST, SNAPSHOT_INTERVAL},
+    membership::OFFER_LEASE,
+    topology::{LEASE, START_LIMIT},
+};
 
 /// What happens to a node.
 #[derive(Debug)]
@@ -44,6 +60,8 @@
 pub enum Action {
     /// Connect to a node.
     Connect(SocketAddr),
+    /// Count an occurrence.
+    Count(&'static str),
     /// The coverage of failure domains has changed; this is all of it.
     Cover(BTreeMap<Domain, Coverage>),
     /// Run a new configuration, by one swap.
@@ -69,21 +87,109 @@
     pub now: Moment,
     /// The nodes to connect to first.
     pub peers: Vec<SocketAddr>,
+    /// What random choices are drawn from.
+    pub seed: u64,
+    /// How the configuration is spread.
+    pub spread: Spread,
+}
+
+/// How the configuration is spread.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Spread {
+    /// The nodes that a relay or hub hands on to, as a rule.
+    pub fanout: usize,
+    /// Whether every node reads the platform; a rival that the bench compares with.
+    pub poll_all: bool,
+}
+
+impl Default for Spread {
+    fn default() -> Self {
+        Self {
+            fanout: FANOUT,
+            poll_all: false,
+        }
+    }
+}
+
+/// A node that was asked to exchange and has not answered yet.
+#[derive(Debug, Clone)]
+struct Asked {
+    attempts: usize,
+    contact: Contact,
+    until: Moment,
+}
+
+/// A host that did not answer.
+#[derive(Debug, Clone, Copy)]
+struct Suspect {
+    span: Duration,
+    until: Moment,
+}
+
+/// What a node does for its failure domain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Duty {
+    /// It reads the platform, exchanges with other failure domains and misses lost hosts.
+    First,
+    /// It takes part in the tree.
+    Member,
+    /// It reads the platform, and is next to be the first.
+    Second,
+}
+
+impl Duty {
+    fn of(place: Option<usize>) -> Self {
+        match place {
+            Some(0) => Self::First,
+            Some(1) => Self::Second,
+            Some(_) | None => Self::Member,
+        }
+    }
 }
 
 /// The state of a node's control plane.
 pub struct Control {
-    announced_at: Moment,
+    asked_parent: Option<Asked>,
+    asked_siblings: BTreeMap<Domain, Asked>,
+    attendance: Attendance,
+    beat_at: Moment,
+    bucket: Bucket,
+    busy: BTreeMap<Host, Moment>,
+    connected: BTreeSet<Host>,
     contact: Contact,
+    cover_at: Moment,
     coverage: BTreeMap<Domain, Coverage>,
-    entries: Vec<Entry>,
+    dials: BTreeMap<SocketAddr, Backoff>,
+    duty: Duty,
+    expired_at: Moment,
+    fetching: Option<(Host, Moment)>,
+    gateway: bool,
+    highest: Option<(Host, Revision)>,
+    history: History,
     me: Record,
-    peers: BTreeMap<Host, Revision>,
+    named: Vec<Host>,
+    neighbors: BTreeMap<Host, Neighbor>,
+    news: Vec<(Option<Host>, Vec<Arc<Record>>)>,
+    offered_at: Moment,
+    polled_at: Moment,
+    probed_at: Moment,
+    read_at: Moment,
+    replaced: bool,
+    reports: Reports,
+    rng: StdRng,
     role: Role,
     roster: Roster,
     seeds: Vec<SocketAddr>,
+    serving: bool,
     snapshot: Arc<Snapshot>,
     source: Source,
+    spread: Spread,
+    started_at: Moment,
+    suspects: BTreeMap<Host, Suspect>,
+    tree: Tree,
+    tree_version: Option<(u64, usize)>,
+    unreachable: BTreeMap<Domain, Moment>,
+    welcomes: usize,
 }
 
 impl Control {
@@ -98,283 +204,144 @@
             state: State::Ready,
         };
         let mut roster = Roster::default();
-        roster.merge(me.clone());
+        roster.merge(start.now, Arc::new(me.clone()));
+        let seeds: Vec<SocketAddr> = start
+            .peers
+            .into_iter()
+            .filter(|address| *address != start.contact.address)
+            .collect();
         Self {
-            announced_at: Moment::default(),
+            asked_parent: None,
+            asked_siblings: BTreeMap::new(),
+            attendance: Attendance::default(),
+            beat_at: start.now,
+            bucket: Bucket::new(SNAPSHOT_BURST, SNAPSHOT_INTERVAL),
+            busy: BTreeMap::new(),
+            connected: BTreeSet::new(),
             contact: start.contact,
+            cover_at: start.now,
             coverage: BTreeMap::new(),
-            entries: Vec::new(),
+            dials: BTreeMap::new(),
+            duty: Duty::Member,
+            expired_at: start.now,
+            fetching: None,
+            gateway: false,
+            highest: None,
+            history: History::default(),
             me,
-            peers: BTreeMap::new(),
+            named: Vec::new(),
+            neighbors: BTreeMap::new(),
+            news: Vec::new(),
+            offered_at: start.now,
+            polled_at: Moment::default(),
+            probed_at: start.now,
+            read_at: Moment::default(),
+            replaced: false,
+            reports: Reports::default(),
+            rng: StdRng::seed_from_u64(start.seed),
             role: Role::default(),
             roster,
-            seeds: start.peers,
+            serving: seeds.is_empty(),
+            seeds,
             snapshot: Arc::default(),
             source: Source::default(),
+            spread: start.spread,
+            started_at: start.now,
+            suspects: BTreeMap::new(),
+            tree: Tree::default(),
+            tree_version: None,
+            unreachable: BTreeMap::new(),
+            welcomes: 0,
         }
     }
 
-    /// The configuration in force here.
+    /// The configuration that is known here; it is in force once the node serves.
     #[must_use]
     pub fn snapshot(&self) -> &Arc<Snapshot> {
         &self.snapshot
     }
 
+    /// Whether this node knows enough to serve callers.
+    #[must_use]
+    pub fn is_serving(&self) -> bool {
+        self.serving
+    }
+
     /// Every host that is known.
     #[must_use]
     pub fn roster(&self) -> &Roster {
         &self.roster
     }
 
-    /// Takes an event and says what to do.
-    pub fn handle(&mut self, now: Moment, event: Event) -> Vec<Action> {
-        let mut actions = self.decide(now, event);
-        actions.extend(self.place());
-        actions.extend(self.cover());
-        actions
+    /// This node's place among the others.
+    #[must_use]
+    pub fn role(&self) -> &Role {
+        &self.role
     }
 
-    fn decide(&mut self, now: Moment, event: Event) -> Vec<Action> {
-        match event {
-            Event::Announced(offer) => self.announced(offer),
-            Event::Connected(host) => self.connected(host),
-            Event::Disconnected(host) => {
-                self.peers.remove(&host);
-                Vec::new()
-            }
-            Event::Draining => self.draining(),
-            Event::Read(entries) => self.read(entries),
-            Event::Received(host, frame) => self.received(&host, frame),
+    /// How far each failure domain has come.
+    #[must_use]
+    pub fn coverage(&self) -> &BTreeMap<Domain, Coverage> {
+        &self.coverage
+    }
+
+    /// Takes an event and says what to do.
+    pub fn handle(&mut self, now: Moment, event: Event) -> Vec<Action> {
+        let mut actions = match event {
+            Event::Announced(offer) => self.announced(now, offer),
+            Event::Connected(host) => self.connected(now, host),
+            Event::Disconnected(host) => self.disconnected(now, &host),
+            Event::Draining => self.draining(now),
+            Event::Read(entries) => self.read(now, entries),
+            Event::Received(host, frame) => self.received(now, &host, frame),
             Event::Submitted(ticket, operation) => {
                 source_actions(self.source.submit(&self.snapshot, ticket, operation))
             }
             Event::Tick => self.tick(now),
             Event::Transacted(revision, outcome) => self.transacted(now, revision, outcome),
-        }
-    }
-
-    fn place(&mut self) -> Option<Action> {
-        let (children, siblings) = self
-            .peers
-            .keys()
-            .cloned()
-            .partition(|host| self.domain(host).as_ref() == Some(&self.contact.domain));
-        let role = Role {
-            children,
-            parent: None,
-            relay: true,
-            siblings,
-        };
-        (role != self.role).then(|| {
-            self.role = role.clone();
-            Action::Role(role)
-        })
-    }
-
-    fn cover(&mut self) -> Option<Action> {
-        let mut coverage = self.coverage.clone();
-        for held in coverage.values_mut() {
-            held.reached = false;
-        }
-        let own = Some((self.contact.domain.clone(), self.snapshot.revision));
-        let others = self
-            .peers
-            .iter()
-            .filter_map(|(host, revision)| Some((self.domain(host)?, *revision)));
-        for (domain, revision) in others.chain(own) {
-            let held = coverage.entry(domain).or_insert(Coverage {
-                reached: false,
-                revision,
-            });
-            if !held.reached || revision < held.revision {
-                held.revision = revision;
-            }
-            held.reached = true;
-        }
-        (coverage != self.coverage).then(|| {
-            self.coverage = coverage.clone();
-            Action::Cover(coverage)
-        })
-    }
-
-    fn domain(&self, host: &Host) -> Option<Domain> {
-        let record = self.roster.get(host)?;
-        Some(record.contact.domain.clone())
-    }
-
-    fn announced(&mut self, offer: Offer) -> Vec<Action> {
-        if self.me.offer.as_ref() == Some(&offer) && self.me.state == State::Ready {
-            return Vec::new();
-        }
-        self.me.offer = Some(offer);
-        self.me.state = State::Ready;
-        self.changed()
-    }
-
-    fn draining(&mut self) -> Vec<Action> {
-        if self.me.state == State::Leaving {
-            return Vec::new();
-        }
-        self.me.state = State::Leaving;
-        self.changed()
-    }
-
-    fn changed(&mut self) -> Vec<Action> {
-        self.me.sequence += 1;
-        self.merge(None, vec![self.me.clone()])
-    }
-
-    fn connected(&mut self, host: Host) -> Vec<Action> {
-        self.peers.insert(host.clone(), Revision::default());
-        vec![
-            Action::Send(host.clone(), self.hello()),
-            Action::Send(host, Frame::Members(self.roster.iter().cloned().collect())),
-        ]
-    }
-
-    fn hello(&self) -> Frame {
-        Frame::Hello(self.contact.clone(), self.snapshot.revision)
-    }
-
-    fn merge(&mut self, from: Option<&Host>, records: Vec<Record>) -> Vec<Action> {
-        let news: Vec<Record> = records
-            .into_iter()
-            .filter(|record| self.roster.merge(record.clone()))
-            .collect();
-        if news.is_empty() {
-            return Vec::new();
-        }
-        let mut actions = vec![Action::Update(news.clone())];
-        actions.extend(
-            self.peers
-                .keys()
-                .filter(|host| Some(*host) != from)
-                .map(|host| Action::Send(host.clone(), Frame::Members(news.clone()))),
-        );
-        actions
-    }
-
-    fn read(&mut self, entries: Option<Vec<Entry>>) -> Vec<Action> {
-        let mut actions = Vec::new();
-        for entry in entries.unwrap_or_default() {
-            actions.extend(self.append(entry));
-        }
-        actions.extend(source_actions(self.source.caught_up(&self.snapshot)));
-        actions
-    }
-
-    fn append(&mut self, entry: Entry) -> Vec<Action> {
-        let delta = Delta {
-            changes: entry.changes().collect(),
-            digest: entry.digest,
-            from: Revision(entry.revision.0 - 1),
-            to: entry.revision,
         };
-        match self.snapshot.apply(&delta) {
-            Ok(next) => {
-                self.entries.push(entry);
-                self.install(next, &delta)
-            }
-            Err(_) => Vec::new(),
-        }
-    }
-
-    fn install(&mut self, next: Snapshot, delta: &Delta) -> Vec<Action> {
-        self.snapshot = Arc::new(next);
-        let mut actions = vec![Action::Install(self.snapshot.clone())];
-        actions.extend(
-            self.peers
-                .iter()
-                .filter(|(_, revision)| **revision < delta.to)
-                .map(|(host, _)| Action::Send(host.clone(), Frame::Delta(delta.clone()))),
-        );
+        actions.extend(self.place());
         actions
     }
 
-    fn received(&mut self, host: &Host, frame: Frame) -> Vec<Action> {
-        match frame {
-            Frame::Hello(_, revision) => self.told(host, revision),
-            Frame::Fetch(_) => vec![Action::Send(
-                host.clone(),
-                Frame::Snapshot((*self.snapshot).clone()),
-            )],
-            Frame::Delta(delta) => self.delta(host, &delta),
-            Frame::Snapshot(snapshot) => self.whole(snapshot),
-            Frame::Members(records) => self.merge(Some(host), records),
-            Frame::Rollout(message) => vec![Action::Rollout(host.clone(), message)],
-        }
-    }
-
-    fn told(&mut self, host: &Host, revision: Revision) -> Vec<Action> {
-        self.peers.insert(host.clone(), revision);
-        if revision > self.snapshot.revision {
-            return vec![Action::Send(
-                host.clone(),
-                Frame::Fetch(self.snapshot.revision),
-            )];
-        }
-        Vec::new()
-    }
-
-    fn delta(&mut self, host: &Host, delta: &Delta) -> Vec<Action> {
-        match self.snapshot.apply(delta) {
-            Ok(next) => self.install(next, delta),
-            Err(crate::snapshot::Refusal::Backwards { .. }) => Vec::new(),
-            Err(_) => vec![Action::Send(
-                host.clone(),
-                Frame::Fetch(self.snapshot.revision),
-            )],
-        }
+    fn is_relay(&self) -> bool {
+        self.duty != Duty::Member
     }
 
-    fn whole(&mut self, snapshot: Snapshot) -> Vec<Action> {
-        if snapshot.revision <= self.snapshot.revision || snapshot.verify(snapshot.digest).is_err()
-        {
-            return Vec::new();
-        }
-        self.snapshot = Arc::new(snapshot);
-        vec![Action::Install(self.snapshot.clone())]
+    fn is_root(&self) -> bool {
+        self.duty == Duty::First
     }
 
     fn tick(&mut self, now: Moment) -> Vec<Action> {
-        let mut actions = source_actions(self.source.tick(now, &self.snapshot));
-        if now.since(self.announced_at) < ANNOUNCE_INTERVAL {
-            return actions;
+        let mut actions = self.maintain(now);
+        actions.extend(self.poll(now));
+        actions.extend(self.renew(now));
+        actions.extend(self.tell_news());
+        if now.since(self.beat_at) >= BEAT_INTERVAL {
+            self.beat_at = now;
+            actions.extend(self.beat(now));
         }
-        self.announced_at = now;
-        let hello = self.hello();
-        actions.extend(
-            self.peers
-                .keys()
-                .map(|host| Action::Send(host.clone(), hello.clone())),
-        );
-        actions.extend(self.missing().into_iter().map(Action::Connect));
         actions
     }
 
-    fn missing(&self) -> Vec<SocketAddr> {
-        let connected = |address: &SocketAddr| {
-            self.roster.iter().any(|record| {
-                record.contact.address == *address && self.peers.contains_key(&record.contact.host)
-            })
-        };
-        self.seeds
-            .iter()
-            .filter(|address| **address != self.contact.address && !connected(address))
-            .copied()
-            .collect()
-    }
-
-    fn transacted(&mut self, now: Moment, revision: Revision, outcome: Outcome) -> Vec<Action> {
-        let mut actions =
-            source_actions(
-                self.source
-                    .transacted(now, &self.snapshot, revision, outcome),
-            );
-        if outcome == Outcome::Committed {
-            actions.push(Action::Source(source::Action::Read(self.snapshot.revision)));
+    fn received(&mut self, now: Moment, host: &Host, frame: Frame) -> Vec<Action> {
+        match frame {
+            Frame::Beat(beat) => self.beaten(now, host, &beat),
+            Frame::Busy(millis) => self.refused_by(now, host, Duration::from_millis(millis.into())),
+            Frame::Children(parent, hosts) => self.children_named(host, parent, hosts),
+            Frame::Cover(reports) => self.covered(now, host, &reports),
+            Frame::Delta(delta) => self.delta(now, host, &delta),
+            Frame::Digests(digests) => self.digests(host, &digests),
+            Frame::Fetch(revision) => self.fetched(now, host, revision),
+            Frame::Hello(contact, _) => self.welcome(host, &contact),
+            Frame::Join(join) => self.joined(now, host, join),
+            Frame::Members(records) => self.merge(now, Some(host), records),
+            Frame::Quit => self.quit(now, host),
+            Frame::Rollout(message) => vec![Action::Rollout(host.clone(), message)],
+            Frame::Snapshot(snapshot) => self.whole(now, snapshot),
+            Frame::Sync(sync) => self.synced(now, host, &sync),
+            Frame::Welcome(revision, records) => self.welcomed(now, host, revision, records),
         }
-        actions
     }
 }
 
--- /dev/null
+++ b/src/control/beat.rs
@@ -0,0 +1,264 @@
+//! What neighbours tell each other once a second, and what follows from it: who is behind, how far the
+//! failure domain has come, and which of its hosts are lost.
+
+use {
+    super::{Action, Control},
+    crate::{
+        member::{Record, State},
+        spread::{Beat, Report, Tie, millis},
+        wire::Frame,
+        world::{Host, Moment, Revision},
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+/// How often neighbours tell each other where they are.
+pub const BEAT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How often a failure domain is told how far the others have come.
+const COVER_INTERVAL: Duration = Duration::from_secs(2);
+
+/// After so many beats that tell of another roster the two are compared.
+const DIFFERING_MAX: u8 = 2;
+
+impl Control {
+    pub(super) fn beat(&mut self, now: Moment) -> Vec<Action> {
+        let mut actions = self.tell(None, &Frame::Beat(self.pulse(now)));
+        actions.extend(self.name_children());
+        if self.is_root() {
+            actions.extend(self.report(now));
+            actions.extend(self.bury(now));
+        }
+        actions.extend(self.cover(now));
+        actions
+    }
+
+    /// Gives what this node tells its neighbours.
+    pub(super) fn pulse(&self, now: Moment) -> Beat {
+        let rooted_at = match self.parent() {
+            Some(parent) if !self.is_relay() => parent.rooted_at,
+            _ => now,
+        };
+        Beat {
+            floor: self.floor(),
+            read_ms: millis(now.since(self.read_at)),
+            revision: self.snapshot.revision,
+            rooted_ms: millis(now.since(rooted_at)),
+            roster: self.roster.digest(),
+            serving: self.serving,
+        }
+    }
+
+    /// Gives the lowest revision that this node and those below it run.
+    fn floor(&self) -> Revision {
+        self.neighbors
+            .values()
+            .filter(|neighbor| neighbor.tie == Tie::Child && neighbor.serving)
+            .map(|neighbor| neighbor.floor)
+            .fold(self.snapshot.revision, Revision::min)
+    }
+
+    /// Sends the names of this node's children up if they have changed.
+    fn name_children(&mut self) -> Vec<Action> {
+        let children = &self.role.children;
+        if *children == self.named {
+            return Vec::new();
+        }
+        self.named.clone_from(children);
+        let me = self.contact.host.clone();
+        self.attendance.note(me.clone(), self.named.clone());
+        self.tell_parent(&Frame::Children(me, self.named.clone()))
+    }
+
+    fn tell_parent(&self, frame: &Frame) -> Vec<Action> {
+        self.parent()
+            .map(|parent| Action::Send(parent.contact.host.clone(), frame.clone()))
+            .into_iter()
+            .collect()
+    }
+
+    pub(super) fn children_named(
+        &mut self,
+        from: &Host,
+        parent: Host,
+        hosts: Vec<Host>,
+    ) -> Vec<Action> {
+        if self.tie(from) != Some(Tie::Child) {
+            return Vec::new();
+        }
+        self.attendance.note(parent.clone(), hosts.clone());
+        self.tell_parent(&Frame::Children(parent, hosts))
+    }
+
+    /// Notes how far this failure domain has come, and tells the others.
+    fn report(&mut self, now: Moment) -> Vec<Action> {
+        let own = Report {
+            age_ms: 0,
+            domain: self.contact.domain.clone(),
+            floor: self.floor(),
+        };
+        self.reports.take(now, &own);
+        let mut actions = self.cover_ties(&Frame::Cover(vec![own]), |tie| {
+            matches!(tie, Tie::Cross | Tie::Region)
+        });
+        if now.since(self.cover_at) >= COVER_INTERVAL {
+            self.cover_at = now;
+            let all = Frame::Cover(self.reports.list(now).collect());
+            actions.extend(self.cover_ties(&all, |tie| tie == Tie::Child));
+        }
+        actions
+    }
+
+    fn cover_ties(&self, frame: &Frame, wanted: impl Fn(Tie) -> bool) -> Vec<Action> {
+        self.neighbors
+            .iter()
+            .filter(|(_, neighbor)| wanted(neighbor.tie))
+            .map(|(host, _)| Action::Send(host.clone(), frame.clone()))
+            .collect()
+    }
+
+    /// Takes reports in. A relay hands those of its region on to other regions and those of others to
+    /// its region; a node of the tree hands them down.
+    pub(super) fn covered(&mut self, now: Moment, host: &Host, reports: &[Report]) -> Vec<Action> {
+        let Some(from) = self.tie(host) else {
+            return Vec::new();
+        };
+        let news: Vec<Report> = reports
+            .iter()
+            .filter(|report| self.reports.take(now, report))
+            .cloned()
+            .collect();
+        if news.is_empty() {
+            return Vec::new();
+        }
+        let frame = Frame::Cover(news);
+        let mut actions = match from {
+            Tie::Child => Vec::new(),
+            Tie::Cross => self.cover_ties(&frame, |tie| tie == Tie::Region),
+            Tie::Parent => self.cover_ties(&frame, |tie| tie == Tie::Child),
+            Tie::Region => self.cover_ties(&frame, |tie| tie == Tie::Cross),
+        };
+        actions.extend(self.cover(now));
+        actions
+    }
+
+    fn cover(&mut self, now: Moment) -> Option<Action> {
+        let coverage = self.reports.coverage(now);
+        (coverage != self.coverage).then(|| {
+            self.coverage.clone_from(&coverage);
+            Action::Cover(coverage)
+        })
+    }
+
+    /// Tells of the hosts of this failure domain that are lost.
+    fn bury(&mut self, now: Moment) -> Vec<Action> {
+        let domain = &self.contact.domain;
+        let lost = self
+            .attendance
+            .lost(now, &self.contact.host, self.roster.within(domain));
+        let gone: Vec<Arc<Record>> = lost
+            .into_iter()
+            .map(|record| {
+                let mut gone = Record::clone(&record);
+                gone.offer = None;
+                gone.sequence = gone.sequence.saturating_add(1);
+                gone.state = State::Gone;
+                Arc::new(gone)
+            })
+            .collect();
+        if gone.is_empty() {
+            return Vec::new();
+        }
+        let mut actions = vec![Action::Count("member.lost")];
+        actions.extend(self.merge(now, None, gone));
+        actions
+    }
+
+    pub(super) fn beaten(&mut self, now: Moment, host: &Host, beat: &Beat) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.tie(host).is_none() {
+            if !self.accepted(now, host) {
+                return vec![Action::Send(host.clone(), Frame::Quit)];
+            }
+            actions.extend(self.hand_up());
+        }
+        let back = |ms: u32| Moment(now.0.saturating_sub(u64::from(ms) * 1000));
+        self.read_at = self.read_at.max(back(beat.read_ms));
+        if let Some(neighbor) = self.neighbors.get_mut(host) {
+            neighbor.floor = beat.floor;
+            neighbor.heard_at = now;
+            neighbor.rooted_at = back(beat.rooted_ms);
+            neighbor.serving = beat.serving;
+        }
+        self.told(host, beat.revision);
+        if beat.revision > self.snapshot.revision {
+            actions.extend(self.fetch(now, host, self.snapshot.revision));
+        }
+        actions.extend(self.compare(host, beat.roster));
+        actions
+    }
+
+    /// Takes the beat of a node that was asked to exchange as its consent.
+    fn accepted(&mut self, now: Moment, host: &Host) -> bool {
+        let asked = self.asked_parent.as_ref();
+        let parent = asked.filter(|asked| asked.contact.host == *host).cloned();
+        if let Some(asked) = parent {
+            self.asked_parent = None;
+            self.adopt(now, asked.contact, Tie::Parent, Revision::default(), false);
+            return true;
+        }
+        let Some(tie) = self.asked_sibling(host) else {
+            return false;
+        };
+        let asked = self
+            .asked_siblings
+            .values()
+            .find(|asked| asked.contact.host == *host)
+            .cloned();
+        if let Some(asked) = asked {
+            self.asked_siblings.remove(&asked.contact.domain);
+            self.unreachable.remove(&asked.contact.domain);
+            self.adopt(now, asked.contact, tie, Revision::default(), false);
+        }
+        true
+    }
+
+    /// Tells a new parent who is below this node.
+    fn hand_up(&mut self) -> Vec<Action> {
+        self.named.clear();
+        let lists: Vec<Frame> = self
+            .attendance
+            .lists()
+            .map(|(parent, hosts)| Frame::Children(parent.clone(), hosts.clone()))
+            .collect();
+        lists
+            .iter()
+            .flat_map(|frame| self.tell_parent(frame))
+            .collect()
+    }
+
+    /// Compares the rosters if they have differed for a while; one of the two asks.
+    fn compare(&mut self, host: &Host, digest: u64) -> Option<Action> {
+        let same = digest == self.roster.digest();
+        let me = &self.contact.host;
+        let neighbor = self.neighbors.get_mut(host)?;
+        if same {
+            neighbor.differing = 0;
+            return None;
+        }
+        neighbor.differing = neighbor.differing.saturating_add(1);
+        let asks = match neighbor.tie {
+            Tie::Child => false,
+            Tie::Parent => true,
+            Tie::Cross | Tie::Region => me < host,
+        };
+        if !asks || (self.serving && neighbor.differing < DIFFERING_MAX) {
+            return None;
+        }
+        neighbor.differing = 0;
+        Some(Action::Send(
+            host.clone(),
+            Frame::Digests(self.roster.digests()),
+        ))
+    }
+}
--- /dev/null
+++ b/src/control/configuration.rs
@@ -0,0 +1,208 @@
+//! How a node takes the configuration in, whole and forwards only, and hands it on.
+
+use {
+    super::{Action, Control, source_actions},
+    crate::{
+        snapshot::{Delta, Refusal, Snapshot},
+        source::{self, Entry, Outcome},
+        spread::millis,
+        wire::Frame,
+        world::{Host, Moment, Revision},
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+/// How often a node reads the platform that nothing hands the configuration to.
+pub const ORPHAN_POLL_INTERVAL: Duration = Duration::from_secs(10);
+
+/// The snapshots that a node sends at once.
+pub const SNAPSHOT_BURST: u32 = 16;
+
+/// How often a node sends one snapshot more.
+pub const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(60);
+
+/// How long an answer to a fetch is waited for.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How old the news of the platform may be before the relays of a region that is not told go direct.
+const READ_STALE: Duration = Duration::from_secs(2);
+
+impl Control {
+    /// Reads the platform if that is this node's duty.
+    pub(super) fn poll(&mut self, now: Moment) -> Vec<Action> {
+        if !self.polls(now) {
+            return Vec::new();
+        }
+        let actions = source_actions(self.source.tick(now, &self.snapshot));
+        if !actions.is_empty() {
+            self.polled_at = now;
+        }
+        actions
+    }
+
+    fn polls(&self, now: Moment) -> bool {
+        if self.spread.poll_all || self.source.is_waiting() {
+            return true;
+        }
+        let stale = now.since(self.read_at) >= READ_STALE;
+        let orphan = !self.is_root() && self.role.parent.is_none();
+        let relay = self.role.relay && (self.gateway || stale);
+        relay || (orphan && stale && now.since(self.polled_at) >= ORPHAN_POLL_INTERVAL)
+    }
+
+    pub(super) fn read(&mut self, now: Moment, entries: Option<Vec<Entry>>) -> Vec<Action> {
+        if entries.is_some() {
+            self.read_at = now;
+        }
+        let mut actions = Vec::new();
+        for entry in entries.unwrap_or_default() {
+            actions.extend(self.append(&entry));
+        }
+        actions.extend(source_actions(self.source.caught_up(&self.snapshot)));
+        actions
+    }
+
+    fn append(&mut self, entry: &Entry) -> Vec<Action> {
+        let delta = Delta {
+            changes: entry.changes().collect(),
+            digest: entry.digest,
+            from: Revision(entry.revision.0.saturating_sub(1)),
+            to: entry.revision,
+        };
+        match self.snapshot.apply(&delta) {
+            Ok(next) => self.install(None, next, &Arc::new(delta)),
+            Err(_) => Vec::new(),
+        }
+    }
+
+    fn install(&mut self, from: Option<&Host>, next: Snapshot, delta: &Arc<Delta>) -> Vec<Action> {
+        self.snapshot = Arc::new(next);
+        self.history.push(delta.clone());
+        let mut actions = self.in_force();
+        let tie = from.and_then(|host| self.tie(host));
+        actions.extend(
+            self.neighbors
+                .iter()
+                .filter(|(host, neighbor)| Some(*host) != from && neighbor.tie.takes(tie))
+                .filter(|(_, neighbor)| neighbor.revision < delta.to)
+                .map(|(host, _)| Action::Send(host.clone(), Frame::Delta(delta.clone()))),
+        );
+        actions
+    }
+
+    /// Has the edges run the configuration, if this node serves and there is one.
+    pub(super) fn in_force(&self) -> Vec<Action> {
+        if self.serving && self.snapshot.revision > Revision::default() {
+            vec![Action::Install(self.snapshot.clone())]
+        } else {
+            Vec::new()
+        }
+    }
+
+    pub(super) fn delta(&mut self, now: Moment, host: &Host, delta: &Arc<Delta>) -> Vec<Action> {
+        self.told(host, delta.to);
+        match self.snapshot.apply(delta) {
+            Ok(next) => {
+                self.fetching = None;
+                self.install(Some(host), next, delta)
+            }
+            Err(Refusal::Backwards { .. }) => vec![Action::Count("spread.delta.backwards")],
+            Err(Refusal::Gap { .. }) => {
+                let mut actions = vec![Action::Count("spread.delta.gap")];
+                actions.extend(self.fetch(now, host, self.snapshot.revision));
+                actions
+            }
+            Err(Refusal::Dangling | Refusal::Digest) => {
+                let mut actions = vec![Action::Count("spread.delta.unsound")];
+                actions.extend(self.fetch(now, host, Revision::default()));
+                actions
+            }
+        }
+    }
+
+    /// Notes the revision that a node runs.
+    pub(super) fn told(&mut self, host: &Host, revision: Revision) {
+        if let Some(neighbor) = self.neighbors.get_mut(host) {
+            neighbor.revision = neighbor.revision.max(revision);
+        }
+        let higher = self
+            .highest
+            .as_ref()
+            .is_none_or(|(_, held)| revision > *held);
+        if higher {
+            self.highest = Some((host.clone(), revision));
+        }
+    }
+
+    /// Asks for what follows `held`, unless an answer is on its way.
+    pub(super) fn fetch(&mut self, now: Moment, host: &Host, held: Revision) -> Option<Action> {
+        let waits = self
+            .fetching
+            .as_ref()
+            .is_some_and(|(_, until)| now < *until);
+        if waits {
+            return None;
+        }
+        self.fetching = Some((host.clone(), now + FETCH_TIMEOUT));
+        Some(Action::Send(host.clone(), Frame::Fetch(held)))
+    }
+
+    pub(super) fn fetched(&mut self, now: Moment, host: &Host, held: Revision) -> Vec<Action> {
+        self.catch_up(now, host, held).into_iter().collect()
+    }
+
+    /// Sends what follows `held`: a delta if that is known, or else the state, unless too many ask.
+    pub(super) fn catch_up(&mut self, now: Moment, host: &Host, held: Revision) -> Option<Action> {
+        if held >= self.snapshot.revision {
+            return None;
+        }
+        let frame = match self.history.since(held) {
+            Some(delta) => Frame::Delta(Arc::new(delta)),
+            None => match self.bucket.take(now) {
+                Ok(()) => Frame::Snapshot(self.snapshot.clone()),
+                Err(wait) => Frame::Busy(millis(wait)),
+            },
+        };
+        Some(Action::Send(host.clone(), frame))
+    }
+
+    pub(super) fn whole(&mut self, now: Moment, snapshot: Arc<Snapshot>) -> Vec<Action> {
+        self.fetching = None;
+        if snapshot.revision <= self.snapshot.revision {
+            return vec![Action::Count("spread.snapshot.backwards")];
+        }
+        if snapshot.verify(snapshot.digest).is_err() {
+            return vec![Action::Count("spread.snapshot.unsound")];
+        }
+        self.snapshot = snapshot;
+        self.history.clear();
+        let mut actions = self.in_force();
+        let behind: Vec<(Host, Revision)> = self
+            .neighbors
+            .iter()
+            .filter(|(_, neighbor)| neighbor.revision < self.snapshot.revision)
+            .map(|(host, neighbor)| (host.clone(), neighbor.revision))
+            .collect();
+        for (host, held) in behind {
+            actions.extend(self.catch_up(now, &host, held));
+        }
+        actions
+    }
+
+    pub(super) fn transacted(
+        &mut self,
+        now: Moment,
+        revision: Revision,
+        outcome: Outcome,
+    ) -> Vec<Action> {
+        let mut actions =
+            source_actions(
+                self.source
+                    .transacted(now, &self.snapshot, revision, outcome),
+            );
+        if outcome == Outcome::Committed {
+            actions.push(Action::Source(source::Action::Read(self.snapshot.revision)));
+        }
+        actions
+    }
+}
--- /dev/null
+++ b/src/control/membership.rs
@@ -0,0 +1,224 @@
+//! How a node tells of its own upstream, and hands on what it hears of hosts.
+
+use {
+    super::{Action, Control},
+    crate::{
+        member::{Contact, Offer, Record, State},
+        spread::{FANOUT, RELAYS, Tie},
+        wire::{Frame, Sync},
+        world::{Domain, Host, Moment, Revision},
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+/// How long an upstream that announces itself no more still gets new work.
+pub const OFFER_LEASE: Duration = Duration::from_secs(30);
+
+/// The records that are sent without a token of the bucket for what is large.
+const RECORDS_FREE: usize = 64;
+
+const EXPIRE_INTERVAL: Duration = Duration::from_secs(30);
+
+impl Control {
+    pub(super) fn announced(&mut self, now: Moment, offer: Offer) -> Vec<Action> {
+        self.offered_at = now;
+        if self.me.offer.as_ref() == Some(&offer) && self.me.state == State::Ready {
+            return Vec::new();
+        }
+        self.me.offer = Some(offer);
+        self.me.state = State::Ready;
+        self.changed(now)
+    }
+
+    pub(super) fn draining(&mut self, now: Moment) -> Vec<Action> {
+        if self.me.state == State::Leaving {
+            return Vec::new();
+        }
+        self.me.state = State::Leaving;
+        let mut actions = self.changed(now);
+        actions.extend(self.maintain(now));
+        actions
+    }
+
+    /// Ends the offer of an upstream that has not renewed its lease, and forgets hosts long gone.
+    pub(super) fn renew(&mut self, now: Moment) -> Vec<Action> {
+        if now.since(self.expired_at) >= EXPIRE_INTERVAL {
+            self.expired_at = now;
+            self.roster.expire(now);
+            self.dials.retain(|_, backoff| !backoff.is_idle(now));
+        }
+        if self.me.offer.is_none() || now.since(self.offered_at) < OFFER_LEASE {
+            return Vec::new();
+        }
+        self.me.offer = None;
+        let mut actions = vec![Action::Count("member.offer.lapsed")];
+        actions.extend(self.changed(now));
+        actions
+    }
+
+    fn changed(&mut self, now: Moment) -> Vec<Action> {
+        self.me.sequence = self.me.sequence.saturating_add(1);
+        self.merge(now, None, vec![Arc::new(self.me.clone())])
+    }
+
+    /// Takes records in and hands on what is news. What ends new work goes at once, the rest with the
+    /// next tick.
+    pub(super) fn merge(
+        &mut self,
+        now: Moment,
+        from: Option<&Host>,
+        records: Vec<Arc<Record>>,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let mut news = Vec::new();
+        for record in records {
+            if record.contact.host == self.contact.host && from.is_some() {
+                actions.extend(self.refute(now, &record));
+            } else if self.roster.merge(now, record.clone()) {
+                self.trust(&record);
+                news.push(record);
+            }
+        }
+        if news.is_empty() {
+            return actions;
+        }
+        let update = news.iter().map(|record| Record::clone(record)).collect();
+        actions.push(Action::Update(update));
+        let (urgent, later): (Vec<_>, Vec<_>) = news
+            .into_iter()
+            .partition(|record| record.state != State::Ready);
+        if !urgent.is_empty() {
+            actions.extend(self.tell(from, &Frame::Members(urgent)));
+        }
+        if !later.is_empty() {
+            self.news.push((from.cloned(), later));
+        }
+        actions
+    }
+
+    /// Takes news of a host that did not answer as a sign that it is there.
+    fn trust(&mut self, record: &Record) {
+        if record.state == State::Ready && self.suspects.remove(&record.contact.host).is_some() {
+            self.tree_version = None;
+        }
+    }
+
+    /// Sends a frame to every neighbour that news from `from` is handed on to.
+    pub(super) fn tell(&self, from: Option<&Host>, frame: &Frame) -> Vec<Action> {
+        let tie = from.and_then(|host| self.tie(host));
+        self.neighbors
+            .iter()
+            .filter(|(host, neighbor)| Some(*host) != from && neighbor.tie.takes(tie))
+            .map(|(host, _)| Action::Send(host.clone(), frame.clone()))
+            .collect()
+    }
+
+    pub(super) fn tie(&self, host: &Host) -> Option<Tie> {
+        self.neighbors.get(host).map(|neighbor| neighbor.tie)
+    }
+
+    pub(super) fn tell_news(&mut self) -> Vec<Action> {
+        let news = std::mem::take(&mut self.news);
+        let mut actions = Vec::new();
+        for (from, records) in news {
+            actions.extend(self.tell(from.as_ref(), &Frame::Members(records)));
+        }
+        actions
+    }
+
+    /// Outbids what others say of this host.
+    fn refute(&mut self, now: Moment, record: &Record) -> Vec<Action> {
+        if record.order() <= self.me.order() {
+            return Vec::new();
+        }
+        if record.incarnation > self.me.incarnation {
+            self.me.incarnation = record.incarnation + Duration::from_micros(1);
+        } else {
+            self.me.sequence = record.sequence;
+        }
+        let mut actions = vec![Action::Count("member.refuted")];
+        actions.extend(self.changed(now));
+        actions
+    }
+
+    /// Answers a node that knows nobody yet with the first hosts of each failure domain.
+    pub(super) fn welcome(&self, host: &Host, contact: &Contact) -> Vec<Action> {
+        let mut records = Vec::new();
+        for domain in self.roster.domains() {
+            let count = if *domain == contact.domain {
+                RELAYS + FANOUT
+            } else {
+                RELAYS
+            };
+            records.extend(self.first(domain, count));
+        }
+        let frame = Frame::Welcome(self.snapshot.revision, records);
+        vec![Action::Send(host.clone(), frame)]
+    }
+
+    fn first(&self, domain: &Domain, count: usize) -> Vec<Arc<Record>> {
+        crate::spread::Tree::new(domain, self.spread.fanout, self.roster.live(domain))
+            .front()
+            .iter()
+            .take(count)
+            .filter_map(|contact| self.roster.get(&contact.host).cloned())
+            .collect()
+    }
+
+    pub(super) fn welcomed(
+        &mut self,
+        now: Moment,
+        host: &Host,
+        revision: Revision,
+        records: Vec<Arc<Record>>,
+    ) -> Vec<Action> {
+        self.told(host, revision);
+        self.welcomes += 1;
+        let mut actions = self.merge(now, Some(host), records);
+        actions.extend(self.maintain(now));
+        actions
+    }
+
+    pub(super) fn digests(&self, host: &Host, theirs: &[(Domain, u64)]) -> Vec<Action> {
+        let ours = self.roster.digests();
+        let unmatched = |side: &[(Domain, u64)], other: &[(Domain, u64)]| -> Vec<Domain> {
+            side.iter()
+                .filter(|entry| !other.contains(entry))
+                .map(|(domain, _)| domain.clone())
+                .collect()
+        };
+        let mut differing = unmatched(&ours, theirs);
+        differing.extend(unmatched(theirs, &ours));
+        differing.sort_unstable();
+        differing.dedup();
+        differing
+            .into_iter()
+            .map(|domain| Action::Send(host.clone(), self.sync(domain, true)))
+            .collect()
+    }
+
+    fn sync(&self, domain: Domain, reply: bool) -> Frame {
+        Frame::Sync(Sync {
+            buckets: self.roster.buckets(&domain),
+            domain,
+            reply,
+        })
+    }
+
+    pub(super) fn synced(&mut self, now: Moment, host: &Host, sync: &Sync) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let records = self.roster.differing(&sync.domain, &sync.buckets);
+        // Who is put off here asks again, as the rosters go on differing.
+        if records.len() > RECORDS_FREE && self.bucket.take(now).is_err() {
+            return vec![Action::Count("spread.sync.busy")];
+        }
+        if !records.is_empty() {
+            actions.push(Action::Send(host.clone(), Frame::Members(records)));
+        }
+        if sync.reply {
+            let frame = self.sync(sync.domain.clone(), false);
+            actions.push(Action::Send(host.clone(), frame));
+        }
+        actions
+    }
+}
--- /dev/null
+++ b/src/control/topology.rs
@@ -0,0 +1,415 @@
+//! How a node finds its parent in the tree of its failure domain, and whom it hands on to.
+
+use {
+    super::{Action, Asked, Control, Duty, Suspect},
+    crate::{
+        member::{Contact, State},
+        spread::{Join, Neighbor, Role, Tie, Tree, millis},
+        wire::Frame,
+        world::{Host, Moment, Revision},
+    },
+    rand::Rng,
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
+};
+
+/// How long a neighbour that is not heard stays one.
+pub const LEASE: Duration = Duration::from_secs(3);
+
+/// How long a starting node asks its peers before it serves what it has.
+pub const START_LIMIT: Duration = Duration::from_secs(3);
+
+/// How long an answer to a join is waited for.
+pub(super) const ASK_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// How often a relay tries a host that it does not exchange with, to heal what was cut.
+const PROBE_INTERVAL: Duration = Duration::from_secs(5);
+
+/// How long a host that did not answer takes no part in the order of its failure domain: longer than
+/// it takes to tell that it is lost, and doubled each time that it does not answer again.
+const SUSPECT: Duration = Duration::from_secs(12);
+
+/// The longest time that a host is passed over.
+const SUSPECT_MAX: Duration = Duration::from_secs(300);
+
+/// How long a failure domain whose relay fell silent is passed over as a gateway.
+const UNREACHABLE: Duration = Duration::from_secs(5);
+
+/// How old a parent's news may be; older ones come from a cycle or from an orphan.
+const ROOTED_STALE: Duration = Duration::from_secs(5);
+
+/// How many times the fan-out a node takes as children.
+const CHILDREN_FACTOR: usize = 2;
+
+/// The peers that a starting node hears, as far as it has so many, before it serves.
+const INFORMANTS: usize = 2;
+
+impl Control {
+    /// Does what time asks for: finds parents and siblings, and gives up those that are silent.
+    pub(super) fn maintain(&mut self, now: Moment) -> Vec<Action> {
+        self.drop_silent(now);
+        self.rank(now);
+        let mut actions = self.begin(now);
+        actions.extend(self.find_parent(now));
+        actions.extend(self.find_siblings(now));
+        actions.extend(self.find_seeds(now));
+        actions
+    }
+
+    fn drop_silent(&mut self, now: Moment) {
+        let silent: Vec<Host> = self
+            .neighbors
+            .iter()
+            .filter(|(_, neighbor)| now.since(neighbor.heard_at) >= LEASE)
+            .map(|(host, _)| host.clone())
+            .collect();
+        for host in silent {
+            self.lose(now, &host);
+        }
+    }
+
+    /// Gives up a neighbour that can't be reached.
+    fn lose(&mut self, now: Moment, host: &Host) {
+        let Some(neighbor) = self.remove(host) else {
+            return;
+        };
+        match neighbor.tie {
+            Tie::Child => {}
+            Tie::Parent => self.suspect(now, host),
+            Tie::Cross | Tie::Region => {
+                let domain = neighbor.contact.domain;
+                self.unreachable.insert(domain, now + UNREACHABLE);
+            }
+        }
+    }
+
+    pub(super) fn remove(&mut self, host: &Host) -> Option<Neighbor> {
+        self.replaced = true;
+        self.neighbors.remove(host)
+    }
+
+    pub(super) fn suspect(&mut self, now: Moment, host: &Host) {
+        let span = self
+            .suspects
+            .get(host)
+            .map_or(SUSPECT, |held| (held.span * 2).min(SUSPECT_MAX));
+        let until = now + span;
+        self.suspects.insert(host.clone(), Suspect { span, until });
+        self.tree_version = None;
+    }
+
+    /// Orders the failure domain anew if it has changed.
+    fn rank(&mut self, now: Moment) {
+        self.busy.retain(|_, until| now < *until);
+        self.unreachable.retain(|_, until| now < *until);
+        self.suspects
+            .retain(|_, suspect| now < suspect.until + suspect.span);
+        let passed: BTreeSet<&Host> = self
+            .suspects
+            .iter()
+            .filter(|(_, suspect)| now < suspect.until)
+            .map(|(host, _)| host)
+            .collect();
+        let version = self.roster.version(&self.contact.domain);
+        if self.tree_version == Some((version, passed.len())) {
+            return;
+        }
+        self.tree_version = Some((version, passed.len()));
+        self.replaced = true;
+        let domain = &self.contact.domain;
+        let live = self
+            .roster
+            .live(domain)
+            .filter(|contact| !passed.contains(&contact.host));
+        self.tree = Tree::new(domain, self.spread.fanout, live);
+        let place = self.tree.place(&self.contact.host);
+        let duty = Duty::of(place);
+        if duty == Duty::First && !self.is_root() {
+            self.attendance.clear();
+            self.named.clear();
+        }
+        self.duty = duty;
+    }
+
+    /// Begins to serve once enough peers have told their revision and the highest one is held here.
+    fn begin(&mut self, now: Moment) -> Vec<Action> {
+        if self.serving {
+            return Vec::new();
+        }
+        let (source, highest) = match &self.highest {
+            Some((host, revision)) => (Some(host.clone()), *revision),
+            None => (None, Revision::default()),
+        };
+        let parent = self.parent().cloned();
+        let informants = self.welcomes + usize::from(parent.is_some());
+        let heard = informants >= INFORMANTS.min(self.seeds.len());
+        let placed = parent.is_some() || (self.is_root() && self.welcomes > 0);
+        let held = self.snapshot.revision >= highest;
+        if (heard && placed && held) || now.since(self.started_at) >= START_LIMIT {
+            self.serving = true;
+            return self.in_force();
+        }
+        let behind = parent.is_some_and(|parent| parent.revision < highest);
+        match source {
+            Some(host) if !held && (behind || (self.is_root() && placed)) => self
+                .fetch(now, &host, self.snapshot.revision)
+                .into_iter()
+                .collect(),
+            _ => Vec::new(),
+        }
+    }
+
+    pub(super) fn parent(&self) -> Option<&Neighbor> {
+        self.neighbors
+            .values()
+            .find(|neighbor| neighbor.tie == Tie::Parent)
+    }
+
+    fn find_parent(&mut self, now: Moment) -> Vec<Action> {
+        let mut actions: Vec<Action> = self.leave_parent(now).into_iter().collect();
+        if self.is_root() || self.parent().is_some() {
+            self.asked_parent = None;
+            return actions;
+        }
+        if let Some(asked) = &self.asked_parent {
+            if now < asked.until {
+                return actions;
+            }
+            let host = asked.contact.host.clone();
+            self.asked_parent = None;
+            self.suspect(now, &host);
+            self.rank(now);
+        }
+        let next = self
+            .tree
+            .parents(&self.contact.host)
+            .into_iter()
+            .find(|contact| !self.busy.contains_key(&contact.host))
+            .cloned();
+        if let Some(contact) = next {
+            actions.extend(self.ask(now, &contact, Tie::Child));
+            self.asked_parent = Some(Asked {
+                attempts: 0,
+                contact,
+                until: now + ASK_TIMEOUT,
+            });
+        }
+        actions
+    }
+
+    /// Leaves a parent that is no candidate any more, or whose news comes from no relay.
+    fn leave_parent(&mut self, now: Moment) -> Option<Action> {
+        let parent = self.parent()?;
+        let host = parent.contact.host.clone();
+        let rooted = now.since(parent.rooted_at) < ROOTED_STALE;
+        let candidates = self.tree.parents(&self.contact.host);
+        let fits = candidates.iter().any(|contact| contact.host == host);
+        if rooted && fits && !self.is_root() {
+            return None;
+        }
+        if !rooted {
+            self.suspect(now, &host);
+        }
+        self.remove(&host);
+        Some(Action::Send(host, Frame::Quit))
+    }
+
+    /// Asks a node to exchange, connecting to it first if need be.
+    pub(super) fn ask(&mut self, now: Moment, contact: &Contact, tie: Tie) -> Option<Action> {
+        if self.connected.contains(&contact.host) {
+            return Some(Action::Send(contact.host.clone(), self.join(tie)));
+        }
+        self.dial(now, contact.address)
+    }
+
+    fn join(&self, tie: Tie) -> Frame {
+        Frame::Join(Join {
+            contact: self.contact.clone(),
+            revision: self.snapshot.revision,
+            tie,
+        })
+    }
+
+    fn dial(&mut self, now: Moment, address: std::net::SocketAddr) -> Option<Action> {
+        let backoff = self.dials.entry(address).or_default();
+        backoff
+            .due(now, &mut self.rng)
+            .then_some(Action::Connect(address))
+    }
+
+    pub(super) fn connected(&mut self, now: Moment, host: Host) -> Vec<Action> {
+        self.connected.insert(host.clone());
+        if self.suspects.remove(&host).is_some() {
+            self.tree_version = None;
+        }
+        if let Some(record) = self.roster.get(&host) {
+            self.dials.remove(&record.contact.address);
+        }
+        let asked = self.asked_parent.as_ref();
+        if asked.is_some_and(|asked| asked.contact.host == host) {
+            return vec![Action::Send(host, self.join(Tie::Child))];
+        }
+        if let Some(tie) = self.asked_sibling(&host) {
+            return vec![Action::Send(host, self.join(tie))];
+        }
+        if self.serving && now.since(self.probed_at) >= ASK_TIMEOUT {
+            return Vec::new();
+        }
+        vec![
+            Action::Send(
+                host.clone(),
+                Frame::Hello(self.contact.clone(), self.snapshot.revision),
+            ),
+            Action::Send(host, Frame::Members(vec![Arc::new(self.me.clone())])),
+        ]
+    }
+
+    pub(super) fn disconnected(&mut self, now: Moment, host: &Host) -> Vec<Action> {
+        self.connected.remove(host);
+        self.lose(now, host);
+        Vec::new()
+    }
+
+    pub(super) fn joined(&mut self, now: Moment, host: &Host, join: Join) -> Vec<Action> {
+        if let Some(wait) = self.refusal(host, join.tie) {
+            let mut actions = vec![
+                Action::Count("spread.join.busy"),
+                Action::Send(host.clone(), Frame::Busy(millis(wait))),
+            ];
+            if join.tie != Tie::Child {
+                actions.extend(self.welcome(host, &self.contact.clone()));
+            }
+            return actions;
+        }
+        let revision = join.revision;
+        self.adopt(now, join.contact, join.tie, revision, true);
+        let mut actions = vec![Action::Send(host.clone(), Frame::Beat(self.pulse(now)))];
+        actions.extend(self.catch_up(now, host, revision));
+        actions
+    }
+
+    fn refusal(&mut self, host: &Host, tie: Tie) -> Option<Duration> {
+        let held = self.tie(host);
+        let children = self
+            .neighbors
+            .values()
+            .filter(|neighbor| neighbor.tie == Tie::Child)
+            .count();
+        let full = held.is_none() && children >= self.spread.fanout * CHILDREN_FACTOR;
+        let refused = match tie {
+            Tie::Child => !self.serving || held == Some(Tie::Parent) || full,
+            Tie::Cross | Tie::Region => !self.is_root(),
+            Tie::Parent => true,
+        };
+        refused.then(|| Duration::from_millis(self.rng.random_range(300..900)))
+    }
+
+    pub(super) fn adopt(
+        &mut self,
+        now: Moment,
+        contact: Contact,
+        tie: Tie,
+        revision: Revision,
+        inbound: bool,
+    ) {
+        self.replaced = true;
+        self.connected.insert(contact.host.clone());
+        self.neighbors.insert(
+            contact.host.clone(),
+            Neighbor {
+                contact,
+                differing: 0,
+                floor: Revision::default(),
+                heard_at: now,
+                inbound,
+                revision,
+                rooted_at: now,
+                serving: false,
+                tie,
+            },
+        );
+    }
+
+    pub(super) fn refused_by(&mut self, now: Moment, host: &Host, wait: Duration) -> Vec<Action> {
+        if self.fetching.as_ref().is_some_and(|(from, _)| from == host) {
+            self.fetching = Some((host.clone(), now + wait));
+        }
+        let asked = self.asked_parent.as_ref();
+        if asked.is_some_and(|asked| asked.contact.host == *host) {
+            self.asked_parent = None;
+            self.busy.insert(host.clone(), now + wait);
+        }
+        Vec::new()
+    }
+
+    pub(super) fn quit(&mut self, now: Moment, host: &Host) -> Vec<Action> {
+        if self.remove(host).is_none() {
+            return Vec::new();
+        }
+        self.maintain(now)
+    }
+
+    /// Looks for more nodes: while starting, and as a relay now and then among those that are not
+    /// heard, so that what was cut comes together again.
+    fn find_seeds(&mut self, now: Moment) -> Vec<Action> {
+        if !self.serving {
+            let seeds = self.seeds.clone();
+            return seeds
+                .into_iter()
+                .filter_map(|address| self.dial(now, address))
+                .collect();
+        }
+        if !self.is_root() || now.since(self.probed_at) < PROBE_INTERVAL {
+            return Vec::new();
+        }
+        self.probed_at = now;
+        let known = |address: &std::net::SocketAddr| {
+            self.neighbors
+                .values()
+                .any(|neighbor| neighbor.contact.address == *address)
+        };
+        let lost = self
+            .roster
+            .iter()
+            .filter(|record| {
+                record.state == State::Gone || self.unreachable.contains_key(&record.contact.domain)
+            })
+            .map(|record| record.contact.address);
+        let choices: Vec<_> = self
+            .seeds
+            .iter()
+            .copied()
+            .filter(|address| !known(address))
+            .chain(lost)
+            .collect();
+        if choices.is_empty() {
+            return Vec::new();
+        }
+        let index = self.rng.random_range(0..choices.len());
+        vec![Action::Connect(choices[index])]
+    }
+
+    /// Gives this node's place among the others if it has changed.
+    pub(super) fn place(&mut self) -> Option<Action> {
+        if !std::mem::take(&mut self.replaced) {
+            return None;
+        }
+        let with = |wanted: &dyn Fn(Tie) -> bool| -> Vec<Host> {
+            self.neighbors
+                .iter()
+                .filter(|(_, neighbor)| wanted(neighbor.tie))
+                .map(|(host, _)| host.clone())
+                .collect()
+        };
+        let role = Role {
+            children: with(&|tie| tie == Tie::Child),
+            parent: with(&|tie| tie == Tie::Parent).pop(),
+            relay: self.is_relay(),
+            siblings: with(&|tie| matches!(tie, Tie::Cross | Tie::Region)),
+        };
+        if role == self.role {
+            return None;
+        }
+        self.role = role.clone();
+        Some(Action::Role(role))
+    }
+}
--- a/src/member.rs
+++ b/src/member.rs
@@ -1,10 +1,19 @@
 //! Membership: which hosts there are, and which upstream each one offers. Every record carries its
 //! incarnation and sequence; the higher one wins, so crossed updates settle alike everywhere.
+//! See docs/design/member.md.
 
 use {
     crate::world::{Domain, Host, Moment, Region, Service, Version},
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeMap, net::SocketAddr},
+    std::net::SocketAddr,
+};
+
+mod attendance;
+mod roster;
+
+pub use {
+    attendance::{Attendance, GATHER, KEEP, LAPSE},
+    roster::{BUCKETS, Roster, TOMBSTONE},
 };
 
 /// Where a node is and how other nodes reach it.
@@ -63,37 +72,9 @@
 }
 
 impl Record {
-    fn order(&self) -> (Moment, u64) {
-        (self.incarnation, self.sequence)
-    }
-}
-
-/// Every host that a node knows of.
-#[derive(Debug, Default)]
-pub struct Roster {
-    records: BTreeMap<Host, Record>,
-}
-
-impl Roster {
-    /// Takes a record in and says whether it was news.
-    pub fn merge(&mut self, record: Record) -> bool {
-        let host = &record.contact.host;
-        let held = self.records.get(host).map(Record::order);
-        let news = held.is_none_or(|held| record.order() > held);
-        if news {
-            self.records.insert(host.clone(), record);
-        }
-        news
-    }
-
-    /// Looks a host up.
+    /// Gives what decides between two records of a host.
     #[must_use]
-    pub fn get(&self, host: &Host) -> Option<&Record> {
-        self.records.get(host)
-    }
-
-    /// Lists every record.
-    pub fn iter(&self) -> impl Iterator<Item = &Record> {
-        self.records.values()
+    pub fn order(&self) -> (Moment, u64) {
+        (self.incarnation, self.sequence)
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -173,6 +173,8 @@
             contact,
             now: clock.now(),
             peers: settings.peers.clone(),
+            seed: rand::random(),
+            spread: control::Spread::default(),
         });
         let driver = Driver {
             clock,
@@ -330,6 +332,7 @@
                 // A failure is counted by the link, and the next tick tries again.
                 tokio::spawn(async move { drop(link.connect(address).await) });
             }
+            control::Action::Count(name) => self.handle.telemetry.count(name),
             control::Action::Cover(coverage) => self.handle.coverage.store(Arc::new(coverage)),
             control::Action::Install(snapshot) => {
                 self.handle.snapshot.store(snapshot.clone());
--- a/src/source.rs
+++ b/src/source.rs
@@ -102,6 +102,12 @@
         self.transact(snapshot)
     }
 
+    /// Says whether an operation waits for the log.
+    #[must_use]
+    pub fn is_waiting(&self) -> bool {
+        self.flight.is_some() || !self.queue.is_empty()
+    }
+
     /// Reads the log when it is time to.
     pub fn tick(&mut self, now: Moment, snapshot: &Snapshot) -> Vec<Action> {
         if self.reading || now.since(self.read_at) < POLL_INTERVAL {
--- a/src/spread.rs
+++ b/src/spread.rs
@@ -6,6 +6,22 @@
     serde::Serialize,
 };
 
+mod backoff;
+mod bucket;
+mod history;
+mod neighbor;
+mod rank;
+mod report;
+
+pub use {
+    backoff::Backoff,
+    bucket::Bucket,
+    history::History,
+    neighbor::{Beat, Join, Neighbor, Tie},
+    rank::{FANOUT, RELAYS, Tree, gateways},
+    report::{LEASE, Report, Reports, millis},
+};
+
 /// How far one failure domain has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub struct Coverage {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -6,9 +6,11 @@
     crate::{
         member::{Contact, Record},
         snapshot::{Delta, Snapshot},
-        world::{Revision, Service, Version},
+        spread::{Beat, Join, Report},
+        world::{Domain, Host, Revision, Service, Version},
     },
     serde::{Deserialize, Serialize, de::DeserializeOwned},
+    std::sync::Arc,
 };
 
 /// The longest frame, in bytes.
@@ -20,18 +22,47 @@
 /// One message of the control traffic.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
-    /// The sender, and the revision it runs.
-    Hello(Contact, Revision),
+    /// What neighbours tell each other once a second.
+    Beat(Beat),
+    /// Not now: ask again after so many milliseconds.
+    Busy(u32),
+    /// The children of a node, sent up to the first relay.
+    Children(Host, Vec<Host>),
+    /// How far failure domains have come.
+    Cover(Vec<Report>),
+    /// A step between revisions.
+    Delta(Arc<Delta>),
+    /// The digest of the sender's records of each failure domain.
+    Digests(Vec<(Domain, u64)>),
     /// Asks for what follows a revision.
     Fetch(Revision),
-    /// A step between revisions.
-    Delta(Delta),
-    /// A whole state.
-    Snapshot(Snapshot),
+    /// Asks for the first hosts of the sender's failure domain.
+    Hello(Contact, Revision),
+    /// Asks to exchange.
+    Join(Join),
     /// What the sender knows of hosts.
-    Members(Vec<Record>),
+    Members(Vec<Arc<Record>>),
+    /// Ends the exchange.
+    Quit,
     /// A message about rollouts, which `rollout` encodes and decodes.
     Rollout(Vec<u8>),
+    /// A whole state.
+    Snapshot(Arc<Snapshot>),
+    /// The digests of the parts of the sender's records of a failure domain.
+    Sync(Sync),
+    /// Answers a hello: the sender's revision, and the first hosts of each failure domain.
+    Welcome(Revision, Vec<Arc<Record>>),
+}
+
+/// Compares the records of a failure domain, part by part.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sync {
+    /// The digest of each part.
+    pub buckets: Vec<u64>,
+    /// The failure domain.
+    pub domain: Domain,
+    /// Whether the receiver is to send its own digests too.
+    pub reply: bool,
 }
 
 /// One part of a proxied request or answer.
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -4,6 +4,10 @@
 #[path = "../examples/standin/mod.rs"]
 mod standin;
 
+mod member;
+mod mesh;
 mod path;
 mod snapshot;
+mod spread;
 mod test;
+mod wire;
--- /dev/null
+++ b/tests/member.rs
@@ -0,0 +1,198 @@
+//! The membership settles alike everywhere; leaving is fast, and loss of contact is not death.
+
+use {
+    crate::mesh::Mesh,
+    mulberryshelf::{
+        control::{Event, OFFER_LEASE},
+        member::{Contact, Record, Roster, State, TOMBSTONE},
+        world::Moment,
+    },
+    proptest::prelude::*,
+    std::{sync::Arc, time::Duration},
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+/// How soon a leaving upstream gets no new work at any ingress.
+const LEAVING: Duration = Duration::from_secs(2);
+
+fn mesh(seed: u64, hosts: usize) -> Mesh {
+    let mut mesh = Mesh::new(seed)
+        .domain("luzon", "luzon-a", hosts, "desk")
+        .domain("luzon", "luzon-b", hosts, "hub")
+        .domain("visayas", "visayas-a", hosts, "desk");
+    mesh.start_all();
+    mesh.until(20 * SECOND, Mesh::is_settled);
+    mesh.run(5 * SECOND);
+    mesh
+}
+
+#[test]
+fn leaving_is_known_at_every_ingress_within_two_seconds() {
+    let mut mesh = mesh(1, 60);
+    mesh.loss = 0.05;
+    let relay = mesh.root("luzon-a");
+    for leaving in [relay, mesh.nodes.len() - 1] {
+        mesh.event(leaving, Event::Draining);
+        mesh.run(LEAVING);
+        for at in mesh.all() {
+            assert_eq!(mesh.state(at, leaving), Some(State::Leaving));
+        }
+    }
+}
+
+#[test]
+fn leaving_relay_hands_its_duties_on_before_it_ends() {
+    let mut mesh = mesh(2, 30);
+    let relay = mesh.root("luzon-a");
+    mesh.event(relay, Event::Draining);
+    mesh.run(LEAVING);
+    let next = mesh.root("luzon-a");
+    assert_ne!(next, relay);
+    assert!(mesh.nodes[relay].control.role().children.is_empty());
+}
+
+#[test]
+fn lost_host_is_gone_and_comes_back_as_a_new_incarnation() {
+    let mut mesh = mesh(3, 20);
+    let lost = mesh.nodes.len() - 1;
+    mesh.kill(lost);
+    mesh.run(12 * SECOND);
+    assert_eq!(mesh.state(0, lost), Some(State::Gone));
+    mesh.start(lost);
+    mesh.until(10 * SECOND, Mesh::is_settled);
+    assert_eq!(mesh.state(0, lost), Some(State::Ready));
+}
+
+#[test]
+fn hosts_lost_with_their_parent_are_missed_too() {
+    let mut mesh = mesh(4, 80);
+    let hub = mesh
+        .of("luzon-a")
+        .into_iter()
+        .find(|index| {
+            let role = mesh.nodes[*index].control.role();
+            !role.relay && role.children.len() > 5
+        })
+        .unwrap();
+    let below: Vec<usize> = mesh.nodes[hub]
+        .control
+        .role()
+        .children
+        .iter()
+        .take(6)
+        .map(|host| {
+            mesh.all()
+                .into_iter()
+                .find(|index| mesh.nodes[*index].contact.host == *host)
+                .unwrap()
+        })
+        .collect();
+    mesh.kill(hub);
+    for index in &below {
+        mesh.kill(*index);
+    }
+    mesh.run(20 * SECOND);
+    for index in below.into_iter().chain([hub]) {
+        assert_eq!(mesh.state(0, index), Some(State::Gone));
+    }
+    mesh.until(20 * SECOND, Mesh::is_settled);
+}
+
+#[test]
+fn mass_loss_does_not_empty_a_service() {
+    let mut mesh = mesh(5, 20);
+    let relays = mesh.relays("luzon-b");
+    let lost: Vec<usize> = mesh
+        .of("luzon-b")
+        .into_iter()
+        .filter(|index| !relays.contains(index))
+        .take(12)
+        .collect();
+    for index in &lost {
+        mesh.kill(*index);
+    }
+    mesh.run(30 * SECOND);
+    for index in &lost {
+        assert_eq!(mesh.state(0, *index), Some(State::Ready));
+    }
+}
+
+#[test]
+fn upstream_that_renews_its_lease_no_more_gets_no_new_work() {
+    let mut mesh = mesh(6, 5);
+    let host = mesh.nodes[4].contact.host.clone();
+    mesh.nodes[4].offer = None;
+    mesh.run(OFFER_LEASE + SECOND);
+    let record = mesh.nodes[10].control.roster().get(&host).unwrap();
+    assert_eq!(record.offer, None);
+}
+
+fn record(incarnation: u64, sequence: u64, state: State) -> Arc<Record> {
+    Arc::new(Record {
+        contact: Contact {
+            address: ([127, 0, 0, 1], 7000).into(),
+            domain: "luzon-a".parse().unwrap(),
+            host: "a1".parse().unwrap(),
+            region: "luzon".parse().unwrap(),
+        },
+        incarnation: Moment(incarnation),
+        offer: None,
+        sequence,
+        state,
+    })
+}
+
+#[test]
+fn late_news_does_not_bring_back_a_host_that_left() {
+    let mut roster = Roster::default();
+    roster.merge(Moment(0), record(1, 1, State::Ready));
+    roster.merge(Moment(0), record(1, 3, State::Gone));
+    assert!(!roster.merge(Moment(1), record(1, 2, State::Ready)));
+    let host = "a1".parse().unwrap();
+    assert_eq!(roster.get(&host).unwrap().state, State::Gone);
+    roster.expire(Moment(1) + TOMBSTONE * 2);
+    assert!(roster.get(&host).is_none());
+}
+
+proptest! {
+    #[test]
+    fn crossed_records_settle_alike(
+        orders in proptest::collection::vec((0u64..4, 0u64..6), 1..12),
+        seed in any::<u64>(),
+    ) {
+        let state = |sequence| match sequence % 3 {
+            0 => State::Ready,
+            1 => State::Leaving,
+            _ => State::Gone,
+        };
+        let records: Vec<_> = orders.iter().map(|(i, s)| record(*i, *s, state(*s))).collect();
+        let mut shuffled = records.clone();
+        let mut rng = <rand::rngs::StdRng as rand::SeedableRng>::seed_from_u64(seed);
+        rand::seq::SliceRandom::shuffle(shuffled.as_mut_slice(), &mut rng);
+        let settle = |records: Vec<Arc<Record>>| {
+            let mut roster = Roster::default();
+            for record in records {
+                roster.merge(Moment(0), record);
+            }
+            let host = "a1".parse().unwrap();
+            (roster.digest(), roster.get(&host).cloned())
+        };
+        prop_assert_eq!(settle(records), settle(shuffled));
+    }
+}
+
+#[test]
+fn planned_stop_leaves_no_gap_in_the_tree() {
+    let mut mesh = mesh(7, 60);
+    for domain in ["luzon-a", "luzon-b", "visayas-a"] {
+        let relay = mesh.root(domain);
+        mesh.stop(relay);
+        mesh.run(Duration::from_millis(700));
+        let root = mesh.root(domain);
+        for index in mesh.of(domain) {
+            let node = &mesh.nodes[index];
+            let placed = index == root || node.control.role().parent.is_some();
+            assert!(placed || !node.alive, "{} has no parent", node.contact.host);
+        }
+    }
+}
--- /dev/null
+++ b/tests/mesh.rs
@@ -0,0 +1,632 @@
+//! Real control planes over small links in memory: delay, loss and cuts, in virtual time. Every
+//! configuration that comes into force is checked: it is sound, and later than the one before it.
+
+use {
+    mulberryshelf::{
+        control::{Action, Control, Event, Spread, Start},
+        member::{Contact, Offer, State},
+        resource::{Change, Key, Kind, Route, Spec, VersionSpec},
+        snapshot::Snapshot,
+        source::{self, Entry, Operation, Outcome, Ticket, Verdict},
+        wire::{self, Frame},
+        world::{Host, Moment, Permille, Revision},
+    },
+    rand::{Rng, SeedableRng, rngs::StdRng},
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, BTreeSet, BinaryHeap},
+        net::SocketAddr,
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// How often a node is told that time has passed.
+const TICK: Duration = Duration::from_millis(100);
+/// How long it takes QUIC to notice that a peer is gone.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(6);
+/// What UDP, QUIC and its acknowledgements add to a frame, in bytes.
+const OVERHEAD_BYTES: u64 = 80;
+/// How often an upstream renews its lease.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(10);
+const PLATFORM_LATENCY: Duration = Duration::from_millis(10);
+const RETRANSMISSION: Duration = Duration::from_millis(200);
+
+/// What happens to a node, at a time.
+enum Happening {
+    Event(usize, u64, Event),
+    Frame(usize, usize, Frame),
+}
+
+struct Queued {
+    at: Moment,
+    number: u64,
+    what: Happening,
+}
+
+impl PartialEq for Queued {
+    fn eq(&self, other: &Self) -> bool {
+        self.number == other.number
+    }
+}
+impl Eq for Queued {}
+impl PartialOrd for Queued {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Queued {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.number).cmp(&(other.at, other.number))
+    }
+}
+
+/// One node of the mesh.
+pub struct Node {
+    pub alive: bool,
+    pub announced_at: Moment,
+    pub contact: Contact,
+    pub control: Control,
+    pub counts: BTreeMap<&'static str, u64>,
+    /// When each revision came into force here.
+    pub installed: BTreeMap<Revision, Moment>,
+    pub offer: Option<Offer>,
+    pub received: u64,
+    pub received_frames: u64,
+    pub sent: u64,
+    pub verdicts: Vec<Verdict>,
+    generation: u64,
+    in_force: Arc<Snapshot>,
+    paused_until: Moment,
+}
+
+impl Node {
+    fn contact_state(&self) -> Option<State> {
+        let record = self.control.roster().get(&self.contact.host)?;
+        Some(record.state)
+    }
+}
+
+/// The platform's table, with its faults.
+#[derive(Default)]
+pub struct Platform {
+    /// The nodes that can't reach it.
+    pub cut: BTreeSet<usize>,
+    pub down: bool,
+    pub log: Vec<Entry>,
+    pub reads: u64,
+    pub writes: u64,
+    /// Reads in each second.
+    pub reads_by_second: BTreeMap<u64, u64>,
+}
+
+/// A small mesh.
+pub struct Mesh {
+    /// Bytes that crossed between regions.
+    pub crossed: u64,
+    /// Of these, those of configuration.
+    pub crossed_configuration: u64,
+    pub loss: f64,
+    pub nodes: Vec<Node>,
+    pub now: Moment,
+    pub platform: Platform,
+    connections: BTreeSet<(usize, usize)>,
+    cuts: Vec<(BTreeSet<usize>, BTreeSet<usize>)>,
+    index: BTreeMap<Host, usize>,
+    number: u64,
+    queue: BinaryHeap<Reverse<Queued>>,
+    rng: StdRng,
+    spread: Spread,
+}
+
+fn address(index: usize) -> SocketAddr {
+    let [a, b, c, d] = u32::try_from(index).unwrap().to_be_bytes();
+    SocketAddr::from(([10 + a, b, c, d], 7000))
+}
+
+impl Mesh {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            connections: BTreeSet::new(),
+            crossed: 0,
+            crossed_configuration: 0,
+            cuts: Vec::new(),
+            index: BTreeMap::new(),
+            loss: 0.0,
+            nodes: Vec::new(),
+            now: Moment(1_000_000_000_000),
+            number: 0,
+            platform: Platform::default(),
+            queue: BinaryHeap::new(),
+            rng: StdRng::seed_from_u64(seed),
+            spread: Spread::default(),
+        }
+    }
+
+    pub fn spread(mut self, spread: Spread) -> Self {
+        self.spread = spread;
+        self
+    }
+
+    /// Adds hosts of one failure domain, each with an upstream; the first nodes are everybody's seeds.
+    pub fn domain(mut self, region: &str, domain: &str, hosts: usize, service: &str) -> Self {
+        for number in 0..hosts {
+            let index = self.nodes.len();
+            let contact = Contact {
+                address: address(index),
+                domain: domain.parse().unwrap(),
+                host: format!("{domain}-{number}").parse().unwrap(),
+                region: region.parse().unwrap(),
+            };
+            let offer = Offer {
+                address: address(index),
+                connections: 120,
+                service: service.parse().unwrap(),
+                slots: 12,
+                version: format!("{service}-1").parse().unwrap(),
+            };
+            self.index.insert(contact.host.clone(), index);
+            let control = self.control(&contact);
+            self.nodes.push(Node {
+                alive: false,
+                announced_at: Moment(0),
+                contact,
+                control,
+                counts: BTreeMap::new(),
+                generation: 0,
+                in_force: Arc::default(),
+                installed: BTreeMap::new(),
+                offer: Some(offer),
+                paused_until: Moment(0),
+                received: 0,
+                received_frames: 0,
+                sent: 0,
+                verdicts: Vec::new(),
+            });
+        }
+        self
+    }
+
+    fn seeds(&self, contact: &Contact) -> Vec<SocketAddr> {
+        let first = |same: bool| {
+            self.nodes
+                .iter()
+                .filter(move |node| (node.contact.domain == contact.domain) == same)
+                .map(|node| node.contact.address)
+        };
+        first(true).take(2).chain(first(false).take(1)).collect()
+    }
+
+    fn control(&mut self, contact: &Contact) -> Control {
+        Control::new(Start {
+            contact: contact.clone(),
+            now: self.now,
+            peers: self.seeds(contact),
+            seed: self.rng.random(),
+            spread: self.spread,
+        })
+    }
+
+    /// Starts a host's node, afresh if it ran before.
+    pub fn start(&mut self, index: usize) {
+        let contact = self.nodes[index].contact.clone();
+        let control = self.control(&contact);
+        let node = &mut self.nodes[index];
+        node.alive = true;
+        node.control = control;
+        node.generation += 1;
+        node.in_force = Arc::default();
+        node.installed.clear();
+        node.paused_until = Moment(0);
+        let generation = node.generation;
+        let offer = node.offer.clone();
+        if let Some(offer) = offer {
+            let announced = Event::Announced(offer);
+            self.push(
+                Duration::ZERO,
+                Happening::Event(index, generation, announced),
+            );
+        }
+        let offset = Duration::from_micros(self.rng.random_range(0..100_000));
+        self.push(offset, Happening::Event(index, generation, Event::Tick));
+    }
+
+    pub fn start_all(&mut self) {
+        for index in 0..self.nodes.len() {
+            self.start(index);
+        }
+    }
+
+    /// Ends a node without a word.
+    pub fn kill(&mut self, index: usize) {
+        self.nodes[index].alive = false;
+        self.nodes[index].generation += 1;
+        self.sever(|a, b| a == index || b == index);
+    }
+
+    /// Ends a node as planned: it says so, and its connections close.
+    pub fn stop(&mut self, index: usize) {
+        self.event(index, Event::Draining);
+        self.run(Duration::from_millis(300));
+        self.nodes[index].alive = false;
+        self.nodes[index].generation += 1;
+        self.close(|a, b| a == index || b == index, Duration::from_millis(1));
+    }
+
+    /// Has a node run nothing for a while.
+    pub fn pause(&mut self, index: usize, span: Duration) {
+        self.nodes[index].paused_until = self.now + span;
+    }
+
+    /// Cuts every link between two sets of nodes.
+    pub fn cut(&mut self, a: BTreeSet<usize>, b: BTreeSet<usize>) {
+        let (left, right) = (a.clone(), b.clone());
+        self.cuts.push((a, b));
+        self.sever(move |x, y| {
+            (left.contains(&x) && right.contains(&y)) || (left.contains(&y) && right.contains(&x))
+        });
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.platform.cut.clear();
+    }
+
+    fn sever(&mut self, lost: impl Fn(usize, usize) -> bool) {
+        self.close(lost, IDLE_TIMEOUT);
+    }
+
+    fn close(&mut self, lost: impl Fn(usize, usize) -> bool, notice: Duration) {
+        let gone: Vec<(usize, usize)> = self
+            .connections
+            .iter()
+            .filter(|(a, b)| lost(*a, *b))
+            .copied()
+            .collect();
+        for (a, b) in gone {
+            self.connections.remove(&(a, b));
+            for (to, other) in [(a, b), (b, a)] {
+                let host = self.nodes[other].contact.host.clone();
+                let generation = self.nodes[to].generation;
+                self.push(
+                    notice,
+                    Happening::Event(to, generation, Event::Disconnected(host)),
+                );
+            }
+        }
+    }
+
+    pub fn all(&self) -> BTreeSet<usize> {
+        (0..self.nodes.len()).collect()
+    }
+
+    /// Lists the hosts of a failure domain.
+    pub fn of(&self, domain: &str) -> BTreeSet<usize> {
+        self.all()
+            .into_iter()
+            .filter(|index| self.nodes[*index].contact.domain.as_str() == domain)
+            .collect()
+    }
+
+    /// Cuts a failure domain off from every other one and from the platform.
+    pub fn isolate(&mut self, domain: &str) {
+        let inside = self.of(domain);
+        self.platform.cut.extend(&inside);
+        let outside = self.all().difference(&inside).copied().collect();
+        self.cut(inside, outside);
+    }
+
+    fn is_cut(&self, a: usize, b: usize) -> bool {
+        self.cuts.iter().any(|(left, right)| {
+            (left.contains(&a) && right.contains(&b)) || (left.contains(&b) && right.contains(&a))
+        })
+    }
+
+    fn push(&mut self, after: Duration, what: Happening) {
+        self.number += 1;
+        self.queue.push(Reverse(Queued {
+            at: self.now + after,
+            number: self.number,
+            what,
+        }));
+    }
+
+    /// Runs the mesh for a while.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.queue.peek().is_some_and(|queued| queued.0.at <= end) {
+            let Some(Reverse(queued)) = self.queue.pop() else {
+                break;
+            };
+            self.now = queued.at;
+            match queued.what {
+                Happening::Event(to, generation, event) => self.happen(to, generation, event),
+                Happening::Frame(from, to, frame) => self.deliver(from, to, frame),
+            }
+        }
+        self.now = end;
+    }
+
+    /// Runs the mesh until a condition holds, and gives how long that took.
+    pub fn until(&mut self, limit: Duration, condition: impl Fn(&Self) -> bool) -> Duration {
+        let start = self.now;
+        while !condition(self) {
+            let waited = self.now.since(start);
+            assert!(
+                waited < limit,
+                "the condition did not hold after {waited:?}"
+            );
+            self.run(Duration::from_millis(100));
+        }
+        self.now.since(start)
+    }
+
+    fn happen(&mut self, to: usize, generation: u64, event: Event) {
+        let node = &self.nodes[to];
+        if !node.alive || node.generation != generation {
+            return;
+        }
+        let tick = matches!(event, Event::Tick);
+        if self.now < node.paused_until {
+            let wait = node.paused_until.since(self.now);
+            return self.push(wait, Happening::Event(to, generation, event));
+        }
+        self.event(to, event);
+        if tick {
+            self.announce(to);
+            self.push(TICK, Happening::Event(to, generation, Event::Tick));
+        }
+    }
+
+    fn announce(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        if self.now.since(node.announced_at) < ANNOUNCE_INTERVAL {
+            return;
+        }
+        node.announced_at = self.now;
+        if let Some(offer) = node.offer.clone()
+            && node.contact_state() == Some(State::Ready)
+        {
+            self.event(index, Event::Announced(offer));
+        }
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, frame: Frame) {
+        let cut = self.is_cut(from, to);
+        let node = &mut self.nodes[to];
+        if !node.alive || cut {
+            return;
+        }
+        if self.now < node.paused_until {
+            let wait = node.paused_until.since(self.now);
+            return self.push(wait, Happening::Frame(from, to, frame));
+        }
+        node.received_frames += 1;
+        let host = self.nodes[from].contact.host.clone();
+        self.event(to, Event::Received(host, frame));
+    }
+
+    /// Hands an event to a node, and does what it wants done.
+    pub fn event(&mut self, to: usize, event: Event) {
+        let actions = self.nodes[to].control.handle(self.now, event);
+        for action in actions {
+            self.act(to, action);
+        }
+    }
+
+    fn act(&mut self, index: usize, action: Action) {
+        match action {
+            Action::Connect(address) => self.connect(index, address),
+            Action::Count(name) => *self.nodes[index].counts.entry(name).or_default() += 1,
+            Action::Install(snapshot) => self.install(index, snapshot),
+            Action::Send(host, frame) => self.send(index, &host, frame),
+            Action::Source(action) => self.source(index, action),
+            Action::Cover(_) | Action::Role(_) | Action::Rollout(..) | Action::Update(_) => {}
+        }
+    }
+
+    fn install(&mut self, index: usize, snapshot: Arc<Snapshot>) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        let held = &node.in_force;
+        assert!(
+            snapshot.revision > held.revision,
+            "{} goes from {} back to {}",
+            node.contact.host,
+            held.revision,
+            snapshot.revision
+        );
+        snapshot.verify(snapshot.digest).unwrap();
+        let accepted = usize::try_from(snapshot.revision.0)
+            .unwrap()
+            .wrapping_sub(1);
+        if let Some(entry) = self.platform.log.get(accepted) {
+            assert_eq!(entry.digest, snapshot.digest, "not what was accepted");
+        }
+        node.installed.insert(snapshot.revision, now);
+        node.in_force = snapshot;
+    }
+
+    fn connect(&mut self, index: usize, address: SocketAddr) {
+        let found = self
+            .nodes
+            .iter()
+            .position(|node| node.contact.address == address);
+        let Some(other) = found else { return };
+        if other == index || !self.nodes[other].alive || self.is_cut(index, other) {
+            return;
+        }
+        let delay = self.delay(index, other) * 2;
+        self.connections
+            .insert((index.min(other), index.max(other)));
+        for (to, from) in [(index, other), (other, index)] {
+            let host = self.nodes[from].contact.host.clone();
+            let generation = self.nodes[to].generation;
+            self.push(
+                delay,
+                Happening::Event(to, generation, Event::Connected(host)),
+            );
+        }
+    }
+
+    fn delay(&mut self, a: usize, b: usize) -> Duration {
+        let (a, b) = (&self.nodes[a].contact, &self.nodes[b].contact);
+        let base = if a.region == b.region { 500 } else { 12_000 };
+        let jitter = self.rng.random_range(0..500);
+        let lost = self.loss > 0.0 && self.rng.random_bool(self.loss);
+        let delay = Duration::from_micros(base + jitter);
+        if lost { delay + RETRANSMISSION } else { delay }
+    }
+
+    fn send(&mut self, from: usize, host: &Host, frame: Frame) {
+        let to = self.index[host];
+        let pair = (from.min(to), from.max(to));
+        if !self.connections.contains(&pair) {
+            return;
+        }
+        let bytes = wire::encode(&frame).unwrap().len() as u64 + OVERHEAD_BYTES;
+        self.nodes[from].sent += bytes;
+        self.nodes[to].received += bytes;
+        if self.nodes[from].contact.region != self.nodes[to].contact.region {
+            self.crossed += bytes;
+            if matches!(frame, Frame::Delta(_) | Frame::Snapshot(_)) {
+                self.crossed_configuration += bytes;
+            }
+        }
+        let delay = self.delay(from, to);
+        self.push(delay, Happening::Frame(from, to, frame));
+    }
+
+    fn source(&mut self, index: usize, action: source::Action) {
+        let event = match action {
+            source::Action::Read(after) => {
+                let second = self.now.0 / 1_000_000;
+                self.platform.reads += 1;
+                *self.platform.reads_by_second.entry(second).or_default() += 1;
+                let reached = !self.platform.down && !self.platform.cut.contains(&index);
+                let entries = reached.then(|| {
+                    let after = usize::try_from(after.0).unwrap();
+                    self.platform.log.iter().skip(after).cloned().collect()
+                });
+                Event::Read(entries)
+            }
+            source::Action::Transact(entry) => {
+                let revision = entry.revision;
+                Event::Transacted(revision, self.transact(index, entry))
+            }
+            source::Action::Reply(_, verdict) => {
+                self.nodes[index].verdicts.push(verdict);
+                return;
+            }
+        };
+        let generation = self.nodes[index].generation;
+        self.push(PLATFORM_LATENCY, Happening::Event(index, generation, event));
+    }
+
+    fn transact(&mut self, index: usize, entry: Entry) -> Outcome {
+        if self.platform.down || self.platform.cut.contains(&index) {
+            return Outcome::Unsent;
+        }
+        self.platform.writes += 1;
+        if entry.revision.0 != self.platform.log.len() as u64 + 1 {
+            return Outcome::Conflict;
+        }
+        self.platform.log.push(entry);
+        Outcome::Committed
+    }
+
+    /// Has changes accepted at a node, and gives their revision.
+    pub fn apply(&mut self, index: usize, changes: Vec<Change>) -> Revision {
+        let before = self.platform.log.len();
+        let operation = Operation {
+            changes: changes.into_iter().map(|change| (change, None)).collect(),
+            id: format!("operation-{}", self.number),
+        };
+        self.event(index, Event::Submitted(Ticket(self.number), operation));
+        self.until(Duration::from_secs(10), |mesh| {
+            mesh.platform.log.len() > before
+        });
+        Revision(self.platform.log.len() as u64)
+    }
+
+    /// Tells whether every live node of a set runs a revision.
+    pub fn runs(&self, set: &BTreeSet<usize>, revision: Revision) -> bool {
+        set.iter()
+            .map(|index| &self.nodes[*index])
+            .filter(|node| node.alive)
+            .all(|node| node.in_force.revision >= revision)
+    }
+
+    /// Gives what is in force at a node.
+    pub fn revision(&self, index: usize) -> Revision {
+        self.nodes[index].in_force.revision
+    }
+
+    /// Gives what a node knows of a host's state.
+    pub fn state(&self, at: usize, of: usize) -> Option<State> {
+        let host = &self.nodes[of].contact.host;
+        let record = self.nodes[at].control.roster().get(host)?;
+        Some(record.state)
+    }
+
+    /// Tells whether every live node knows every live host, and serves.
+    pub fn is_settled(&self) -> bool {
+        let live: Vec<&Node> = self.nodes.iter().filter(|node| node.alive).collect();
+        let digest = live[0].control.roster().digest();
+        let known = live[0]
+            .control
+            .roster()
+            .iter()
+            .filter(|record| record.state == State::Ready)
+            .count();
+        known == live.len()
+            && live
+                .iter()
+                .all(|node| node.control.is_serving() && node.control.roster().digest() == digest)
+    }
+
+    /// Gives the nodes that take a failure domain's first place.
+    pub fn relays(&self, domain: &str) -> Vec<usize> {
+        self.of(domain)
+            .into_iter()
+            .filter(|index| self.nodes[*index].alive)
+            .filter(|index| self.nodes[*index].control.role().relay)
+            .collect()
+    }
+
+    /// Gives the first relay of a failure domain: the one without a parent.
+    pub fn root(&self, domain: &str) -> usize {
+        let roots: Vec<usize> = self
+            .relays(domain)
+            .into_iter()
+            .filter(|index| self.nodes[*index].control.role().parent.is_none())
+            .collect();
+        assert_eq!(roots.len(), 1, "{domain} has the first relays {roots:?}");
+        roots[0]
+    }
+}
+
+/// Declares a version and a route to it.
+pub fn route(service: &str, version: &str) -> Vec<Change> {
+    let key = |kind, name: &str| Key {
+        kind,
+        name: name.parse().unwrap(),
+    };
+    let service_name: mulberryshelf::world::Service = service.parse().unwrap();
+    vec![
+        Change::Put(
+            key(Kind::Version, version),
+            Spec::Version(VersionSpec {
+                service: service_name.clone(),
+            }),
+        ),
+        Change::Put(
+            key(Kind::Route, service),
+            Spec::Route(Route {
+                path: "/".into(),
+                service: service_name,
+                shares: [(version.parse().unwrap(), Permille::WHOLE)].into(),
+            }),
+        ),
+    ]
+}
--- /dev/null
+++ b/tests/spread.rs
@@ -0,0 +1,306 @@
+//! The configuration reaches every node within seconds, and never goes backwards.
+
+use {
+    crate::mesh::{Mesh, route},
+    mulberryshelf::{control::Spread, world::Revision},
+    std::time::Duration,
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+/// How soon an accepted configuration has to be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(6);
+
+/// Four failure domains in two regions.
+fn mesh(seed: u64, hosts: usize) -> Mesh {
+    let mut mesh = Mesh::new(seed)
+        .domain("luzon", "luzon-a", hosts, "desk")
+        .domain("luzon", "luzon-b", hosts, "hub")
+        .domain("visayas", "visayas-a", hosts, "desk")
+        .domain("visayas", "visayas-b", hosts, "hub");
+    mesh.start_all();
+    mesh.until(20 * SECOND, Mesh::is_settled);
+    mesh.run(5 * SECOND);
+    mesh
+}
+
+fn accept(mesh: &mut Mesh, number: usize) -> Revision {
+    let version = format!("desk-{number}");
+    mesh.apply(0, route("desk", &version))
+}
+
+#[test]
+fn accepted_configuration_is_in_force_everywhere() {
+    let mut mesh = mesh(1, 50);
+    let revision = accept(&mut mesh, 2);
+    let all = mesh.all();
+    let took = mesh.until(IN_FORCE, |mesh| mesh.runs(&all, revision));
+    assert!(took < IN_FORCE);
+}
+
+#[test]
+fn lossy_links_delay_but_lose_nothing() {
+    let mut mesh = mesh(2, 20);
+    mesh.loss = 0.05;
+    let all = mesh.all();
+    for number in 2..22 {
+        let revision = accept(&mut mesh, number);
+        mesh.until(IN_FORCE, |mesh| mesh.runs(&all, revision));
+    }
+}
+
+#[test]
+fn table_reads_grow_with_regions_and_not_with_nodes() {
+    let reads = |hosts| {
+        let mut mesh = mesh(3, hosts);
+        let before = mesh.platform.reads;
+        mesh.run(20 * SECOND);
+        mesh.platform.reads - before
+    };
+    let (few, many) = (reads(5), reads(40));
+    assert!(many <= few * 2, "{few} reads for 20 nodes, {many} for 160");
+}
+
+#[test]
+fn one_copy_crosses_to_each_other_region() {
+    let mut mesh = mesh(4, 20);
+    mesh.crossed_configuration = 0;
+    let revision = accept(&mut mesh, 2);
+    let all = mesh.all();
+    mesh.until(IN_FORCE, |mesh| mesh.runs(&all, revision));
+    let delta: u64 = 300;
+    let crossed = mesh.crossed_configuration;
+    assert!(crossed < 2 * delta, "{crossed} bytes crossed");
+}
+
+#[test]
+fn paused_relay_resumes_behind_and_takes_nobody_back() {
+    let mut mesh = mesh(5, 30);
+    let relay = mesh.root("luzon-b");
+    mesh.pause(relay, 20 * SECOND);
+    let mut rest = mesh.all();
+    rest.remove(&relay);
+    for number in 2..6 {
+        let revision = accept(&mut mesh, number);
+        mesh.until(IN_FORCE, |mesh| mesh.runs(&rest, revision));
+        mesh.run(3 * SECOND);
+    }
+    let last = Revision(4);
+    assert!(mesh.revision(relay) < last);
+    let all = mesh.all();
+    mesh.until(20 * SECOND, |mesh| mesh.runs(&all, last));
+    mesh.until(20 * SECOND, Mesh::is_settled);
+    mesh.run(10 * SECOND);
+    mesh.root("luzon-b");
+}
+
+#[test]
+fn death_of_both_relays_is_survived_within_the_bound() {
+    let mut mesh = mesh(6, 50);
+    let relays = mesh.relays("luzon-b");
+    assert_eq!(relays.len(), 2);
+    for relay in relays {
+        mesh.kill(relay);
+    }
+    let all = mesh.all();
+    let revision = accept(&mut mesh, 2);
+    let took = mesh.until(20 * SECOND, |mesh| mesh.runs(&all, revision));
+    assert!(took <= IN_FORCE, "{took:?}");
+}
+
+#[test]
+fn two_first_relays_do_no_harm() {
+    let mut mesh = mesh(7, 20);
+    let first = mesh.root("visayas-a");
+    let mut rest = mesh.of("visayas-a");
+    rest.remove(&first);
+    mesh.cut([first].into(), rest);
+    mesh.run(12 * SECOND);
+    let roots = mesh
+        .relays("visayas-a")
+        .into_iter()
+        .filter(|index| mesh.nodes[*index].control.role().parent.is_none())
+        .count();
+    assert_eq!(roots, 2);
+    let all = mesh.all();
+    let revision = accept(&mut mesh, 2);
+    mesh.until(IN_FORCE, |mesh| mesh.runs(&all, revision));
+    mesh.heal();
+    mesh.until(30 * SECOND, Mesh::is_settled);
+    mesh.run(10 * SECOND);
+    mesh.root("visayas-a");
+}
+
+#[test]
+fn domain_cut_off_takes_fresh_nodes_back_and_catches_up_forwards() {
+    let mut mesh = mesh(8, 10);
+    let held = accept(&mut mesh, 2);
+    let all = mesh.all();
+    mesh.until(IN_FORCE, |mesh| mesh.runs(&all, held));
+    mesh.isolate("visayas-b");
+    let inside = mesh.of("visayas-b");
+    let later = accept(&mut mesh, 3);
+    mesh.run(10 * SECOND);
+    let replaced: Vec<usize> = inside.iter().copied().take(3).collect();
+    for index in &replaced {
+        mesh.kill(*index);
+    }
+    mesh.run(SECOND);
+    for index in &replaced {
+        mesh.start(*index);
+    }
+    mesh.run(10 * SECOND);
+    for index in &inside {
+        let node = &mesh.nodes[*index];
+        assert!(node.control.is_serving());
+        assert_eq!(mesh.revision(*index), held, "{}", node.contact.host);
+        assert!(!node.installed.contains_key(&Revision(0)), "served nothing");
+    }
+    mesh.heal();
+    let all = mesh.all();
+    mesh.until(20 * SECOND, |mesh| mesh.runs(&all, later));
+    mesh.until(30 * SECOND, Mesh::is_settled);
+}
+
+#[test]
+fn cut_in_the_middle_of_a_transfer_applies_nothing_in_part() {
+    let mut mesh = mesh(9, 10);
+    let before = mesh.platform.log.len();
+    let all = mesh.all();
+    let far: std::collections::BTreeSet<usize> = &mesh.of("visayas-a") | &mesh.of("visayas-b");
+    let near = &all - &far;
+    let changes = (2..40)
+        .flat_map(|number| route("desk", &format!("desk-{number}")))
+        .collect();
+    let revision = mesh.apply(0, changes);
+    assert_eq!(revision.0, before as u64 + 1);
+    mesh.cut(near, far.clone());
+    mesh.run(5 * SECOND);
+    mesh.heal();
+    mesh.until(20 * SECOND, |mesh| mesh.runs(&all, revision));
+}
+
+#[test]
+fn platform_outage_stops_no_one_and_ends_forwards() {
+    let mut mesh = mesh(10, 20);
+    let held = accept(&mut mesh, 2);
+    let all = mesh.all();
+    mesh.until(IN_FORCE, |mesh| mesh.runs(&all, held));
+    mesh.platform.down = true;
+    for index in mesh.of("luzon-a") {
+        mesh.kill(index);
+    }
+    mesh.run(SECOND);
+    for index in mesh.of("luzon-a") {
+        mesh.start(index);
+    }
+    mesh.until(15 * SECOND, |mesh| mesh.runs(&all, held));
+    mesh.platform.down = false;
+    let revision = accept(&mut mesh, 3);
+    mesh.until(IN_FORCE, |mesh| mesh.runs(&all, revision));
+}
+
+#[test]
+fn herd_comes_back_within_the_limits_of_the_platform() {
+    let mut mesh = mesh(11, 100);
+    let held = accept(&mut mesh, 2);
+    let all = mesh.all();
+    mesh.until(IN_FORCE, |mesh| mesh.runs(&all, held));
+    let lost: Vec<usize> = mesh.of("luzon-a").into_iter().step_by(2).collect();
+    for index in &lost {
+        mesh.kill(*index);
+    }
+    mesh.run(2 * SECOND);
+    mesh.platform.reads_by_second.clear();
+    for index in &lost {
+        mesh.start(*index);
+    }
+    mesh.until(10 * SECOND, |mesh| mesh.runs(&all, held));
+    mesh.until(30 * SECOND, Mesh::is_settled);
+    let peak = mesh.platform.reads_by_second.values().max().copied();
+    // The platform's two thousand reads a second, for this share of the design's 14,000 nodes.
+    let share = 2000 * mesh.nodes.len() as u64 / 14_000;
+    assert!(peak.unwrap_or(0) <= share, "{peak:?} of {share}");
+}
+
+#[test]
+fn coverage_names_each_domain_and_those_out_of_reach() {
+    let mut mesh = mesh(12, 10);
+    let revision = accept(&mut mesh, 2);
+    mesh.run(8 * SECOND);
+    for node in &mesh.nodes {
+        let coverage = node.control.coverage();
+        assert_eq!(coverage.len(), 4);
+        assert!(
+            coverage
+                .values()
+                .all(|domain| domain.reached && domain.revision == revision),
+            "{coverage:?} at {}",
+            node.contact.host
+        );
+    }
+    mesh.isolate("visayas-b");
+    mesh.run(15 * SECOND);
+    let outside = mesh.of("luzon-a").into_iter().next().unwrap();
+    let coverage = mesh.nodes[outside].control.coverage();
+    let reached: Vec<&str> = coverage
+        .iter()
+        .filter(|(_, domain)| domain.reached)
+        .map(|(domain, _)| domain.as_str())
+        .collect();
+    assert_eq!(reached, ["luzon-a", "luzon-b", "visayas-a"]);
+}
+
+#[test]
+fn silent_node_does_not_hold_the_coverage_down() {
+    let mut mesh = mesh(13, 10);
+    let silent = mesh
+        .of("luzon-b")
+        .into_iter()
+        .find(|index| !mesh.nodes[*index].control.role().relay)
+        .unwrap();
+    mesh.kill(silent);
+    let revision = accept(&mut mesh, 2);
+    mesh.run(12 * SECOND);
+    let coverage = mesh.nodes[0].control.coverage();
+    assert!(coverage.values().all(|domain| domain.revision == revision));
+}
+
+#[test]
+fn cold_domain_starts_together() {
+    let mut mesh = mesh(14, 60);
+    let held = accept(&mut mesh, 2);
+    let all = mesh.all();
+    mesh.until(IN_FORCE, |mesh| mesh.runs(&all, held));
+    for index in mesh.of("luzon-b") {
+        mesh.kill(index);
+    }
+    mesh.run(20 * SECOND);
+    for index in mesh.of("luzon-b") {
+        mesh.start(index);
+    }
+    mesh.until(IN_FORCE, |mesh| mesh.runs(&all, held));
+    mesh.until(30 * SECOND, Mesh::is_settled);
+    mesh.run(5 * SECOND);
+    mesh.root("luzon-b");
+}
+
+#[test]
+fn small_fanout_makes_a_deep_tree_that_holds() {
+    let spread = Spread {
+        fanout: 6,
+        ..Spread::default()
+    };
+    let mut mesh = Mesh::new(15)
+        .spread(spread)
+        .domain("luzon", "luzon-a", 40, "desk");
+    mesh.start_all();
+    mesh.until(20 * SECOND, Mesh::is_settled);
+    mesh.run(5 * SECOND);
+    for node in &mesh.nodes {
+        let children = node.control.role().children.len();
+        assert!(children <= 12, "{} has {children}", node.contact.host);
+    }
+    let revision = accept(&mut mesh, 2);
+    let all = mesh.all();
+    mesh.until(IN_FORCE, |mesh| mesh.runs(&all, revision));
+}
