--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -7,6 +7,8 @@
 mod member;
 mod mesh;
 mod path;
+mod requests;
+mod settings;
 mod snapshot;
 mod spread;
 mod test;
