--- /dev/null
+++ b/benches/spread.rs
@@ -0,0 +1,405 @@
+//! How fast the configuration is in force everywhere, and what that costs, for the chosen tree and its
+//! rivals: every node polls, and flat push from the relays. Virtual time and fixed seeds; the bounds are
+//! the targets of docs/developers.md. See docs/design/spread.md.
+
+#[allow(dead_code)]
+#[path = "../tests/mesh.rs"]
+mod mesh;
+
+use {
+    mesh::{Mesh, route},
+    mulberryshelf::{
+        control::{Event, Spread},
+        source::{Operation, Ticket},
+        world::Revision,
+    },
+    std::{
+        collections::BTreeMap,
+        process::ExitCode,
+        sync::{
+            Mutex,
+            atomic::{AtomicUsize, Ordering},
+        },
+        thread,
+        time::Duration,
+    },
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+/// How soon an accepted configuration has to be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(6);
+/// What control may cost a node, in bytes a second, sent and received.
+const CONTROL_BYTES: u64 = 21_000;
+/// What the platform bears for each of 14 failure domains, in reads and writes a second.
+const READS: u64 = 2000 / 14;
+const WRITES: u64 = 300 / 14;
+/// 76,000 changes a day.
+const CHANGE_INTERVAL: Duration = Duration::from_micros(1_136_842);
+/// 4,400 restarts a day.
+const RESTART_INTERVAL: Duration = Duration::from_millis(19_636);
+const SPAN: Duration = Duration::from_secs(20);
+const SERVICES: usize = 100;
+
+/// Scenarios that run side by side; the figures do not depend on it.
+const THREADS: usize = 6;
+
+/// What a scenario prints, and which bounds it is over.
+type Found = (String, Bounds);
+type Scenario = Box<dyn Fn() -> Found + Send + Sync>;
+
+#[derive(Default)]
+struct Bounds(Vec<String>);
+
+impl Bounds {
+    fn check(&mut self, what: &str, found: u64, limit: u64) {
+        if found > limit {
+            self.0.push(format!("{what}: {found} is over {limit}"));
+        }
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn change(mesh: &mut Mesh, number: usize) {
+    let service = format!("service-{}", number % SERVICES);
+    let operation = Operation {
+        changes: route(&service, &format!("{service}-{}", number / SERVICES))
+            .into_iter()
+            .map(|change| (change, None))
+            .collect(),
+        id: format!("change-{number}"),
+    };
+    let at = number % mesh.nodes.len();
+    mesh.event(at, Event::Submitted(Ticket(number as u64), operation));
+}
+
+/// One failure domain of `hosts`, and three more in two regions: as large up to 100, or else of 10.
+fn start(hosts: usize, spread: Spread) -> Mesh {
+    let others = if hosts > 100 { 10 } else { hosts };
+    let mut mesh = Mesh::new(hosts as u64)
+        .spread(spread)
+        .domain("luzon", "luzon-a", hosts, "desk")
+        .domain("luzon", "luzon-b", others, "hub")
+        .domain("visayas", "visayas-a", others, "desk")
+        .domain("visayas", "visayas-b", others, "hub");
+    mesh.start_all();
+    mesh.run(10 * SECOND);
+    let changes = (0..SERVICES)
+        .flat_map(|number| {
+            let service = format!("service-{number}");
+            route(&service, &format!("{service}-0"))
+        })
+        .collect();
+    mesh.apply(0, changes);
+    mesh.run(2 * SECOND);
+    mesh
+}
+
+fn reset(mesh: &mut Mesh) {
+    for node in &mut mesh.nodes {
+        node.sent = 0;
+        node.received = 0;
+        node.received_frames = 0;
+    }
+    mesh.crossed = 0;
+    mesh.platform.reads = 0;
+    mesh.platform.writes = 0;
+    mesh.platform.reads_by_second.clear();
+    mesh.platform.writes_by_second.clear();
+}
+
+/// Runs changes and restarts at the rates of the design.
+fn load(mesh: &mut Mesh) {
+    let end = mesh.now + SPAN;
+    let mut restart_at = mesh.now + RESTART_INTERVAL / 4;
+    let mut number = SERVICES;
+    while mesh.now < end {
+        change(mesh, number);
+        number += 1;
+        if mesh.now >= restart_at {
+            restart_at = restart_at + RESTART_INTERVAL;
+            let index = number * 7 % mesh.nodes.len();
+            mesh.stop(index);
+            mesh.start(index);
+        }
+        mesh.run(CHANGE_INTERVAL);
+    }
+    mesh.run(IN_FORCE);
+}
+
+/// Gives how long each change took to each node that ran all the while.
+fn delays(mesh: &Mesh, first: usize) -> Vec<u64> {
+    let mut delays = Vec::new();
+    for (index, accepted) in mesh.platform.accepted.iter().enumerate().skip(first) {
+        let revision = Revision(index as u64 + 1);
+        for node in mesh.nodes.iter().filter(|node| node.alive) {
+            if node.started_at > *accepted {
+                continue;
+            }
+            let in_force = node.installed.range(revision..).next();
+            delays.push(in_force.map_or(u64::MAX, |(_, at)| millis(at.since(*accepted))));
+        }
+    }
+    delays.sort_unstable();
+    delays
+}
+
+fn percentile(sorted: &[u64], permille: usize) -> u64 {
+    sorted[(sorted.len() - 1) * permille / 1000]
+}
+
+fn steady(name: &str, hosts: usize, spread: Spread, bounded: bool) -> Found {
+    let mut mesh = start(hosts, spread);
+    let first = mesh.platform.log.len();
+    let before = mesh.now;
+    reset(&mut mesh);
+    load(&mut mesh);
+    let seconds = mesh.now.since(before).as_secs();
+    let delays = delays(&mesh, first);
+    let bytes = |node: &mesh::Node| (node.sent + node.received) / seconds;
+    let most = mesh.nodes.iter().map(bytes).max().unwrap_or(0);
+    let mean = mesh.nodes.iter().map(bytes).sum::<u64>() / mesh.nodes.len() as u64;
+    let children = mesh
+        .nodes
+        .iter()
+        .map(|node| node.control.role().children.len());
+    let frames = mesh.nodes.iter().map(|node| node.received_frames / seconds);
+    let reads = mesh
+        .platform
+        .reads_by_second
+        .values()
+        .max()
+        .copied()
+        .unwrap_or(0);
+    let writes = mesh
+        .platform
+        .writes_by_second
+        .values()
+        .max()
+        .copied()
+        .unwrap_or(0);
+    let worst = percentile(&delays, 1000);
+    let line = format!(
+        "{name:<18} {hosts:>5} {:>6} {:>6} {:>6} {mean:>8} {most:>8} {:>8} {reads:>6} {writes:>6} {:>8} {:>8}",
+        percentile(&delays, 500),
+        percentile(&delays, 990),
+        if worst == u64::MAX {
+            "never".into()
+        } else {
+            worst.to_string()
+        },
+        mesh.crossed / seconds,
+        children.max().unwrap_or(0),
+        frames.max().unwrap_or(0),
+    );
+    let mut bounds = Bounds::default();
+    if bounded {
+        let name = format!("{name}, {hosts} hosts");
+        bounds.check(&format!("{name}: convergence, ms"), worst, millis(IN_FORCE));
+        bounds.check(&format!("{name}: bytes/s of a node"), most, CONTROL_BYTES);
+        bounds.check(&format!("{name}: reads/s"), reads, READS * 4);
+        bounds.check(&format!("{name}: writes/s"), writes, WRITES * 4);
+    }
+    (line, bounds)
+}
+
+/// Runs a fault, and prints how long until every live node runs the configuration of before, and what
+/// it cost.
+fn herd(name: &str, hosts: usize, mesh: &mut Mesh, fault: impl Fn(&mut Mesh)) -> Found {
+    fault(mesh);
+    reset(mesh);
+    let lost: Vec<usize> = (0..mesh.nodes.len())
+        .filter(|index| !mesh.nodes[*index].alive)
+        .collect();
+    for index in lost {
+        mesh.start(index);
+    }
+    mesh.heal();
+    let number = SERVICES + mesh.platform.log.len();
+    change(mesh, number);
+    let revision = Revision(mesh.platform.log.len() as u64);
+    let all = mesh.all();
+    let took = mesh.until(60 * SECOND, |mesh| mesh.runs(&all, revision));
+    mesh.run(10 * SECOND);
+    let reads = mesh
+        .platform
+        .reads_by_second
+        .values()
+        .max()
+        .copied()
+        .unwrap_or(0);
+    let writes = mesh
+        .platform
+        .writes_by_second
+        .values()
+        .max()
+        .copied()
+        .unwrap_or(0);
+    let most = mesh
+        .nodes
+        .iter()
+        .map(|node| node.sent + node.received)
+        .max()
+        .unwrap_or(0);
+    let line = format!(
+        "{name:<26} {hosts:>5} {:>8} {reads:>6} {writes:>6} {most:>10} {:>10}",
+        millis(took),
+        mesh.crossed,
+    );
+    let mut bounds = Bounds::default();
+    let name = format!("{name}, {hosts} hosts");
+    bounds.check(
+        &format!("{name}: back after, ms"),
+        millis(took),
+        millis(IN_FORCE),
+    );
+    bounds.check(&format!("{name}: reads/s"), reads, READS * 4);
+    bounds.check(&format!("{name}: writes/s"), writes, WRITES * 4);
+    (line, bounds)
+}
+
+fn kill(mesh: &mut Mesh, lost: impl IntoIterator<Item = usize>) {
+    for index in lost {
+        mesh.kill(index);
+    }
+}
+
+fn half(mesh: &mut Mesh) {
+    let half: Vec<usize> = mesh.of("luzon-a").into_iter().step_by(2).collect();
+    kill(mesh, half);
+    mesh.run(2 * SECOND);
+}
+
+fn cold(mesh: &mut Mesh) {
+    let all = mesh.of("luzon-a");
+    kill(mesh, all);
+    mesh.run(20 * SECOND);
+}
+
+fn relays(mesh: &mut Mesh) {
+    let relays = mesh.relays("luzon-a");
+    kill(mesh, relays);
+}
+
+fn regions(mesh: &mut Mesh) {
+    let far = &mesh.of("visayas-a") | &mesh.of("visayas-b");
+    let near = &mesh.all() - &far;
+    mesh.platform.cut.extend(&far);
+    mesh.cut(near, far);
+    mesh.run(60 * SECOND);
+}
+
+fn outage(mesh: &mut Mesh) {
+    mesh.platform.down = true;
+    mesh.run(30 * SECOND);
+    mesh.platform.down = false;
+}
+
+fn ways() -> Vec<Scenario> {
+    let mut ways: Vec<Scenario> = Vec::new();
+    let tree = |fanout| Spread {
+        fanout,
+        ..Spread::default()
+    };
+    let poll = Spread {
+        poll_all: true,
+        ..Spread::default()
+    };
+    for hosts in [1000, 100, 10] {
+        ways.push(Box::new(move || {
+            steady("tree", hosts, Spread::default(), true)
+        }));
+        ways.push(Box::new(move || {
+            steady("every node polls", hosts, poll, false)
+        }));
+        ways.push(Box::new(move || {
+            steady("flat push", hosts, tree(usize::MAX), false)
+        }));
+    }
+    for fanout in [24, 64] {
+        ways.push(Box::new(move || {
+            steady(&format!("tree of {fanout}"), 1000, tree(fanout), false)
+        }));
+    }
+    ways
+}
+
+/// Runs every fault one after the other.
+fn faults(hosts: usize) -> Found {
+    let mut mesh = start(hosts, Spread::default());
+    let found = [
+        herd("half a domain, at once", hosts, &mut mesh, half),
+        herd("a domain, cold", hosts, &mut mesh, cold),
+        herd("both relays, at once", hosts, &mut mesh, relays),
+        herd("regions cut for a minute", hosts, &mut mesh, regions),
+        herd("platform down for 30 s", hosts, &mut mesh, outage),
+    ];
+    let (lines, bounds): (Vec<String>, Vec<Bounds>) = found.into_iter().unzip();
+    let over = bounds.into_iter().flat_map(|bounds| bounds.0).collect();
+    (lines.join("\n"), Bounds(over))
+}
+
+/// Runs scenarios side by side, and prints what they found in their order.
+fn run(scenarios: &[Scenario]) -> Vec<String> {
+    let next = AtomicUsize::new(0);
+    let found = Mutex::new(BTreeMap::new());
+    thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                loop {
+                    let index = next.fetch_add(1, Ordering::Relaxed);
+                    let Some(scenario) = scenarios.get(index) else {
+                        return;
+                    };
+                    let result = scenario();
+                    found.lock().unwrap().insert(index, result);
+                }
+            });
+        }
+    });
+    let mut over = Vec::new();
+    for (line, bounds) in found.into_inner().unwrap().into_values() {
+        println!("{line}");
+        over.extend(bounds.0);
+    }
+    over
+}
+
+fn main() -> ExitCode {
+    println!("76,000 changes and 4,400 restarts a day; one failure domain of `hosts`, three more");
+    println!(
+        "{:<18} {:>5} {:>6} {:>6} {:>6} {:>8} {:>8} {:>8} {:>6} {:>6} {:>8} {:>8}",
+        "way",
+        "hosts",
+        "p50ms",
+        "p99ms",
+        "maxms",
+        "mean B/s",
+        "max B/s",
+        "link B/s",
+        "reads",
+        "writes",
+        "children",
+        "frames/s"
+    );
+    let mut over = run(&ways());
+    println!(
+        "\n{:<26} {:>5} {:>8} {:>6} {:>6} {:>10} {:>10}",
+        "fault", "hosts", "back ms", "reads", "writes", "max bytes", "link bytes"
+    );
+    let scenarios: Vec<Scenario> = [1000, 100, 10]
+        .into_iter()
+        .map(|hosts| Box::new(move || faults(hosts)) as Scenario)
+        .collect();
+    over.extend(run(&scenarios));
+    for bound in &over {
+        println!("over the bound: {bound}");
+    }
+    if over.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -98,7 +98,7 @@
 pub struct Spread {
     /// The nodes that a relay or hub hands on to, as a rule.
     pub fanout: usize,
-    /// Whether every node reads the platform; a rival that the bench compares with.
+    /// Whether every node reads the platform and none hands on; a rival that the bench compares with.
     pub poll_all: bool,
 }
 
@@ -164,10 +164,14 @@
     expired_at: Moment,
     fetching: Option<(Host, Moment)>,
     gateway: bool,
+    greeted: BTreeMap<Host, Moment>,
     highest: Option<(Host, Revision)>,
     history: History,
+    hosts: usize,
     me: Record,
+    informants: usize,
     named: Vec<Host>,
+    named_at: Moment,
     neighbors: BTreeMap<Host, Neighbor>,
     news: Vec<(Option<Host>, Vec<Arc<Record>>)>,
     offered_at: Moment,
@@ -178,6 +182,7 @@
     reports: Reports,
     rng: StdRng,
     role: Role,
+    rooted_at: Moment,
     roster: Roster,
     seeds: Vec<SocketAddr>,
     serving: bool,
@@ -226,10 +231,14 @@
             expired_at: start.now,
             fetching: None,
             gateway: false,
+            greeted: BTreeMap::new(),
             highest: None,
             history: History::default(),
+            hosts: 0,
             me,
+            informants: 0,
             named: Vec::new(),
+            named_at: start.now,
             neighbors: BTreeMap::new(),
             news: Vec::new(),
             offered_at: start.now,
@@ -240,6 +249,7 @@
             reports: Reports::default(),
             rng: StdRng::seed_from_u64(start.seed),
             role: Role::default(),
+            rooted_at: start.now,
             roster,
             serving: seeds.is_empty(),
             seeds,
@@ -328,19 +338,19 @@
         match frame {
             Frame::Beat(beat) => self.beaten(now, host, &beat),
             Frame::Busy(millis) => self.refused_by(now, host, Duration::from_millis(millis.into())),
-            Frame::Children(parent, hosts) => self.children_named(host, parent, hosts),
+            Frame::Children(parent, hosts) => self.children_named(now, host, parent, hosts),
             Frame::Cover(reports) => self.covered(now, host, &reports),
             Frame::Delta(delta) => self.delta(now, host, &delta),
             Frame::Digests(digests) => self.digests(host, &digests),
             Frame::Fetch(revision) => self.fetched(now, host, revision),
-            Frame::Hello(contact, _) => self.welcome(host, &contact),
+            Frame::Hello(contact, _) => vec![self.welcome(host, &contact.domain)],
             Frame::Join(join) => self.joined(now, host, join),
             Frame::Members(records) => self.merge(now, Some(host), records),
             Frame::Quit => self.quit(now, host),
             Frame::Rollout(message) => vec![Action::Rollout(host.clone(), message)],
             Frame::Snapshot(snapshot) => self.whole(now, snapshot),
             Frame::Sync(sync) => self.synced(now, host, &sync),
-            Frame::Welcome(revision, records) => self.welcomed(now, host, revision, records),
+            Frame::Welcome(welcome) => self.welcomed(now, host, welcome),
         }
     }
 }
--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -4,7 +4,7 @@
 use {
     super::{Action, Control},
     crate::{
-        member::{Record, State},
+        member::{REPEAT, Record, State},
         spread::{Beat, Report, Tie, millis},
         wire::Frame,
         world::{Host, Moment, Revision},
@@ -23,8 +23,9 @@
 
 impl Control {
     pub(super) fn beat(&mut self, now: Moment) -> Vec<Action> {
+        self.rooted_at = self.rooted(now);
         let mut actions = self.tell(None, &Frame::Beat(self.pulse(now)));
-        actions.extend(self.name_children());
+        actions.extend(self.name_children(now));
         if self.is_root() {
             actions.extend(self.report(now));
             actions.extend(self.bury(now));
@@ -35,20 +36,25 @@
 
     /// Gives what this node tells its neighbours.
     pub(super) fn pulse(&self, now: Moment) -> Beat {
-        let rooted_at = match self.parent() {
-            Some(parent) if !self.is_relay() => parent.rooted_at,
-            _ => now,
-        };
         Beat {
             floor: self.floor(),
             read_ms: millis(now.since(self.read_at)),
             revision: self.snapshot.revision,
-            rooted_ms: millis(now.since(rooted_at)),
+            rooted_ms: millis(now.since(self.rooted(now))),
             roster: self.roster.digest(),
             serving: self.serving,
         }
     }
 
+    /// Gives when this node's news left a relay; an orphan's grows old.
+    fn rooted(&self, now: Moment) -> Moment {
+        match self.parent() {
+            _ if self.is_relay() => now,
+            Some(parent) => parent.rooted_at,
+            None => self.rooted_at,
+        }
+    }
+
     /// Gives the lowest revision that this node and those below it run.
     fn floor(&self) -> Revision {
         self.neighbors
@@ -58,15 +64,17 @@
             .fold(self.snapshot.revision, Revision::min)
     }
 
-    /// Sends the names of this node's children up if they have changed.
-    fn name_children(&mut self) -> Vec<Action> {
+    /// Sends the names of this node's children up, if they have changed or it is time to repeat them.
+    fn name_children(&mut self, now: Moment) -> Vec<Action> {
         let children = &self.role.children;
-        if *children == self.named {
+        let repeats = now.since(self.named_at) >= REPEAT && !children.is_empty();
+        if *children == self.named && !repeats {
             return Vec::new();
         }
+        self.named_at = now;
         self.named.clone_from(children);
         let me = self.contact.host.clone();
-        self.attendance.note(me.clone(), self.named.clone());
+        self.attendance.note(now, me.clone(), self.named.clone());
         self.tell_parent(&Frame::Children(me, self.named.clone()))
     }
 
@@ -79,6 +87,7 @@
 
     pub(super) fn children_named(
         &mut self,
+        now: Moment,
         from: &Host,
         parent: Host,
         hosts: Vec<Host>,
@@ -86,7 +95,7 @@
         if self.tie(from) != Some(Tie::Child) {
             return Vec::new();
         }
-        self.attendance.note(parent.clone(), hosts.clone());
+        self.attendance.note(now, parent.clone(), hosts.clone());
         self.tell_parent(&Frame::Children(parent, hosts))
     }
 
@@ -229,7 +238,7 @@
         let lists: Vec<Frame> = self
             .attendance
             .lists()
-            .map(|(parent, hosts)| Frame::Children(parent.clone(), hosts.clone()))
+            .map(|(parent, hosts)| Frame::Children(parent.clone(), hosts.to_vec()))
             .collect();
         lists
             .iter()
--- a/src/control/configuration.rs
+++ b/src/control/configuration.rs
@@ -79,6 +79,9 @@
         self.snapshot = Arc::new(next);
         self.history.push(delta.clone());
         let mut actions = self.in_force();
+        if self.spread.poll_all {
+            return actions;
+        }
         let tie = from.and_then(|host| self.tie(host));
         actions.extend(
             self.neighbors
@@ -140,7 +143,7 @@
             .fetching
             .as_ref()
             .is_some_and(|(_, until)| now < *until);
-        if waits {
+        if waits || self.spread.poll_all {
             return None;
         }
         self.fetching = Some((host.clone(), now + FETCH_TIMEOUT));
--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -3,10 +3,10 @@
 use {
     super::{Action, Control},
     crate::{
-        member::{Contact, Offer, Record, State},
-        spread::{FANOUT, RELAYS, Tie},
-        wire::{Frame, Sync},
-        world::{Domain, Host, Moment, Revision},
+        member::{Offer, Record, State},
+        spread::{FANOUT, RELAYS, Tie, Tree},
+        wire::{Frame, Sync, Welcome},
+        world::{Domain, Host, Moment},
     },
     std::{sync::Arc, time::Duration},
 };
@@ -14,6 +14,9 @@
 /// How long an upstream that announces itself no more still gets new work.
 pub const OFFER_LEASE: Duration = Duration::from_secs(30);
 
+/// The most hosts that a failure domain is taken to have on another node's word.
+const HOSTS_MAX: usize = 4096;
+
 /// The records that are sent without a token of the bucket for what is large.
 const RECORDS_FREE: usize = 64;
 
@@ -45,6 +48,8 @@
         if now.since(self.expired_at) >= EXPIRE_INTERVAL {
             self.expired_at = now;
             self.roster.expire(now);
+            // By now the roster itself tells how many hosts there are.
+            self.hosts = 0;
             self.dials.retain(|_, backoff| !backoff.is_idle(now));
         }
         if self.me.offer.is_none() || now.since(self.offered_at) < OFFER_LEASE {
@@ -141,23 +146,28 @@
         actions
     }
 
-    /// Answers a node that knows nobody yet with the first hosts of each failure domain.
-    pub(super) fn welcome(&self, host: &Host, contact: &Contact) -> Vec<Action> {
-        let mut records = Vec::new();
-        for domain in self.roster.domains() {
-            let count = if *domain == contact.domain {
-                RELAYS + FANOUT
-            } else {
-                RELAYS
-            };
-            records.extend(self.first(domain, count));
-        }
-        let frame = Frame::Welcome(self.snapshot.revision, records);
-        vec![Action::Send(host.clone(), frame)]
+    /// Tells a node that knows few others the first hosts of each failure domain.
+    pub(super) fn welcome(&self, host: &Host, domain: &Domain) -> Action {
+        let records = self
+            .roster
+            .domains()
+            .flat_map(|each| {
+                let more = if each == domain { FANOUT } else { 0 };
+                self.first(each, RELAYS + more)
+            })
+            .collect();
+        let hosts = self.roster.live(domain).count();
+        let welcome = Welcome {
+            hosts: u32::try_from(hosts).unwrap_or(u32::MAX),
+            records,
+            revision: self.snapshot.revision,
+            serving: self.serving,
+        };
+        Action::Send(host.clone(), Frame::Welcome(welcome))
     }
 
     fn first(&self, domain: &Domain, count: usize) -> Vec<Arc<Record>> {
-        crate::spread::Tree::new(domain, self.spread.fanout, self.roster.live(domain))
+        Tree::new(domain, self.spread.fanout, 0, self.roster.live(domain))
             .front()
             .iter()
             .take(count)
@@ -165,16 +175,14 @@
             .collect()
     }
 
-    pub(super) fn welcomed(
-        &mut self,
-        now: Moment,
-        host: &Host,
-        revision: Revision,
-        records: Vec<Arc<Record>>,
-    ) -> Vec<Action> {
-        self.told(host, revision);
+    pub(super) fn welcomed(&mut self, now: Moment, host: &Host, welcome: Welcome) -> Vec<Action> {
+        self.told(host, welcome.revision);
         self.welcomes += 1;
-        let mut actions = self.merge(now, Some(host), records);
+        self.informants += usize::from(welcome.serving);
+        let hosts = usize::try_from(welcome.hosts).unwrap_or(0);
+        self.hosts = self.hosts.max(hosts.min(HOSTS_MAX));
+        self.tree_version = None;
+        let mut actions = self.merge(now, Some(host), welcome.records);
         actions.extend(self.maintain(now));
         actions
     }
--- a/src/control/siblings.rs
+++ b/src/control/siblings.rs
@@ -118,7 +118,7 @@
     }
 
     fn candidate(&self, domain: &Domain, attempts: usize) -> Option<Contact> {
-        let tree = Tree::new(domain, self.spread.fanout, self.roster.live(domain));
+        let tree = Tree::new(domain, self.spread.fanout, 0, self.roster.live(domain));
         let front = &tree.front()[..tree.front().len().min(CANDIDATES)];
         front.get(attempts % front.len().max(1)).cloned()
     }
--- a/src/control/topology.rs
+++ b/src/control/topology.rs
@@ -8,8 +8,11 @@
         wire::Frame,
         world::{Host, Moment, Revision},
     },
-    rand::Rng,
-    std::{collections::BTreeSet, sync::Arc, time::Duration},
+    rand::{
+        Rng,
+        seq::{IndexedRandom, SliceRandom},
+    },
+    std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// How long a neighbour that is not heard stays one.
@@ -22,7 +25,10 @@
 pub(super) const ASK_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// How often a relay tries a host that it does not exchange with, to heal what was cut.
-const PROBE_INTERVAL: Duration = Duration::from_secs(5);
+const PROBE_INTERVAL: Duration = Duration::from_secs(2);
+
+/// How many hosts a relay tries at a time.
+const PROBES: usize = 4;
 
 /// How long a host that did not answer takes no part in the order of its failure domain: longer than
 /// it takes to tell that it is lost, and doubled each time that it does not answer again.
@@ -37,8 +43,11 @@
 /// How old a parent's news may be; older ones come from a cycle or from an orphan.
 const ROOTED_STALE: Duration = Duration::from_secs(5);
 
-/// How many times the fan-out a node takes as children.
-const CHILDREN_FACTOR: usize = 2;
+/// How often one node is greeted.
+const GREET_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How many children a node takes, in tenths of the fan-out: rendezvous hashing spreads them unevenly.
+const CHILDREN_TENTHS: usize = 15;
 
 /// The peers that a starting node hears, as far as it has so many, before it serves.
 const INFORMANTS: usize = 2;
@@ -120,11 +129,11 @@
             .roster
             .live(domain)
             .filter(|contact| !passed.contains(&contact.host));
-        self.tree = Tree::new(domain, self.spread.fanout, live);
+        self.tree = Tree::new(domain, self.spread.fanout, self.hosts, live);
         let place = self.tree.place(&self.contact.host);
         let duty = Duty::of(place);
         if duty == Duty::First && !self.is_root() {
-            self.attendance.clear();
+            self.attendance.begin();
             self.named.clear();
         }
         self.duty = duty;
@@ -140,8 +149,7 @@
             None => (None, Revision::default()),
         };
         let parent = self.parent().cloned();
-        let informants = self.welcomes + usize::from(parent.is_some());
-        let heard = informants >= INFORMANTS.min(self.seeds.len());
+        let heard = self.is_informed();
         let placed = parent.is_some() || (self.is_root() && self.welcomes > 0);
         let held = self.snapshot.revision >= highest;
         if (heard && placed && held) || now.since(self.started_at) >= START_LIMIT {
@@ -158,6 +166,17 @@
         }
     }
 
+    /// Says whether any other node has told this one of the mesh, if there is one to ask.
+    fn is_told(&self) -> bool {
+        self.serving || self.welcomes > 0
+    }
+
+    /// Says whether enough nodes have told this one of the mesh.
+    fn is_informed(&self) -> bool {
+        let informants = self.informants + usize::from(self.parent().is_some());
+        self.serving || informants >= INFORMANTS.min(self.seeds.len())
+    }
+
     pub(super) fn parent(&self) -> Option<&Neighbor> {
         self.neighbors
             .values()
@@ -229,7 +248,7 @@
         })
     }
 
-    fn dial(&mut self, now: Moment, address: std::net::SocketAddr) -> Option<Action> {
+    fn dial(&mut self, now: Moment, address: SocketAddr) -> Option<Action> {
         let backoff = self.dials.entry(address).or_default();
         backoff
             .due(now, &mut self.rng)
@@ -251,9 +270,13 @@
         if let Some(tie) = self.asked_sibling(&host) {
             return vec![Action::Send(host, self.join(tie))];
         }
-        if self.serving && now.since(self.probed_at) >= ASK_TIMEOUT {
+        let looks = !self.is_informed() || now.since(self.probed_at) < ASK_TIMEOUT;
+        let greeted = self.greeted.get(&host).copied().unwrap_or_default();
+        if !looks || now.since(greeted) < GREET_INTERVAL {
             return Vec::new();
         }
+        self.greeted.retain(|_, at| now.since(*at) < GREET_INTERVAL);
+        self.greeted.insert(host.clone(), now);
         vec![
             Action::Send(
                 host.clone(),
@@ -271,14 +294,11 @@
 
     pub(super) fn joined(&mut self, now: Moment, host: &Host, join: Join) -> Vec<Action> {
         if let Some(wait) = self.refusal(host, join.tie) {
-            let mut actions = vec![
+            return vec![
                 Action::Count("spread.join.busy"),
                 Action::Send(host.clone(), Frame::Busy(millis(wait))),
+                self.welcome(host, &join.contact.domain),
             ];
-            if join.tie != Tie::Child {
-                actions.extend(self.welcome(host, &self.contact.clone()));
-            }
-            return actions;
         }
         let revision = join.revision;
         self.adopt(now, join.contact, join.tie, revision, true);
@@ -294,9 +314,10 @@
             .values()
             .filter(|neighbor| neighbor.tie == Tie::Child)
             .count();
-        let full = held.is_none() && children >= self.spread.fanout * CHILDREN_FACTOR;
+        let full =
+            held.is_none() && children >= self.spread.fanout.saturating_mul(CHILDREN_TENTHS) / 10;
         let refused = match tie {
-            Tie::Child => !self.serving || held == Some(Tie::Parent) || full,
+            Tie::Child => !self.is_told() || held == Some(Tie::Parent) || full,
             Tie::Cross | Tie::Region => !self.is_root(),
             Tie::Parent => true,
         };
@@ -351,41 +372,48 @@
     /// Looks for more nodes: while starting, and as a relay now and then among those that are not
     /// heard, so that what was cut comes together again.
     fn find_seeds(&mut self, now: Moment) -> Vec<Action> {
-        if !self.serving {
+        if !self.serving && !self.is_informed() {
             let seeds = self.seeds.clone();
             return seeds
                 .into_iter()
                 .filter_map(|address| self.dial(now, address))
                 .collect();
         }
-        if !self.is_root() || now.since(self.probed_at) < PROBE_INTERVAL {
+        if !self.serving || !self.is_root() || now.since(self.probed_at) < PROBE_INTERVAL {
             return Vec::new();
         }
         self.probed_at = now;
-        let known = |address: &std::net::SocketAddr| {
+        self.probes().into_iter().map(Action::Connect).collect()
+    }
+
+    /// Chooses whom to try: hosts missed here, and one that is lost to the mesh or was named in the
+    /// settings.
+    fn probes(&mut self) -> Vec<SocketAddr> {
+        let missed = self
+            .attendance
+            .missing()
+            .filter_map(|host| self.roster.get(host))
+            .map(|record| record.contact.address);
+        let mut near: Vec<SocketAddr> = missed.collect();
+        near.shuffle(&mut self.rng);
+        near.truncate(PROBES);
+        let known = |address: &SocketAddr| {
             self.neighbors
                 .values()
                 .any(|neighbor| neighbor.contact.address == *address)
         };
-        let lost = self
-            .roster
-            .iter()
-            .filter(|record| {
-                record.state == State::Gone || self.unreachable.contains_key(&record.contact.domain)
-            })
-            .map(|record| record.contact.address);
-        let choices: Vec<_> = self
+        let lost = self.roster.iter().filter(|record| {
+            record.state == State::Gone || self.unreachable.contains_key(&record.contact.domain)
+        });
+        let far: Vec<SocketAddr> = self
             .seeds
             .iter()
             .copied()
             .filter(|address| !known(address))
-            .chain(lost)
+            .chain(lost.map(|record| record.contact.address))
             .collect();
-        if choices.is_empty() {
-            return Vec::new();
-        }
-        let index = self.rng.random_range(0..choices.len());
-        vec![Action::Connect(choices[index])]
+        near.extend(far.choose(&mut self.rng));
+        near
     }
 
     /// Gives this node's place among the others if it has changed.
--- a/src/member.rs
+++ b/src/member.rs
@@ -12,7 +12,7 @@
 mod roster;
 
 pub use {
-    attendance::{Attendance, GATHER, KEEP, LAPSE},
+    attendance::{Attendance, GATHER, KEEP, LAPSE, REPEAT},
     roster::{BUCKETS, Roster, TOMBSTONE},
 };
 
--- a/src/member/attendance.rs
+++ b/src/member/attendance.rs
@@ -20,27 +20,48 @@
 /// How long hosts that were lost together are kept.
 pub const KEEP: Duration = Duration::from_secs(600);
 
+/// How often a node repeats the names of its children.
+pub const REPEAT: Duration = Duration::from_secs(10);
+
+/// How long the names that a node gave count.
+const NAMES_LEASE: Duration = Duration::from_secs(25);
+
+#[derive(Debug)]
+struct Names {
+    at: Moment,
+    hosts: Vec<Host>,
+}
+
 /// The children that each node of a failure domain names.
 #[derive(Debug, Default)]
 pub struct Attendance {
-    children: BTreeMap<Host, Vec<Host>>,
+    children: BTreeMap<Host, Names>,
     missing: BTreeMap<Host, Moment>,
 }
 
 impl Attendance {
     /// Notes the children that a node names.
-    pub fn note(&mut self, parent: Host, hosts: Vec<Host>) {
-        self.children.insert(parent, hosts);
+    pub fn note(&mut self, now: Moment, parent: Host, hosts: Vec<Host>) {
+        self.children
+            .retain(|_, names| now.since(names.at) < NAMES_LEASE);
+        self.children.insert(parent, Names { at: now, hosts });
     }
 
-    /// Forgets everything, as another node watches now.
-    pub fn clear(&mut self) {
-        *self = Self::default();
+    /// Begins to watch: who is missing is missing from now on.
+    pub fn begin(&mut self) {
+        self.missing.clear();
+    }
+
+    /// Lists the hosts that are missing, lost or not.
+    pub fn missing(&self) -> impl Iterator<Item = &Host> {
+        self.missing.keys()
     }
 
     /// Lists the children that each node names.
-    pub fn lists(&self) -> impl Iterator<Item = (&Host, &Vec<Host>)> {
-        self.children.iter()
+    pub fn lists(&self) -> impl Iterator<Item = (&Host, &[Host])> {
+        self.children
+            .iter()
+            .map(|(parent, names)| (parent, names.hosts.as_slice()))
     }
 
     /// Gives the hosts that are lost by now. A host is there if it is reached from `root` through the
@@ -53,7 +74,6 @@
         records: impl Iterator<Item = &'a Arc<Record>>,
     ) -> Vec<Arc<Record>> {
         let present = self.present(root);
-        self.children.retain(|parent, _| present.contains(parent));
         let live: Vec<&Arc<Record>> = records
             .filter(|record| record.state != State::Gone)
             .collect();
@@ -96,7 +116,8 @@
         let mut present = BTreeSet::from([root.clone()]);
         let mut next = vec![root];
         while let Some(host) = next.pop() {
-            for child in self.children.get(host).into_iter().flatten() {
+            let named = self.children.get(host);
+            for child in named.into_iter().flat_map(|names| &names.hosts) {
                 if present.insert(child.clone()) {
                     next.push(child);
                 }
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -128,10 +128,32 @@
             next.change(*revision, change);
         }
         next.revision = delta.to;
-        next.verify(delta.digest)?;
+        if next.digest != delta.digest {
+            return Err(Refusal::Digest);
+        }
+        if next.dangles_after(delta) {
+            return Err(Refusal::Dangling);
+        }
         Ok(next)
     }
 
+    /// Says whether what a delta put refers to nothing, or what it deleted is referred to. The rest
+    /// was sound before.
+    fn dangles_after(&self, delta: &Delta) -> bool {
+        let changed = || delta.changes.iter().map(|(_, change)| change.key());
+        let missing = |resource: &Resource| {
+            references(&resource.spec)
+                .iter()
+                .any(|(_, key)| !self.resources.contains_key(key))
+        };
+        if changed().any(|key| !self.resources.contains_key(key)) {
+            return self.resources.values().any(missing);
+        }
+        changed()
+            .filter_map(|key| self.resources.get(key))
+            .any(missing)
+    }
+
     /// Checks a state that came from elsewhere.
     ///
     /// # Errors
--- a/src/spread/rank.rs
+++ b/src/spread/rank.rs
@@ -30,11 +30,13 @@
 }
 
 impl Tree {
-    /// Orders the live hosts of a failure domain.
+    /// Orders the live hosts of a failure domain, of which there are `hosts` at least, if not all of
+    /// them are known here.
     #[must_use]
     pub fn new<'a>(
         domain: &Domain,
         fanout: usize,
+        hosts: usize,
         live: impl Iterator<Item = &'a Contact>,
     ) -> Self {
         let key = domain.as_str();
@@ -42,10 +44,11 @@
             .map(|contact| (weight(key, contact.host.as_str()), contact))
             .collect();
         order.sort_unstable_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.host.cmp(&b.1.host)));
-        let hubs = if order.len() <= fanout + RELAYS {
+        let hosts = hosts.max(order.len());
+        let hubs = if hosts <= fanout.saturating_add(RELAYS) {
             0
         } else {
-            order.len().div_ceil(fanout)
+            hosts.div_ceil(fanout)
         };
         let front = order
             .into_iter()
@@ -76,11 +79,8 @@
         match place {
             Some(place) if place < RELAYS => relays[..place].iter().collect(),
             Some(_) => preferred(host, relays),
-            None => {
-                let mut parents = preferred(host, hubs);
-                parents.extend(preferred(host, relays));
-                parents
-            }
+            None if hubs.is_empty() => preferred(host, relays),
+            None => preferred(host, hubs),
         }
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -50,8 +50,8 @@
     Snapshot(Arc<Snapshot>),
     /// The digests of the parts of the sender's records of a failure domain.
     Sync(Sync),
-    /// Answers a hello: the sender's revision, and the first hosts of each failure domain.
-    Welcome(Revision, Vec<Arc<Record>>),
+    /// Tells a node that knows few others whom to ask.
+    Welcome(Welcome),
 }
 
 /// Compares the records of a failure domain, part by part.
@@ -65,6 +65,19 @@
     pub reply: bool,
 }
 
+/// What a node needs to find its place.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Welcome {
+    /// How many hosts the receiver's failure domain has.
+    pub hosts: u32,
+    /// The first hosts of each failure domain.
+    pub records: Vec<Arc<Record>>,
+    /// The revision that the sender runs.
+    pub revision: Revision,
+    /// Whether the sender serves callers, and so knows the mesh.
+    pub serving: bool,
+}
+
 /// One part of a proxied request or answer.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Part {
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -92,8 +92,9 @@
         mesh.kill(*index);
     }
     mesh.run(20 * SECOND);
+    let at = mesh.nodes.len() - 1;
     for index in below.into_iter().chain([hub]) {
-        assert_eq!(mesh.state(0, index), Some(State::Gone));
+        assert_eq!(mesh.state(at, index), Some(State::Gone));
     }
     mesh.until(20 * SECOND, Mesh::is_settled);
 }
--- a/tests/mesh.rs
+++ b/tests/mesh.rs
@@ -74,6 +74,7 @@
     pub received: u64,
     pub received_frames: u64,
     pub sent: u64,
+    pub started_at: Moment,
     pub verdicts: Vec<Verdict>,
     generation: u64,
     in_force: Arc<Snapshot>,
@@ -93,11 +94,15 @@
     /// The nodes that can't reach it.
     pub cut: BTreeSet<usize>,
     pub down: bool,
+    /// When each entry of the log was accepted.
+    pub accepted: Vec<Moment>,
     pub log: Vec<Entry>,
     pub reads: u64,
     pub writes: u64,
     /// Reads in each second.
     pub reads_by_second: BTreeMap<u64, u64>,
+    /// Writes in each second.
+    pub writes_by_second: BTreeMap<u64, u64>,
 }
 
 /// A small mesh.
@@ -106,6 +111,8 @@
     pub crossed: u64,
     /// Of these, those of configuration.
     pub crossed_configuration: u64,
+    /// Bytes sent, by the kind of frame.
+    pub by_kind: BTreeMap<&'static str, u64>,
     pub loss: f64,
     pub nodes: Vec<Node>,
     pub now: Moment,
@@ -119,6 +126,19 @@
     spread: Spread,
 }
 
+fn kind(frame: &Frame) -> &'static str {
+    match frame {
+        Frame::Beat(_) => "Beat",
+        Frame::Cover(_) => "Cover",
+        Frame::Delta(_) => "Delta",
+        Frame::Members(_) => "Members",
+        Frame::Snapshot(_) => "Snapshot",
+        Frame::Sync(_) => "Sync",
+        Frame::Welcome(_) => "Welcome",
+        _ => "other",
+    }
+}
+
 fn address(index: usize) -> SocketAddr {
     let [a, b, c, d] = u32::try_from(index).unwrap().to_be_bytes();
     SocketAddr::from(([10 + a, b, c, d], 7000))
@@ -127,6 +147,7 @@
 impl Mesh {
     pub fn new(seed: u64) -> Self {
         Self {
+            by_kind: BTreeMap::new(),
             connections: BTreeSet::new(),
             crossed: 0,
             crossed_configuration: 0,
@@ -181,6 +202,7 @@
                 received: 0,
                 received_frames: 0,
                 sent: 0,
+                started_at: Moment(0),
                 verdicts: Vec::new(),
             });
         }
@@ -217,6 +239,7 @@
         node.generation += 1;
         node.in_force = Arc::default();
         node.installed.clear();
+        node.started_at = self.now;
         node.paused_until = Moment(0);
         let generation = node.generation;
         let offer = node.offer.clone();
@@ -485,6 +508,7 @@
             return;
         }
         let bytes = wire::encode(&frame).unwrap().len() as u64 + OVERHEAD_BYTES;
+        *self.by_kind.entry(kind(&frame)).or_default() += bytes;
         self.nodes[from].sent += bytes;
         self.nodes[to].received += bytes;
         if self.nodes[from].contact.region != self.nodes[to].contact.region {
@@ -528,10 +552,13 @@
             return Outcome::Unsent;
         }
         self.platform.writes += 1;
+        let second = self.now.0 / 1_000_000;
+        *self.platform.writes_by_second.entry(second).or_default() += 1;
         if entry.revision.0 != self.platform.log.len() as u64 + 1 {
             return Outcome::Conflict;
         }
         self.platform.log.push(entry);
+        self.platform.accepted.push(self.now);
         Outcome::Committed
     }
 
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -304,3 +304,16 @@
     let all = mesh.all();
     mesh.until(IN_FORCE, |mesh| mesh.runs(&all, revision));
 }
+
+#[test]
+fn settled_mesh_loses_nobody_and_exchanges_no_rosters() {
+    let mut mesh = mesh(16, 100);
+    mesh.by_kind.clear();
+    mesh.run(10 * SECOND);
+    for node in &mesh.nodes {
+        let host = &node.contact.host;
+        assert_eq!(node.counts.get("member.lost"), None, "{host}");
+        assert_eq!(node.counts.get("member.refuted"), None, "{host}");
+    }
+    assert_eq!(mesh.by_kind.get("Sync"), None);
+}
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -6,7 +6,7 @@
         member::{Contact, Record, State},
         snapshot::{Delta, Digest, Snapshot},
         spread::{Beat, Join, Report, Tie},
-        wire::{self, Answer, Frame, Part, Request, Sync},
+        wire::{self, Answer, Frame, Part, Request, Sync, Welcome},
         world::{Domain, Host, Moment, Revision},
     },
     proptest::{collection::vec, prelude::*},
@@ -114,8 +114,14 @@
         vec(any::<u8>(), 0..9).prop_map(Frame::Rollout),
         snapshot.prop_map(|snapshot| Frame::Snapshot(Arc::new(snapshot))),
         sync.prop_map(Frame::Sync),
-        (revision(), vec(record(), 0..6))
-            .prop_map(|(revision, records)| Frame::Welcome(revision, records)),
+        (any::<u32>(), vec(record(), 0..6), revision()).prop_map(|(hosts, records, revision)| {
+            Frame::Welcome(Welcome {
+                hosts,
+                records,
+                revision,
+                serving: hosts % 2 == 0,
+            })
+        }),
     ]
 }
 
