--- a/src/control.rs
+++ b/src/control.rs
@@ -5,7 +5,7 @@
     crate::{
         member::{Attendance, Contact, Offer, Record, Roster, State},
         snapshot::Snapshot,
-        source::{self, Entry, Operation, Outcome, Source, Ticket, Verdict},
+        source::{self, Operation, Outcome, Page, Source, Ticket, Verdict},
         spread::{Backoff, Bucket, Coverage, FANOUT, History, Neighbor, Reports, Role, Tree},
         wire::Frame,
         world::{Domain, Host, Moment, Revision},
@@ -28,7 +28,6 @@
 pub use {
     beat::BEAT_INTERVAL,
     configuration::{ORPHAN_POLL_INTERVAL, SNAPSHOT_BURST, SNAPSHOT_INTERVAL},
-    membership::OFFER_LEASE,
     topology::{LEASE, START_LIMIT},
 };
 
@@ -43,8 +42,10 @@
     Disconnected(Host),
     /// The upstream on this host takes no new work.
     Draining,
-    /// A reading of the log has ended; nothing if the platform could not be read.
-    Read(Option<Vec<Entry>>),
+    /// A client asks what became of an operation.
+    Looked(Ticket, String),
+    /// A read of the table has ended; nothing if the platform could not be read.
+    Read(Option<Page>),
     /// A frame from a node.
     Received(Host, Frame),
     /// A client wants an operation accepted.
@@ -174,7 +175,6 @@
     named_at: Moment,
     neighbors: BTreeMap<Host, Neighbor>,
     news: Vec<(Option<Host>, Vec<Arc<Record>>)>,
-    offered_at: Moment,
     polled_at: Moment,
     probed_at: Moment,
     read_at: Moment,
@@ -241,7 +241,6 @@
             named_at: start.now,
             neighbors: BTreeMap::new(),
             news: Vec::new(),
-            offered_at: start.now,
             polled_at: Moment::default(),
             probed_at: start.now,
             read_at: Moment::default(),
@@ -254,7 +253,7 @@
             serving: seeds.is_empty(),
             seeds,
             snapshot: Arc::default(),
-            source: Source::default(),
+            source: Source::new(start.seed),
             spread: start.spread,
             started_at: start.now,
             suspects: BTreeMap::new(),
@@ -302,10 +301,15 @@
             Event::Connected(host) => self.connected(now, host),
             Event::Disconnected(host) => self.disconnected(now, &host),
             Event::Draining => self.draining(now),
-            Event::Read(entries) => self.read(now, entries),
+            Event::Looked(ticket, id) => {
+                let wanted = self.source.look(now, &self.snapshot, ticket, id);
+                self.accept(now, wanted)
+            }
+            Event::Read(page) => self.read(now, page.as_ref()),
             Event::Received(host, frame) => self.received(now, &host, frame),
             Event::Submitted(ticket, operation) => {
-                source_actions(self.source.submit(&self.snapshot, ticket, operation))
+                let actions = self.source.submit(now, &self.snapshot, ticket, operation);
+                self.accept(now, actions)
             }
             Event::Tick => self.tick(now),
             Event::Transacted(revision, outcome) => self.transacted(now, revision, outcome),
@@ -325,7 +329,7 @@
     fn tick(&mut self, now: Moment) -> Vec<Action> {
         let mut actions = self.maintain(now);
         actions.extend(self.poll(now));
-        actions.extend(self.renew(now));
+        self.expire(now);
         actions.extend(self.tell_news());
         if now.since(self.beat_at) >= BEAT_INTERVAL {
             self.beat_at = now;
@@ -349,16 +353,14 @@
             Frame::Quit => self.quit(now, host),
             Frame::Rollout(message) => vec![Action::Rollout(host.clone(), message)],
             Frame::Snapshot(snapshot) => self.whole(now, snapshot),
+            // The proxy takes these.
+            Frame::Strikes(_) => Vec::new(),
             Frame::Sync(sync) => self.synced(now, host, &sync),
             Frame::Welcome(welcome) => self.welcomed(now, host, welcome),
         }
     }
 }
 
-fn source_actions(actions: Vec<source::Action>) -> Vec<Action> {
-    actions.into_iter().map(Action::Source).collect()
-}
-
 /// Tells whether a verdict ends an operation for good.
 #[must_use]
 pub fn is_final(verdict: &Verdict) -> bool {
--- a/src/control/configuration.rs
+++ b/src/control/configuration.rs
@@ -1,10 +1,10 @@
 //! How a node takes the configuration in, whole and forwards only, and hands it on.
 
 use {
-    super::{Action, Control, source_actions},
+    super::{Action, Control},
     crate::{
         snapshot::{Delta, Refusal, Snapshot},
-        source::{self, Entry, Outcome},
+        source::{self, Entry, Outcome, Page},
         spread::millis,
         wire::Frame,
         world::{Host, Moment, Revision},
@@ -28,20 +28,19 @@
 const READ_STALE: Duration = Duration::from_secs(2);
 
 impl Control {
-    /// Reads the platform if that is this node's duty.
+    /// Has the source do what is due; it reads the platform now and then if that is this node's duty.
     pub(super) fn poll(&mut self, now: Moment) -> Vec<Action> {
-        if !self.polls(now) {
-            return Vec::new();
-        }
-        let actions = source_actions(self.source.tick(now, &self.snapshot));
-        if !actions.is_empty() {
+        let polls = self.polls(now);
+        self.source.set_polling(polls);
+        let wanted = self.source.tick(now, &self.snapshot);
+        if polls && !wanted.is_empty() {
             self.polled_at = now;
         }
-        actions
+        self.accept(now, wanted)
     }
 
     fn polls(&self, now: Moment) -> bool {
-        if self.spread.poll_all || self.source.is_waiting() {
+        if self.spread.poll_all {
             return true;
         }
         let stale = now.since(self.read_at) >= READ_STALE;
@@ -50,15 +49,34 @@
         relay || (orphan && stale && now.since(self.polled_at) >= ORPHAN_POLL_INTERVAL)
     }
 
-    pub(super) fn read(&mut self, now: Moment, entries: Option<Vec<Entry>>) -> Vec<Action> {
-        if entries.is_some() {
+    pub(super) fn read(&mut self, now: Moment, page: Option<&Page>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if let Some(page) = page {
             self.read_at = now;
+            if let Some(snapshot) = &page.snapshot {
+                actions.extend(self.whole(now, Arc::new(Snapshot::clone(snapshot))));
+            }
+            for entry in &page.entries {
+                actions.extend(self.append(entry));
+            }
         }
+        let wanted = self.source.caught_up(now, &self.snapshot, page);
+        actions.extend(self.accept(now, wanted));
+        actions
+    }
+
+    /// Takes committed entries into the state, and passes on what else the source wants.
+    pub(super) fn accept(&mut self, now: Moment, wanted: Vec<source::Action>) -> Vec<Action> {
         let mut actions = Vec::new();
-        for entry in entries.unwrap_or_default() {
+        for action in wanted {
+            let source::Action::Append(entry) = action else {
+                actions.push(Action::Source(action));
+                continue;
+            };
             actions.extend(self.append(&entry));
+            let more = self.source.pump(now, &self.snapshot);
+            actions.extend(more.into_iter().map(Action::Source));
         }
-        actions.extend(source_actions(self.source.caught_up(&self.snapshot)));
         actions
     }
 
@@ -198,14 +216,9 @@
         revision: Revision,
         outcome: Outcome,
     ) -> Vec<Action> {
-        let mut actions =
-            source_actions(
-                self.source
-                    .transacted(now, &self.snapshot, revision, outcome),
-            );
-        if outcome == Outcome::Committed {
-            actions.push(Action::Source(source::Action::Read(self.snapshot.revision)));
-        }
-        actions
+        let wanted = self
+            .source
+            .transacted(now, &self.snapshot, revision, outcome);
+        self.accept(now, wanted)
     }
 }
--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -11,9 +11,6 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// How long an upstream that announces itself no more still gets new work.
-pub const OFFER_LEASE: Duration = Duration::from_secs(30);
-
 /// The most hosts that a failure domain is taken to have on another node's word.
 const HOSTS_MAX: usize = 4096;
 
@@ -24,7 +21,6 @@
 
 impl Control {
     pub(super) fn announced(&mut self, now: Moment, offer: Offer) -> Vec<Action> {
-        self.offered_at = now;
         if self.me.offer.as_ref() == Some(&offer) && self.me.state == State::Ready {
             return Vec::new();
         }
@@ -43,22 +39,16 @@
         actions
     }
 
-    /// Ends the offer of an upstream that has not renewed its lease, and forgets hosts long gone.
-    pub(super) fn renew(&mut self, now: Moment) -> Vec<Action> {
-        if now.since(self.expired_at) >= EXPIRE_INTERVAL {
-            self.expired_at = now;
-            self.roster.expire(now);
-            // By now the roster itself tells how many hosts there are.
-            self.hosts = 0;
-            self.dials.retain(|_, backoff| !backoff.is_idle(now));
-        }
-        if self.me.offer.is_none() || now.since(self.offered_at) < OFFER_LEASE {
-            return Vec::new();
+    /// Forgets what is long past.
+    pub(super) fn expire(&mut self, now: Moment) {
+        if now.since(self.expired_at) < EXPIRE_INTERVAL {
+            return;
         }
-        self.me.offer = None;
-        let mut actions = vec![Action::Count("member.offer.lapsed")];
-        actions.extend(self.changed(now));
-        actions
+        self.expired_at = now;
+        self.roster.expire(now);
+        self.dials.retain(|_, backoff| !backoff.is_idle(now));
+        // By now the roster itself tells how many hosts there are.
+        self.hosts = 0;
     }
 
     fn changed(&mut self, now: Moment) -> Vec<Action> {
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -4,12 +4,21 @@
 #[path = "../examples/standin/mod.rs"]
 mod standin;
 
+mod admit;
+mod caller;
+mod faults;
 mod member;
 mod mesh;
+mod once;
 mod path;
+mod quarantine;
 mod requests;
+mod retry;
+mod security;
 mod settings;
 mod snapshot;
+mod source;
 mod spread;
+mod stop;
 mod test;
 mod wire;
