--- a/src/node.rs
+++ b/src/node.rs
@@ -99,6 +99,8 @@
             contact,
             now: clock.now(),
             peers: settings.peers.clone(),
+            seed: rand::random(),
+            spread: control::Spread::default(),
         });
         let start = rollout::Start {
             domain: settings.domain.clone(),
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -9,6 +9,8 @@
 mod caller;
 mod ctl;
 mod faults;
+mod links;
+mod member;
 #[path = "rollout/mesh.rs"]
 mod mesh;
 mod once;
@@ -24,6 +26,8 @@
 mod source;
 #[path = "rollout/specimen.rs"]
 mod specimen;
+mod spread;
 mod stop;
 mod telemetry;
 mod test;
+mod wire;
