--- a/tests/security.rs
+++ b/tests/security.rs
@@ -11,7 +11,7 @@
         wire::Frame,
         world::{Moment, Revision},
     },
-    std::net::SocketAddr,
+    std::{net::SocketAddr, sync::Arc},
     tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel},
 };
 
@@ -147,7 +147,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn records_of_other_hosts_are_handed_on_and_a_false_one_of_the_peer_is_not() {
-    let members = |records: [Record; 2]| Frame::Members(Vec::from(records));
+    let members = |records: [Record; 2]| Frame::Members(records.map(Arc::new).into());
     let other = record("c1", "luzon-b");
     assert!(taken(members([record("a1", "luzon-a"), other.clone()])).await);
     assert!(!taken(members([record("a1", "luzon-b"), other])).await);
