--- a/src/control.rs
+++ b/src/control.rs
@@ -241,7 +241,7 @@
             named_at: start.now,
             neighbors: BTreeMap::new(),
             news: Vec::new(),
-            polled_at: Moment::default(),
+            polled_at: start.now,
             probed_at: start.now,
             read_at: Moment::default(),
             replaced: false,
--- a/src/control/configuration.rs
+++ b/src/control/configuration.rs
@@ -43,6 +43,9 @@
         if self.spread.poll_all {
             return true;
         }
+        if !self.serving {
+            return false;
+        }
         let stale = now.since(self.read_at) >= READ_STALE;
         let orphan = !self.is_root() && self.role.parent.is_none();
         let relay = self.role.relay && (self.gateway || stale);
--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -4,7 +4,7 @@
     super::{Action, Control},
     crate::{
         member::{Offer, Record, State},
-        spread::{FANOUT, RELAYS, Tie, Tree},
+        spread::{RELAYS, Tie, Tree},
         wire::{Frame, Sync, Welcome},
         world::{Domain, Host, Moment},
     },
@@ -142,8 +142,8 @@
             .roster
             .domains()
             .flat_map(|each| {
-                let more = if each == domain { FANOUT } else { 0 };
-                self.first(each, RELAYS + more)
+                let all = each == domain;
+                self.first(each, if all { usize::MAX } else { RELAYS })
             })
             .collect();
         let hosts = self.roster.live(domain).count();
--- a/src/spread/rank.rs
+++ b/src/spread/rank.rs
@@ -11,7 +11,7 @@
 };
 
 /// The nodes that a relay or hub hands on to, as a rule; the tree has one level of hubs below the relays.
-pub const FANOUT: usize = 32;
+pub const FANOUT: usize = 24;
 
 /// The nodes of a failure domain that read the platform for it.
 pub const RELAYS: usize = 2;
