--- a/src/control.rs
+++ b/src/control.rs
@@ -49,6 +49,8 @@
     Read(Option<Page>),
     /// A frame from a node.
     Received(Host, Frame),
+    /// A client wants an operation accepted that it has asked for before, with an unknown outcome.
+    Resubmitted(Ticket, Operation),
     /// A client wants an operation accepted.
     Submitted(Ticket, Operation),
     /// Time has passed.
@@ -308,6 +310,11 @@
             }
             Event::Read(page) => self.read(now, page.as_ref()),
             Event::Received(host, frame) => self.received(now, &host, frame),
+            Event::Resubmitted(ticket, mut operation) => {
+                rollout::rules::stamp(now, &self.snapshot, &mut operation);
+                let actions = self.source.resubmit(now, &self.snapshot, ticket, operation);
+                self.accept(now, actions)
+            }
             Event::Submitted(ticket, mut operation) => {
                 rollout::rules::stamp(now, &self.snapshot, &mut operation);
                 let actions = self.source.submit(now, &self.snapshot, ticket, operation);
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -9,6 +9,7 @@
 mod caller;
 mod ctl;
 mod faults;
+mod golden;
 mod links;
 mod member;
 #[path = "rollout/mesh.rs"]
--- a/tests/source.rs
+++ b/tests/source.rs
@@ -1,9 +1,12 @@
 //! What is accepted is accepted once, in one order, and the client's answer is the truth.
 
 use {
-    crate::standin::platform::{Faults, Platform as Standin},
+    crate::{
+        standin::platform::{Faults, Platform as Standin},
+        test::{Test, eventually},
+    },
     mulberryshelf::{
-        platform::Platform,
+        platform::{LOG, Platform, Row, Transaction},
         resource::{Change, Key, Kind, Route, Spec, VersionSpec},
         snapshot::{Delta, Snapshot},
         source::{
@@ -266,6 +269,15 @@
         self.nodes[node].submit(&mut self.table, self.now, ticket, operation);
     }
 
+    fn resubmit(&mut self, node: usize, ticket: u64, operation: Operation) {
+        let snapshot = self.nodes[node].snapshot.clone();
+        let actions =
+            self.nodes[node]
+                .source
+                .resubmit(self.now, &snapshot, Ticket(ticket), operation);
+        self.nodes[node].run(&mut self.table, self.now, actions);
+    }
+
     fn look(&mut self, node: usize, ticket: u64, id: &str) {
         self.nodes[node].look(&mut self.table, self.now, ticket, id);
     }
@@ -373,6 +385,38 @@
     assert_eq!(mesh.times("b"), 0);
 }
 
+#[test]
+fn refusal_of_one_that_is_asked_again_elsewhere_is_final() {
+    let mut mesh = Mesh::new(2);
+    mesh.table.down = true;
+    mesh.pass(Duration::from_secs(1));
+    mesh.submit(0, 1, operation("a", [version("desk-1")]));
+    mesh.submit(0, 2, operation("b", [route("desk-1")]));
+    (mesh.table.down, mesh.table.lag) = (false, 1);
+    while mesh.table.late.is_empty() {
+        mesh.pass(TICK);
+        assert_eq!(mesh.table.head, Revision(0));
+    }
+    // The first node is gone, and its transaction is still on its way.
+    mesh.nodes.remove(0);
+    mesh.resubmit(0, 3, operation("b", [route("desk-1")]));
+    mesh.pass(Duration::from_secs(1));
+    mesh.table.arrive();
+    mesh.pass(Duration::from_secs(1));
+    assert_eq!(mesh.nodes[0].refused(3).len(), 1);
+    assert_eq!(mesh.times("b"), 0);
+}
+
+#[test]
+fn one_that_is_asked_again_in_an_outage_stays_unknown() {
+    let mut mesh = Mesh::new(1);
+    mesh.table.down = true;
+    mesh.pass(Duration::from_secs(1));
+    mesh.resubmit(0, 1, operation("a", [version("desk-1")]));
+    mesh.pass(WAIT_MAX);
+    assert_eq!(mesh.nodes[0].verdict(1), Some(&Verdict::Unknown));
+}
+
 #[test]
 fn outcome_is_unknown_only_while_the_table_is_away_and_the_id_settles_it() {
     let mut mesh = Mesh::new(2);
@@ -780,3 +824,43 @@
         }
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cold_node_starts_from_the_snapshot_that_another_one_stored() {
+    let mut test = Test::new();
+    let platform = Platform::open(&test.platform.url());
+    let mut state = Snapshot::default();
+    for number in 1..=SNAPSHOT_EVERY * 2 + 8 {
+        let entry = entry(&mut state, &format!("id-{number}"), version("desk-1"));
+        assert_eq!(platform.transact(&entry), Outcome::Committed);
+    }
+    test = test.host("a1", "luzon-a", "desk", "desk-1").await;
+    test.converged(state.revision).await;
+    let cold = Query::default();
+    let stored = || platform.read(&cold).and_then(|page| page.snapshot);
+    eventually(|| stored().is_some()).await;
+    let snapshot = stored().unwrap();
+    assert_eq!(snapshot.verify(snapshot.digest), Ok(()));
+    assert!(snapshot.revision.0 >= SNAPSHOT_EVERY);
+    // The one that stored it is gone, and so is the beginning of the log: there is nothing else to
+    // get the state from.
+    let trim = Transaction {
+        checks: Vec::new(),
+        puts: (1..=100)
+            .map(|number| Row {
+                key: format!("{LOG}{number:020}"),
+                value: serde_json::Value::Null,
+            })
+            .collect(),
+    };
+    let body = serde_json::to_string(&trim).unwrap();
+    let url = format!("{}/v1/transact", test.platform.url());
+    tokio::task::spawn_blocking(move || ureq::post(url).send(body).unwrap())
+        .await
+        .unwrap();
+    let host = test.hosts.remove(0);
+    host.node.stop().await;
+    let test = test.host("a2", "luzon-a", "desk", "desk-1").await;
+    test.converged(state.revision).await;
+    assert_eq!(*test.hosts[0].node.handle().snapshot(), state);
+}
