--- a/src/api.rs
+++ b/src/api.rs
@@ -4,7 +4,7 @@
     crate::{
         error::{Error, Result},
         node::Handle,
-        resource::{Change, Key, Kind, Resource, Spec},
+        resource::{Change, Key, Kind, Resource, Rollout, Spec},
         settings::{Right, Tokens},
         source::{Operation, Verdict},
         validate::Fault,
@@ -78,20 +78,27 @@
     /// Shows an accepted resource.
     #[must_use]
     pub fn show(resource: &Resource) -> Self {
-        let spec = match &resource.spec {
+        let shown = match &resource.spec {
             Spec::Limits(spec) => serde_json::to_value(spec),
             Spec::Rollout(spec) => serde_json::to_value(spec),
             Spec::Route(spec) => serde_json::to_value(spec),
             Spec::Version(spec) => serde_json::to_value(spec),
         };
+        let mut spec = shown.unwrap_or_default();
+        let mut status = Value::Null;
+        for recorded in ["outcome", "started"] {
+            if let Some(value) = spec.as_object_mut().and_then(|spec| spec.remove(recorded)) {
+                status[recorded] = value;
+            }
+        }
         Self {
             kind: resource.key.kind,
             metadata: Metadata {
                 name: resource.key.name.clone(),
                 resource_version: Some(resource.revision),
             },
-            spec: spec.unwrap_or_default(),
-            status: Value::Null,
+            spec,
+            status,
         }
     }
 
@@ -103,7 +110,9 @@
         let spec = self.spec.clone();
         let spec = match self.kind {
             Kind::Limits => serde_json::from_value(spec).map(Spec::Limits),
-            Kind::Rollout => serde_json::from_value(spec).map(Spec::Rollout),
+            Kind::Rollout => serde_json::from_value(spec)
+                .map(Rollout::declared)
+                .map(Spec::Rollout),
             Kind::Route => serde_json::from_value(spec).map(Spec::Route),
             Kind::Version => serde_json::from_value(spec).map(Spec::Version),
         };
@@ -212,6 +221,18 @@
     }
 }
 
+/// Adds how far a rollout is, as far as this node knows.
+fn progress(handle: &Handle, mut document: Document) -> Document {
+    let statuses = handle.rollouts();
+    let mut found = statuses
+        .iter()
+        .filter(|status| document.kind == Kind::Rollout && status.name == document.metadata.name);
+    if let Some(status) = found.next() {
+        document.status["progress"] = json!(status);
+    }
+    document
+}
+
 fn list(handle: &Handle, kind: &str) -> Reply {
     let Ok(kind) = kind.parse::<Kind>() else {
         return problem(404, "there is no such kind", &[]);
@@ -221,7 +242,7 @@
         .resources
         .values()
         .filter(|resource| resource.key.kind == kind)
-        .map(Document::show)
+        .map(|resource| progress(handle, Document::show(resource)))
         .collect();
     reply(
         200,
@@ -234,7 +255,7 @@
         return problem(404, "there is no such kind or name", &[]);
     };
     match handle.snapshot().get(kind, &name) {
-        Some(resource) => reply(200, &json!(Document::show(resource))),
+        Some(resource) => reply(200, &json!(progress(handle, Document::show(resource)))),
         None => problem(404, &format!("there is no {kind}/{name}"), &[]),
     }
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -4,6 +4,7 @@
 use {
     crate::{
         member::{Contact, Offer, Record, Roster, State},
+        rollout,
         snapshot::{Delta, Snapshot},
         source::{self, Entry, Operation, Outcome, Page, Source, Ticket, Verdict},
         spread::{Coverage, Role},
@@ -152,7 +153,8 @@
                 let actions = self.source.look(now, &self.snapshot, ticket, id);
                 self.accept(now, actions)
             }
-            Event::Submitted(ticket, operation) => {
+            Event::Submitted(ticket, mut operation) => {
+                rollout::rules::stamp(now, &self.snapshot, &mut operation);
                 let actions = self.source.submit(now, &self.snapshot, ticket, operation);
                 self.accept(now, actions)
             }
--- a/src/node.rs
+++ b/src/node.rs
@@ -11,6 +11,7 @@
         link::{self, Link},
         presence::Presence,
         proxy::{Proxy, egress, ingress::Ingress},
+        rollout,
         settings::{Settings, Stop},
         telemetry::Telemetry,
         tls::Identity,
@@ -28,6 +29,7 @@
 mod clock;
 mod driver;
 mod handle;
+mod rollouts;
 mod worker;
 
 pub use {clock::Clock, handle::Handle};
@@ -71,6 +73,7 @@
             clock,
             coverage: Arc::default(),
             events: events.clone(),
+            rollouts: Arc::default(),
             flight: Flight::default(),
             journal: Journal::open(settings.host.clone()),
             presence: Arc::new(Mutex::new(presence)),
@@ -96,6 +99,11 @@
             now: clock.now(),
             peers: settings.peers.clone(),
         });
+        let start = rollout::Start {
+            domain: settings.domain.clone(),
+            host: settings.host.clone(),
+            now: clock.now(),
+        };
         let driver = Driver {
             clock,
             control,
@@ -103,6 +111,12 @@
             link: link.clone(),
             platform: worker::spawn(&settings.platform, &events),
             proxy: proxy.clone(),
+            rollouts: rollouts::Rollouts::new(
+                start,
+                link.clone(),
+                proxy.clone(),
+                handle.telemetry().clone(),
+            ),
         };
         tokio::spawn(driver.run(from_edges));
         tokio::spawn(relay(from_link, events, proxy, handle.flight.clone()));
--- a/src/node/handle.rs
+++ b/src/node/handle.rs
@@ -10,6 +10,7 @@
         presence::{self, Announcement, Presence, Refusal},
         proxy::Proxy,
         reach::Reach,
+        rollout::status::Status,
         snapshot::Snapshot,
         source::{Operation, Ticket, Verdict},
         spread::Coverage,
@@ -38,6 +39,7 @@
     pub(super) clock: Clock,
     pub(super) coverage: Arc<ArcSwap<BTreeMap<Domain, Coverage>>>,
     pub(super) events: UnboundedSender<control::Event>,
+    pub(super) rollouts: Arc<ArcSwap<Vec<Status>>>,
     pub(super) flight: Flight,
     pub(super) journal: Journal,
     pub(super) presence: Arc<Mutex<Presence>>,
@@ -62,6 +64,12 @@
         self.coverage.load_full()
     }
 
+    /// Gives how far the rollouts are that may still change.
+    #[must_use]
+    pub fn rollouts(&self) -> Arc<Vec<Status>> {
+        self.rollouts.load_full()
+    }
+
     /// Gives the counters.
     #[must_use]
     pub fn telemetry(&self) -> &Telemetry {
--- a/src/telemetry/catalogue.rs
+++ b/src/telemetry/catalogue.rs
@@ -87,6 +87,10 @@
         "retry.{reason}",
         "retries, by the reason why the attempt before failed",
     ),
+    counter(
+        "rollout.malformed",
+        "messages of rollouts that could not be encoded or decoded",
+    ),
     counter("source.committed", "transactions that took effect"),
     counter("source.conflict", "transactions that another one overtook"),
     counter("source.read.failed", "readings of the platform that failed"),
