--- a/src/node.rs
+++ b/src/node.rs
@@ -74,6 +74,7 @@
             coverage: Arc::default(),
             events: events.clone(),
             rollouts: Arc::default(),
+            feed: Arc::default(),
             flight: Flight::default(),
             journal: Journal::open(settings.host.clone()),
             presence: Arc::new(Mutex::new(presence)),
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -122,7 +122,10 @@
             }
             control::Action::Cover(coverage) => self.handle.coverage.store(Arc::new(coverage)),
             control::Action::Install(snapshot) => {
-                let before = self.handle.snapshot.swap(snapshot.clone());
+                let before = self.handle.snapshot();
+                self.handle.feed.install(&before, &snapshot);
+                self.handle.snapshot.store(snapshot.clone());
+                self.handle.feed.wake();
                 self.log(&before, &snapshot);
                 self.proxy.traffic().install(snapshot.clone());
                 let operations = self.rollouts.install(self.clock.now(), snapshot);
--- /dev/null
+++ b/tests/ctl.rs
@@ -0,0 +1,260 @@
+//! The operators' client: what it shows, and what its exit code says.
+
+use {
+    crate::{
+        standin::platform::Faults,
+        test::{Test, whole_route},
+    },
+    mulberryshelf::ctl,
+    serde_json::{Value, json},
+    std::net::SocketAddr,
+    tempfile::TempDir,
+};
+
+/// A command's exit code, output and report.
+type Done = (u8, String, String);
+
+/// A place for a command's files.
+struct Desk {
+    directory: TempDir,
+    nodes: Vec<SocketAddr>,
+}
+
+impl Desk {
+    fn new(nodes: Vec<SocketAddr>) -> Self {
+        let directory = TempDir::new().unwrap();
+        std::fs::write(directory.path().join("token"), "write\n").unwrap();
+        Self { directory, nodes }
+    }
+
+    fn file(&self, name: &str, value: &Value) -> String {
+        let path = self.directory.path().join(name);
+        std::fs::write(&path, value.to_string()).unwrap();
+        path.display().to_string()
+    }
+
+    async fn run(&self, arguments: &[&str]) -> Done {
+        let nodes: Vec<String> = self.nodes.iter().map(ToString::to_string).collect();
+        let token = self.directory.path().join("token").display().to_string();
+        let own = ["--node", &nodes.join(","), "--token-file", &token].map(String::from);
+        let arguments = arguments.iter().map(ToString::to_string).chain(own);
+        plain(arguments.collect()).await
+    }
+}
+
+async fn plain(arguments: Vec<String>) -> Done {
+    tokio::task::spawn_blocking(move || {
+        let (mut out, mut report) = (Vec::new(), Vec::new());
+        let code = ctl::execute(&arguments, &mut out, &mut report);
+        let text = |bytes| String::from_utf8(bytes).unwrap();
+        (code, text(out), text(report))
+    })
+    .await
+    .unwrap()
+}
+
+async fn one_host() -> (Test, Desk) {
+    let test = Test::new()
+        .host("a1", "luzon-a", "resident-desk", "desk-1")
+        .await;
+    let desk = Desk::new(vec![test.hosts[0].node.api()]);
+    (test, desk)
+}
+
+fn version(name: &str) -> Value {
+    json!({ "kind": "version", "metadata": { "name": name }, "spec": { "service": "desk" } })
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn resources_are_applied_shown_and_deleted() {
+    let (_test, desk) = one_host().await;
+    let file = desk.file("all.json", &whole_route("desk", "v1"));
+    let (code, out, report) = desk.run(&["apply", "-f", &file]).await;
+    assert_eq!(
+        (code, out.as_str()),
+        (ctl::DONE, "accepted as 1\n"),
+        "{report}"
+    );
+    let (code, out, _) = desk.run(&["list", "route"]).await;
+    assert_eq!(code, ctl::DONE);
+    insta::assert_snapshot!(out, @r#"
+    KIND   NAME  VERSION  IN FORCE  SPEC
+    route  desk  1        1/1       {"path":"/","service":"desk","shares":{"v1":1000}}
+    "#);
+    let (code, out, _) = desk
+        .run(&["get", "version", "v1", "--output", "json"])
+        .await;
+    let document: Value = serde_json::from_str(&out).unwrap();
+    assert_eq!(
+        (code, &document["metadata"]["name"]),
+        (ctl::DONE, &json!("v1"))
+    );
+    let (code, _, report) = desk.run(&["delete", "version", "v1"]).await;
+    assert_eq!(code, ctl::REFUSED);
+    assert!(
+        report.contains("is referred to by spec.shares.v1 of route/desk"),
+        "{report}"
+    );
+    let (code, _, _) = desk
+        .run(&["delete", "route", "desk", "--resource-version", "9"])
+        .await;
+    assert_eq!(code, ctl::REFUSED);
+    let (code, out, _) = desk
+        .run(&["delete", "route", "desk", "--resource-version", "1"])
+        .await;
+    assert_eq!((code, out.as_str()), (ctl::DONE, "deleted as 2\n"));
+    let (code, out, _) = desk.run(&["status"]).await;
+    assert_eq!(code, ctl::DONE);
+    assert!(out.contains("luzon-a"), "{out}");
+    let (code, out, _) = desk.run(&["drain"]).await;
+    assert_eq!((code, out.as_str()), (ctl::DONE, "draining\n"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_names_every_fault() {
+    let (_test, desk) = one_host().await;
+    let mut route = whole_route("desk", "v1");
+    route[1]["spec"]["shares"] = json!({ "v1": 1, "v2": 2 });
+    let file = desk.file("bad.json", &route);
+    let (code, _, report) = desk.run(&["apply", "-f", &file]).await;
+    assert_eq!(code, ctl::REFUSED);
+    for fault in [
+        "spec.shares: add up to 3",
+        "spec.shares.v2: refers to version/v2",
+    ] {
+        assert!(report.contains(fault), "{report}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unusable_command_lines_are_usage() {
+    let (_test, desk) = one_host().await;
+    for arguments in [
+        &["aply"][..],
+        &["apply"],
+        &["get", "version"],
+        &["list"],
+        &["list", "version", "--output", "xml"],
+        &["watch"],
+        &["status", "more"],
+        &["delete", "version"],
+        &["get", "version", "v1", "--no-such"],
+    ] {
+        let (code, out, _) = desk.run(arguments).await;
+        assert_eq!((code, out.as_str()), (ctl::USAGE, ""), "{arguments:?}");
+    }
+    assert_eq!(plain(Vec::new()).await.0, ctl::USAGE);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_command_has_help() {
+    let (code, out, _) = plain(vec!["--help".into()]).await;
+    assert_eq!(code, ctl::DONE);
+    assert!(out.contains("0 done, 1 refused or failed, 2 usage, 3 outcome unknown"));
+    for command in [
+        "apply",
+        "authority",
+        "delete",
+        "drain",
+        "get",
+        "list",
+        "status",
+        "watch",
+    ] {
+        let (code, help, _) = plain(vec![command.into(), "--help".into()]).await;
+        assert_eq!(code, ctl::DONE);
+        assert!(
+            help.starts_with(&format!("Usage: mulberryctl {command}")),
+            "{help}"
+        );
+        assert!(out.contains(&format!("\n  {command} ")), "{out}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn node_that_is_away_is_passed_over() {
+    let (_test, mut desk) = one_host().await;
+    let file = desk.file("v1.json", &version("v1"));
+    desk.nodes.insert(0, "127.0.0.1:1".parse().unwrap());
+    let (code, out, report) = desk.run(&["apply", "-f", &file]).await;
+    assert_eq!(
+        (code, out.as_str()),
+        (ctl::DONE, "accepted as 1\n"),
+        "{report}"
+    );
+    let (code, _, _) = desk.run(&["list", "version"]).await;
+    assert_eq!(code, ctl::DONE);
+    desk.nodes.truncate(1);
+    let (code, _, report) = desk.run(&["apply", "-f", &file]).await;
+    assert_eq!(code, ctl::REFUSED, "nothing was sent: {report}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_outcome_is_asked_again_until_it_is_known() {
+    let (test, desk) = one_host().await;
+    let file = desk.file("v1.json", &version("v1"));
+    test.platform.fail(Faults {
+        down_after_loss: true,
+        lose_answers: 1,
+        ..Faults::default()
+    });
+    let platform = test.platform.clone();
+    let mend = tokio::spawn(async move {
+        tokio::time::sleep(std::time::Duration::from_secs(8)).await;
+        platform.fail(Faults::default());
+    });
+    let (code, out, report) = desk
+        .run(&["apply", "-f", &file, "--operation", "op-1"])
+        .await;
+    assert_eq!(
+        (code, out.as_str()),
+        (ctl::DONE, "accepted as 1\n"),
+        "{report}"
+    );
+    mend.await.unwrap();
+    let (code, out, _) = desk
+        .run(&["apply", "-f", &file, "--operation", "op-1"])
+        .await;
+    assert_eq!((code, out.as_str()), (ctl::DONE, "accepted as 1\n"));
+}
+
+/// Takes one request, and closes without an answer.
+fn mute() -> SocketAddr {
+    let listener = std::net::TcpListener::bind(crate::test::ANY).unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().take(20) {
+            let mut bytes = [0; 1024];
+            let _ = std::io::Read::read(&mut stream.unwrap(), &mut bytes);
+        }
+    });
+    address
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn outcome_that_stays_unknown_has_its_own_exit_code_and_names_the_id() {
+    let desk = Desk::new(vec![mute()]);
+    let file = desk.file("v1.json", &version("v1"));
+    let (code, _, report) = desk
+        .run(&[
+            "apply",
+            "-f",
+            &file,
+            "--operation",
+            "op-1",
+            "--patience",
+            "2",
+        ])
+        .await;
+    assert_eq!(code, ctl::UNKNOWN, "{report}");
+    assert!(report.contains("--operation op-1"), "{report}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn watch_shows_changes_as_they_come() {
+    let (test, desk) = one_host().await;
+    test.apply(0, json!([version("v1")])).await;
+    let (code, out, report) = desk.run(&["watch", "version", "--timeout", "1"]).await;
+    assert_eq!(code, ctl::DONE, "{report}");
+    assert_eq!(out, "PUT     version  v1  1  1/1  {\"service\":\"desk\"}\n");
+}
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -5,7 +5,9 @@
 mod standin;
 
 mod admit;
+mod api;
 mod caller;
+mod ctl;
 mod faults;
 #[path = "rollout/mesh.rs"]
 mod mesh;
