--- a/src/api/show.rs
+++ b/src/api/show.rs
@@ -2,20 +2,31 @@
 
 use {
     crate::{
-        resource::{Kind, Resource, Spec},
-        rollout,
+        node::Handle,
+        resource::{Key, Kind, Resource, Rollout, Spec},
+        rollout::{
+            outcome::{End, Outcome},
+            status::Status as Progress,
+        },
         spread::Coverage,
-        world::{Domain, Revision},
+        world::{Domain, Moment, Revision},
     },
     serde::Serialize,
     serde_json::Value,
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, sync::Arc},
 };
 
+/// What a node knows of the mesh beside the resources themselves.
+#[derive(Debug)]
+pub struct View {
+    coverage: Arc<BTreeMap<Domain, Coverage>>,
+    rollouts: Arc<Vec<Progress>>,
+}
+
 /// A resource with its status.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Document {
-    kind: Kind,
+    kind: crate::resource::Kind,
     metadata: Metadata,
     spec: Value,
     status: Status,
@@ -32,12 +43,19 @@
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Status {
     conditions: Vec<Condition>,
+    #[serde(flatten, skip_serializing_if = "Option::is_none")]
+    rollout: Option<Course>,
+}
+
+/// How far a rollout is.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+struct Course {
     #[serde(skip_serializing_if = "Option::is_none")]
-    outcome: Option<Value>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    progress: Option<rollout::status::Status>,
+    outcome: Option<Box<Outcome>>,
+    phase: &'static str,
     #[serde(skip_serializing_if = "Option::is_none")]
-    started: Option<Value>,
+    progress: Option<Progress>,
+    started: Moment,
 }
 
 /// One thing that holds of a resource, or not.
@@ -55,44 +73,67 @@
 impl Document {
     /// Shows an accepted resource.
     #[must_use]
-    pub fn new(resource: &Resource, coverage: &BTreeMap<Domain, Coverage>) -> Self {
-        let shown = match &resource.spec {
+    pub fn new(resource: &Resource, view: &View) -> Self {
+        let spec = match &resource.spec {
             Spec::Limits(spec) => serde_json::to_value(spec),
-            Spec::Rollout(spec) => serde_json::to_value(spec),
+            Spec::Rollout(spec) => spec.show(),
             Spec::Route(spec) => serde_json::to_value(spec),
             Spec::Version(spec) => serde_json::to_value(spec),
         };
-        let mut spec = shown.unwrap_or_default();
-        let mut status = Status::new(resource.revision, coverage);
-        // What the mesh records of a rollout is no part of what was declared.
-        if let Some(spec) = spec.as_object_mut() {
-            status.outcome = spec.remove("outcome").filter(|value| !value.is_null());
-            status.started = spec.remove("started");
-        }
         Self {
             kind: resource.key.kind,
             metadata: Metadata {
                 name: resource.key.name.clone(),
                 resource_version: resource.revision,
             },
-            spec,
-            status,
+            spec: spec.unwrap_or_default(),
+            status: Status::new(resource, view),
         }
     }
+}
 
-    /// Adds how far a rollout is, as far as this node knows.
+impl View {
+    /// Takes what a node knows now.
     #[must_use]
-    pub fn progressing(mut self, statuses: &[rollout::status::Status]) -> Self {
-        let mut found = statuses
-            .iter()
-            .filter(|status| self.kind == Kind::Rollout && status.name == self.metadata.name);
-        self.status.progress = found.next().cloned();
-        self
+    pub fn of(handle: &Handle) -> Self {
+        Self {
+            coverage: handle.coverage(),
+            rollouts: handle.rollouts(),
+        }
+    }
+
+    fn progress(&self, key: &Key) -> Option<Progress> {
+        let mut rollouts = self.rollouts.iter();
+        let found = rollouts.find(|rollout| key.kind == Kind::Rollout && rollout.name == key.name);
+        found.cloned()
+    }
+}
+
+impl Course {
+    fn new(rollout: &Rollout, progress: Option<Progress>) -> Self {
+        let phase = match &rollout.outcome {
+            None => "Progressing",
+            Some(outcome) => match outcome.end {
+                End::Completed => "Completed",
+                End::RolledBack => "RolledBack",
+            },
+        };
+        Self {
+            outcome: rollout.outcome.clone(),
+            phase,
+            progress,
+            started: rollout.started,
+        }
     }
 }
 
 impl Status {
-    fn new(revision: Revision, coverage: &BTreeMap<Domain, Coverage>) -> Self {
+    fn new(resource: &Resource, view: &View) -> Self {
+        let revision = resource.revision;
+        let rollout = match &resource.spec {
+            Spec::Rollout(rollout) => Some(Course::new(rollout, view.progress(&resource.key))),
+            _ => None,
+        };
         let accepted = Condition {
             domain: None,
             reason: "InTable",
@@ -100,14 +141,13 @@
             status: "True",
             r#type: "Accepted",
         };
-        let in_force = coverage
+        let in_force = view
+            .coverage
             .iter()
             .map(|(domain, coverage)| Condition::in_force(revision, domain, *coverage));
         Self {
             conditions: std::iter::once(accepted).chain(in_force).collect(),
-            outcome: None,
-            progress: None,
-            started: None,
+            rollout,
         }
     }
 }
--- a/src/node/handle.rs
+++ b/src/node/handle.rs
@@ -66,18 +66,18 @@
         self.coverage.load_full()
     }
 
-    /// Gives how far the rollouts are that may still change.
-    #[must_use]
-    pub fn rollouts(&self) -> Arc<Vec<Status>> {
-        self.rollouts.load_full()
-    }
-
     /// Gives what was deleted of late.
     #[must_use]
     pub fn feed(&self) -> &Feed {
         &self.feed
     }
 
+    /// Gives how far the rollouts are that may still change.
+    #[must_use]
+    pub fn rollouts(&self) -> Arc<Vec<Status>> {
+        self.rollouts.load_full()
+    }
+
     /// Gives the counters.
     #[must_use]
     pub fn telemetry(&self) -> &Telemetry {
--- a/src/telemetry/catalogue.rs
+++ b/src/telemetry/catalogue.rs
@@ -19,7 +19,7 @@
 pub const COUNTERS: &[Counter] = &[
     counter(
         "api.refused.{status}",
-        "requests of operators that were refused, by HTTP status",
+        "operators' requests that the resource API refused, by HTTP status",
     ),
     counter(
         "egress.cancelled",
@@ -93,7 +93,7 @@
     ),
     counter(
         "rollout.malformed",
-        "messages of rollouts that could not be encoded or decoded",
+        "messages about rollouts that could not be encoded or decoded",
     ),
     counter("source.committed", "transactions that took effect"),
     counter("source.conflict", "transactions that another one overtook"),
