--- a/examples/demo/mesh.rs
+++ b/examples/demo/mesh.rs
@@ -174,10 +174,16 @@
             println!("  requests run by {version}: {}", self.runs(version));
         }
         println!("  refusals and retries by reason:");
-        for (name, count) in totals {
-            if name.starts_with("refused.") || name.starts_with("retry.") {
-                println!("    {name}: {count}");
-            }
+        let reasons = ["refused.", "retry."];
+        let mut counted = totals
+            .iter()
+            .filter(|(name, _)| reasons.iter().any(|reason| name.starts_with(reason)))
+            .peekable();
+        if counted.peek().is_none() {
+            println!("    none");
+        }
+        for (name, count) in counted {
+            println!("    {name}: {count}");
         }
     }
 }
