--- a/examples/demo/scenes.rs
+++ b/examples/demo/scenes.rs
@@ -5,13 +5,21 @@
         callers::{Callers, Seen},
         mesh::Mesh,
         promises::Promises,
+        standin::upstream::Faults,
     },
+    mulberryshelf::world::Moment,
     serde_json::{Value, json},
-    std::time::Duration,
+    std::time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 /// How soon an accepted configuration is in force everywhere.
 const CONVERGENCE: Duration = Duration::from_secs(6);
+/// The time that a rollout has.
+const DEADLINE: Duration = Duration::from_secs(14);
+/// The most requests that a bad version may get; see docs/design/rollouts.md.
+const BAD_MAX: u64 = 200;
+/// How long after a rollout's end a bad version may still get requests that were on their way.
+const SETTLE: Duration = Duration::from_secs(2);
 /// How soon a leaving upstream gets no new work.
 const LEAVING: Duration = Duration::from_secs(2);
 
@@ -24,8 +32,24 @@
     routes(mesh, promises).await;
     println!("2. callers send requests that must run at most once");
     serve(mesh, promises).await;
-    println!("3. an upstream drains and its node stops while requests run");
+    println!("3. hub-2, a good version, is to take dispatch-hub over");
+    move_to(mesh, promises, "good", ("hub-1", "hub-2"), "completed").await;
+    println!("4. hub-3, of which half of the answers are bad, is to follow");
+    for host in mesh.hosts.iter().filter(|host| host.version == "hub-3") {
+        host.upstream.fail(Faults {
+            bad_permille: 500,
+            ..Faults::default()
+        });
+    }
+    move_to(mesh, promises, "bad", ("hub-2", "hub-3"), "rolled-back").await;
+    println!("5. an upstream drains and its node stops while requests run");
     stop(mesh, promises).await;
+    let reverted = mesh.reverted();
+    promises.check(
+        "no node ever ran an older revision than before",
+        reverted == 0,
+        &format!("{reverted} times"),
+    );
 }
 
 async fn accept(mesh: &Mesh, promises: &mut Promises, resources: Value) {
@@ -105,6 +129,83 @@
     }
 }
 
+/// Declares a rollout and sends requests until it ends.
+async fn move_to(
+    mesh: &Mesh,
+    promises: &mut Promises,
+    name: &str,
+    (from, to): (&str, &str),
+    expected: &str,
+) {
+    let deadline = SystemTime::now() + DEADLINE;
+    let since = deadline.duration_since(UNIX_EPOCH).unwrap_or_default();
+    let rollout = json!([{
+        "kind": "rollout",
+        "metadata": { "name": name },
+        "spec": {
+            "deadline": (Moment::default() + since).to_string(),
+            "from": from,
+            "route": "dispatch-hub",
+            "to": to,
+        },
+    }]);
+    accept(mesh, promises, rollout).await;
+    let before = mesh.runs(to);
+    let callers = Callers::spawn(&mesh.ingresses("desk-1"), "dispatch-hub");
+    let end = ended(mesh, name).await;
+    let took = SystemTime::now();
+    let run = mesh.runs(to) - before;
+    tokio::time::sleep(SETTLE).await;
+    let settled = mesh.runs(to);
+    tokio::time::sleep(SETTLE).await;
+    let late = mesh.runs(to) - settled;
+    let seen = callers.stop().await;
+    let permille = 1000 * run / seen.sent.len().max(1) as u64;
+    let left = deadline.duration_since(took).ok();
+    let time = left.map_or("after the deadline".into(), |left| {
+        format!("{:.1} s before the deadline", left.as_secs_f64())
+    });
+    println!(
+        "  {to} ran {run} requests until the end, {permille}‰ of all; {} answers were bad",
+        seen.bad
+    );
+    let promise = format!("the rollout to {to} ends as {expected} by its deadline");
+    promises.check(
+        &promise,
+        end == expected && left.is_some(),
+        &format!("{end}, {time}"),
+    );
+    answers(mesh, promises, &seen);
+    if expected == "rolled-back" {
+        promises.check(
+            "a bad version gets a small share of the requests",
+            (1..=BAD_MAX).contains(&run),
+            &format!("{run}, at most {BAD_MAX}"),
+        );
+        promises.check(
+            "and none soon after its end",
+            late == 0,
+            &format!("{late} from {} s after", SETTLE.as_secs()),
+        );
+    }
+}
+
+/// Waits until a rollout's end is recorded, or for a while after its deadline.
+async fn ended(mesh: &Mesh, name: &str) -> String {
+    let started = Instant::now();
+    while started.elapsed() < DEADLINE + SETTLE {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let shown = mesh.operator.get("rollout", name).await;
+        let end = shown
+            .pointer("/status/outcome/end")
+            .or(shown.pointer("/spec/outcome/end"));
+        if let Some(end) = end.and_then(Value::as_str) {
+            return end.into();
+        }
+    }
+    "open".into()
+}
+
 /// Stops the node of one of four upstreams of a version.
 async fn stop(mesh: &mut Mesh, promises: &mut Promises) {
     let callers = Callers::spawn(&mesh.ingresses("desk-1"), "dispatch-hub");
@@ -112,7 +213,7 @@
     let leaving = mesh
         .hosts
         .iter_mut()
-        .find(|host| host.version == "hub-1")
+        .find(|host| host.version == "hub-2")
         .expect("a host of the version");
     leaving.handle.drain();
     tokio::time::sleep(LEAVING).await;
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -2,7 +2,12 @@
 //! counted instead; see docs/metrics.md.
 
 use {
-    crate::world::{Host, Revision, Service, Version},
+    crate::{
+        resource::Spec,
+        rollout::outcome::End,
+        snapshot::Snapshot,
+        world::{Host, Name, Revision, Service, Version},
+    },
     std::fmt::{self, Display, Formatter},
 };
 
@@ -27,6 +32,8 @@
     PlatformBack,
     /// The platform does not answer.
     PlatformLost,
+    /// A rollout has ended, or a completed one was taken back.
+    RolloutEnded(Name, End),
     /// The node runs.
     Started,
     /// The node has stopped.
@@ -35,6 +42,29 @@
     Stopping,
 }
 
+impl Change {
+    /// Lists the rollouts that have ended from one configuration to the next.
+    #[must_use]
+    pub fn ends(before: &Snapshot, after: &Snapshot) -> Vec<Self> {
+        after
+            .resources
+            .iter()
+            .filter_map(|(key, resource)| {
+                let ended = end(&resource.spec)?;
+                let held = before.resources.get(key).and_then(|held| end(&held.spec));
+                (held != Some(ended)).then(|| Self::RolloutEnded(key.name.clone(), ended))
+            })
+            .collect()
+    }
+}
+
+fn end(spec: &Spec) -> Option<End> {
+    match spec {
+        Spec::Rollout(rollout) => rollout.outcome.as_ref().map(|outcome| outcome.end),
+        _ => None,
+    }
+}
+
 impl Display for Change {
     fn fmt(&self, f: &mut Formatter) -> fmt::Result {
         match self {
@@ -50,6 +80,7 @@
             Self::Leaving => f.write_str("step=drain peer=upstream state=leaving"),
             Self::PlatformBack => f.write_str("step=read peer=platform state=back"),
             Self::PlatformLost => f.write_str("step=read peer=platform state=lost"),
+            Self::RolloutEnded(name, end) => write!(f, "step=rollout rollout={name} state={end}"),
             Self::Started => f.write_str("step=start state=started"),
             Self::Stopped => f.write_str("step=stop state=stopped"),
             Self::Stopping => f.write_str("step=stop state=stopping"),
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -7,6 +7,7 @@
         journal::Change,
         link::Link,
         proxy::Proxy,
+        snapshot::Snapshot,
         source::{self, Operation, Ticket},
     },
     std::{
@@ -105,6 +106,13 @@
         }
     }
 
+    fn log(&self, before: &Snapshot, after: &Snapshot) {
+        self.handle.journal.write(&Change::InForce(after.revision));
+        for change in Change::ends(before, after) {
+            self.handle.journal.write(&change);
+        }
+    }
+
     fn act(&mut self, action: control::Action) {
         match action {
             control::Action::Connect(address) => {
@@ -115,11 +123,11 @@
             control::Action::Count(name) => self.handle.telemetry.count(name),
             control::Action::Cover(coverage) => self.handle.coverage.store(Arc::new(coverage)),
             control::Action::Install(snapshot) => {
-                self.handle.feed.install(&self.handle.snapshot(), &snapshot);
+                let before = self.handle.snapshot();
+                self.handle.feed.install(&before, &snapshot);
                 self.handle.snapshot.store(snapshot.clone());
                 self.handle.feed.wake();
-                let change = Change::InForce(snapshot.revision);
-                self.handle.journal.write(&change);
+                self.log(&before, &snapshot);
                 self.proxy.traffic().install(snapshot.clone());
                 let operations = self.rollouts.install(self.clock.now(), snapshot);
                 self.submit(operations);
