--- a/examples/standin/upstream.rs
+++ b/examples/standin/upstream.rs
@@ -42,6 +42,7 @@
 struct State {
     connections: usize,
     connections_most: usize,
+    dead: bool,
     faults: Faults,
     headers: BTreeMap<String, BTreeMap<String, String>>,
     running: u64,
@@ -75,14 +76,16 @@
 
     /// Dies: every connection breaks off, and nothing listens any more.
     pub fn die(&self) {
-        for task in self.state().tasks.drain(..) {
+        let mut state = self.state();
+        state.dead = true;
+        for task in state.tasks.drain(..) {
             task.abort();
         }
     }
 
     /// Says whether it has died.
     pub fn is_dead(&self) -> bool {
-        self.state().tasks.is_empty()
+        self.state().dead
     }
 
     /// Gives the most connections that were open at a time.
@@ -134,7 +137,11 @@
                     .serve_connection(TokioIo::new(stream), service)
                     .await;
             });
-            self.state().tasks.push(task.abort_handle());
+            let mut state = self.state();
+            if state.dead {
+                return task.abort();
+            }
+            state.tasks.push(task.abort_handle());
         }
     }
 
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -161,9 +161,15 @@
     }
 }
 
+/// The side of a cut on which a host is.
+fn side(host: &Host) -> bool {
+    host.as_str() < "h2"
+}
+
 /// Hosts of the service, each of which remembers the keys that it owns in its own view.
 #[derive(Default)]
 struct Hosts {
+    cut: bool,
     memories: BTreeMap<Host, Once>,
     records: BTreeMap<Host, Record>,
     views: BTreeMap<Host, Owners>,
@@ -192,13 +198,30 @@
         }
     }
 
+    /// Cuts the sides off from each other, or heals the cut.
+    fn cut(&mut self, now: Moment, cut: bool) {
+        self.cut = cut;
+        let (before, after) = if cut {
+            (State::Ready, State::Gone)
+        } else {
+            (State::Gone, State::Ready)
+        };
+        for (by, view) in &mut self.views {
+            for host in self.records.keys().filter(|host| side(host) != side(by)) {
+                let record = |state| record(host.as_str(), state, START);
+                view.update(now, Some(&record(before)), &record(after));
+            }
+        }
+    }
+
     /// Sends a request by a host, and says whether it runs.
     fn send(&mut self, now: Moment, by: &str, key: &str, first_sent: Moment) -> Verdict {
         let by: Host = by.parse().unwrap();
         let Some(owner) = self.views[&by].owner(now, &service(), key).cloned() else {
             return Verdict::Fail(Failure::NotRun(Reason::NoEndpoint));
         };
-        if self.records[&owner].state == State::Gone {
+        let cut = self.cut && side(&by) != side(&owner);
+        if cut || self.records[&owner].state == State::Gone {
             return unknown(Reason::OwnerUnreachable);
         }
         let since = self.views[&owner].since(now, &service(), key, &owner);
@@ -248,6 +271,39 @@
     }
 }
 
+proptest! {
+    #[test]
+    fn no_key_runs_twice_while_a_domain_is_cut_off(
+        steps in prop::collection::vec((0_u64..200, 0_usize..4, 0_usize..6), 1..40),
+        cut_at in 0_usize..20,
+        healed_after in 1_u64..1700,
+    ) {
+        let names = ["h0", "h1", "h2", "h3"];
+        let mut hosts = Hosts::default();
+        for name in names {
+            hosts.change(at(0), name, State::Ready, |_| true);
+        }
+        let (mut now, mut heals) = (at(100), None);
+        let mut first_sent: BTreeMap<usize, Moment> = BTreeMap::new();
+        let mut runs: BTreeMap<usize, u32> = BTreeMap::new();
+        for (index, (pause, by, key)) in steps.into_iter().enumerate() {
+            now = now + Duration::from_secs(pause);
+            if index == cut_at {
+                hosts.cut(now, true);
+                heals = Some(now + Duration::from_secs(healed_after));
+            }
+            if heals.is_some_and(|heals| now >= heals) {
+                hosts.cut(now, false);
+                heals = None;
+            }
+            let sent = *first_sent.entry(key).or_insert(now);
+            let verdict = hosts.send(now, names[by], &format!("key-{key}"), sent);
+            *runs.entry(key).or_default() += u32::from(verdict == Verdict::Run);
+        }
+        prop_assert!(runs.values().all(|runs| *runs <= 1), "{runs:?}");
+    }
+}
+
 #[test]
 fn host_that_vanished_without_a_word_keeps_its_keys_for_a_while() {
     let mut hosts = Hosts::default();
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -15,7 +15,7 @@
     std::{net::SocketAddr, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        net::TcpListener,
+        net::{TcpListener, TcpSocket},
     },
 };
 
@@ -33,6 +33,13 @@
     }
 }
 
+/// A port that refuses connections, and that nobody else can take.
+fn closed() -> TcpSocket {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(ANY).unwrap();
+    socket
+}
+
 #[test]
 fn once_only_request_that_was_sent_is_never_sent_again() {
     for reason in Reason::ALL {
@@ -169,8 +176,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn upstream_that_cannot_be_dialled_is_not_run() {
     let test = mesh(1).await;
-    let closed = TcpListener::bind(ANY).await.unwrap().local_addr().unwrap();
-    announce(&test, 1, Some(closed), 12);
+    let closed = closed();
+    announce(&test, 1, Some(closed.local_addr().unwrap()), 12);
     let caller = Caller::post(test.hosts[0].node.proxy(), "dial", "x");
     let mut reply = caller.send().await;
     while reply.status == 200 {
@@ -305,8 +312,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn request_that_may_have_run_stays_unknown_when_its_retry_is_refused() {
     let test = mesh(2).await;
-    let closed = TcpListener::bind(ANY).await.unwrap().local_addr().unwrap();
-    announce(&test, 2, Some(closed), 12);
+    let closed = closed();
+    announce(&test, 2, Some(closed.local_addr().unwrap()), 12);
     test.hosts[1].upstream.fail(Faults {
         lose_answers: 1000,
         ..Faults::default()
