--- a/src/ctl/get.rs
+++ b/src/ctl/get.rs
@@ -1,22 +1,27 @@
 //! `mulberryctl get`: show one resource.
 
 use {
-    super::{client, parse, usage},
+    super::{
+        client::{Client, Form, options, segment},
+        parse, table, usage,
+    },
     crate::error::Result,
     getopts::Options,
+    std::io::Write,
 };
 
-pub(super) fn run(arguments: &[String]) -> Result {
-    let mut options = Options::new();
-    client::options(&mut options);
+pub(super) fn run(arguments: &[String], out: &mut dyn Write) -> Result {
+    let mut known = Options::new();
+    options(&mut known);
     let brief = "Usage: mulberryctl get KIND NAME [OPTIONS]";
-    let Some(matches) = parse(&mut options, brief, arguments)? else {
+    let Some(matches) = parse(&mut known, brief, arguments, out)? else {
         return Ok(());
     };
     let [kind, name] = matches.free.as_slice() else {
         return Err(usage("a kind and a name are needed".into()));
     };
-    let value = client::Client::open(&matches)?.get(&format!("/v1/{kind}/{name}"))?;
-    println!("{value:#}");
-    Ok(())
+    let form = Form::open(&matches)?;
+    let path = format!("/v1/{}/{}", segment(kind), segment(name));
+    let document = Client::open(&matches)?.get(&path)?;
+    table::documents(out, form, &document, std::slice::from_ref(&document))
 }
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -5,7 +5,9 @@
 mod standin;
 
 mod admit;
+mod api;
 mod caller;
+mod ctl;
 mod faults;
 mod once;
 mod path;
@@ -17,4 +19,5 @@
 mod snapshot;
 mod source;
 mod stop;
+mod telemetry;
 mod test;
