Tell progress through one root of each region, and pool thin evidence mesh-wide

Cause: the tree of the configuration lets only one failure domain of each region exchange with the others, and progress went to neighbours only, so domains of other regions were never heard of. A root now hands progress on between regions, and evidence of domains with little traffic travels to the first domain by name, by the way that its progress came. The rate of false alarms is now the target's 1 in 100, not half.

--- a/src/node.rs
+++ b/src/node.rs
@@ -100,6 +100,7 @@
             domain: settings.domain.clone(),
             host: settings.host.clone(),
             now: clock.now(),
+            region: settings.region.clone(),
         };
         let driver = Driver {
             clock,
--- a/src/rollout/attempt.rs
+++ b/src/rollout/attempt.rs
@@ -7,7 +7,7 @@
         brake::Brake,
         evidence::{Count, Row, Rows, Side, Sums},
         judge::{Judge, MEASURES, Weight},
-        message::{Progress, Stage},
+        message::{Origin, Progress, Stage},
         outcome::{Cause, Report, Tally},
         ramp::{Facts, Plan, Ramp},
     },
@@ -22,7 +22,7 @@
 };
 
 /// The chance that a good version is ever found bad by one failure domain or by all together.
-const FALSE_ALARM: f64 = 0.005;
+const FALSE_ALARM: f64 = 0.01;
 
 /// Among how many tests the chance is split: two measures, each by domain, by all and by the pool.
 const TESTS: f64 = 6.0;
@@ -58,6 +58,7 @@
     at: Moment,
     domain: Domain,
     progress: Progress,
+    via: Host,
 }
 
 /// An attempt.
@@ -173,14 +174,14 @@
     }
 
     /// Notes how far another failure domain is.
-    pub fn hear(&mut self, now: Moment, host: Host, domain: Domain, progress: Progress) {
-        let at = now;
+    pub fn hear(&mut self, now: Moment, origin: &Origin, via: &Host, progress: Progress) {
         let heard = Heard {
-            at,
-            domain,
+            at: now,
+            domain: origin.domain.clone(),
             progress,
+            via: via.clone(),
         };
-        self.heard.insert(host, heard);
+        self.heard.insert(origin.host.clone(), heard);
     }
 
     /// Judges what was counted, at the root of a tree, and what other domains have lent.
@@ -202,36 +203,25 @@
         self.pool.close(now, span, &domain);
     }
 
-    /// Takes evidence in that another domain, which has little of it, has lent.
-    pub fn borrow(&mut self, row: Row) {
-        self.pool.add(row);
+    /// Takes evidence in that other domains, which have little of it, have lent.
+    pub fn borrow(&mut self, rows: Vec<Row>) {
+        for row in rows {
+            self.pool.add(row);
+        }
     }
 
-    /// Gives the evidence to lend and to whom: one root judges what domains with little traffic have
-    /// together. It only concerns hosts of the lender's own domain, so that links play no part.
-    pub fn lend(&mut self, now: Moment, own: &Domain) -> Option<(Host, Vec<Row>)> {
-        let first = self
-            .reached(now)
-            .map(|heard| &heard.domain)
-            .zip(self.reached_hosts(now))
-            .min();
-        let to = first.filter(|(domain, _)| *domain < own);
-        let to = to.map(|(_, host)| host.clone());
-        let rows = self.lent.take();
-        let Some(to) = to else {
-            for row in rows {
-                self.pool.add(row);
-            }
-            return None;
-        };
-        (!rows.is_empty()).then_some((to, rows))
+    /// Gives the neighbour through which evidence is lent, if another root judges what domains with
+    /// little traffic have together: the one of the first domain by name.
+    #[must_use]
+    pub fn lender(&self, now: Moment, own: &Domain) -> Option<Host> {
+        let first = self.reached(now).min_by_key(|heard| &heard.domain)?;
+        (first.domain < *own).then(|| first.via.clone())
     }
 
-    fn reached_hosts(&self, now: Moment) -> impl Iterator<Item = &Host> {
-        self.heard
-            .iter()
-            .filter(move |(_, heard)| now.since(heard.at) < REACHED)
-            .map(|(host, _)| host)
+    /// Takes out the evidence to lend. It only concerns hosts of the lender's own domain, so that links
+    /// play no part.
+    pub fn lend(&mut self) -> Vec<Row> {
+        self.lent.take()
     }
 
     fn reached(&self, now: Moment) -> impl Iterator<Item = &Heard> {
--- a/src/rollout/controller.rs
+++ b/src/rollout/controller.rs
@@ -6,7 +6,7 @@
         Id, SOAK, Tag,
         attempt::{Attempt, Endpoints},
         evidence::{Count, Side},
-        message::{Batch, Message, Progress, Stage},
+        message::{Batch, Message, Origin, Progress, Stage},
         outcome::{Cause, End, Finding, Outcome},
         status::Status,
     },
@@ -16,7 +16,7 @@
         snapshot::Snapshot,
         source::Operation,
         traffic::Ramp,
-        world::{Domain, Host, Moment, Name, Permille, Revision, Version},
+        world::{Domain, Host, Moment, Name, Permille, Region, Revision, Version},
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -35,7 +35,7 @@
 const PROGRESS: Duration = Duration::from_secs(1);
 
 /// How often evidence is lent.
-const LEND: Duration = Duration::from_secs(2);
+const LEND: Duration = Duration::from_secs(1);
 
 /// How often what has not changed is said again.
 const REPEAT: Duration = Duration::from_secs(5);
@@ -109,12 +109,15 @@
     pub host: Host,
     /// When it was started.
     pub now: Moment,
+    /// The region.
+    pub region: Region,
 }
 
 #[derive(Debug)]
 struct Endpoint {
     domain: Domain,
     ready: Option<(Version, u32)>,
+    region: Region,
 }
 
 /// The rollouts of a node.
@@ -130,6 +133,7 @@
     listens_until: Moment,
     ramps: BTreeMap<Name, Ramp>,
     ready_since: BTreeMap<Id, Moment>,
+    region: Region,
     repeated_at: Moment,
     role: Role,
     said_at: Moment,
@@ -156,6 +160,7 @@
             listens_until: start.now + LISTEN,
             ramps: BTreeMap::new(),
             ready_since: BTreeMap::new(),
+            region: start.region,
             repeated_at: start.now,
             role: Role::default(),
             said_at: start.now,
@@ -329,13 +334,19 @@
         for record in records {
             let domain = record.contact.domain;
             let host = record.contact.host;
+            let region = record.contact.region;
             self.domains
                 .insert(Tag::of(host.as_str()), Tag::of(domain.as_str()));
             let ready = record
                 .offer
                 .filter(|_| record.state == State::Ready)
                 .map(|offer| (offer.version, offer.slots));
-            self.endpoints.insert(host, Endpoint { domain, ready });
+            let endpoint = Endpoint {
+                domain,
+                ready,
+                region,
+            };
+            self.endpoints.insert(host, endpoint);
         }
         Vec::new()
     }
@@ -411,7 +422,7 @@
     fn received(&mut self, now: Moment, host: &Host, message: Message) -> Vec<Action> {
         match message {
             Message::Evidence(batches) => self.evidence(now, host, batches),
-            Message::Progress(domain, all) => self.progress(now, host, &domain, all),
+            Message::Progress(origin, all) => self.progress(now, host, &origin, all),
             Message::Stages(stages) => self.staged(now, host, stages),
             Message::Veto(id, finding) => self.veto(Some(host), &id, &finding),
         }
@@ -425,6 +436,7 @@
     }
 
     fn evidence(&mut self, now: Moment, host: &Host, batches: Vec<Batch>) -> Vec<Action> {
+        let domain = self.domain.clone();
         let mut actions = Vec::new();
         for batch in batches {
             actions.extend(self.correct(host, batch.attempt));
@@ -433,15 +445,18 @@
             let Some(attempt) = self.by_tag(batch.attempt) else {
                 continue;
             };
+            let next = attempt.lender(now, &domain);
             if begins {
                 attempt.adopt(now, batch.share);
             }
-            for row in batch.rows {
-                if lent {
-                    attempt.borrow(row);
-                } else {
+            if !lent {
+                for row in batch.rows {
                     attempt.rows.add(row);
                 }
+            } else if let Some(next) = next.filter(|next| next != host) {
+                actions.push(Action::Send(next, Message::Evidence(vec![batch])));
+            } else {
+                attempt.borrow(batch.rows);
             }
         }
         actions
@@ -451,10 +466,13 @@
         &mut self,
         now: Moment,
         host: &Host,
-        domain: &Domain,
+        origin: &Origin,
         all: Vec<Progress>,
     ) -> Vec<Action> {
-        let mut actions = Vec::new();
+        if origin.host == self.host {
+            return Vec::new();
+        }
+        let mut actions = self.hand_on(host, origin, &all);
         for progress in all {
             actions.extend(self.correct(host, progress.attempt));
             let begins = self.is_root() && now < self.listens_until;
@@ -462,12 +480,31 @@
                 if begins {
                     attempt.adopt(now, progress.share);
                 }
-                attempt.hear(now, host.clone(), domain.clone(), progress);
+                attempt.hear(now, origin, host, progress);
             }
         }
         actions
     }
 
+    /// Hands progress on between regions: what came from the own region to the others, and the other
+    /// way round.
+    fn hand_on(&self, from: &Host, origin: &Origin, all: &[Progress]) -> Vec<Action> {
+        let is_own = |host: &Host| match self.endpoints.get(host) {
+            Some(endpoint) => endpoint.region == self.region,
+            None => true,
+        };
+        let inward = !is_own(from);
+        self.role
+            .siblings
+            .iter()
+            .filter(|host| *host != from && is_own(host) == inward)
+            .map(|host| {
+                let message = Message::Progress(origin.clone(), all.to_vec());
+                Action::Send(host.clone(), message)
+            })
+            .collect()
+    }
+
     fn staged(&mut self, now: Moment, host: &Host, stages: Vec<Stage>) -> Vec<Action> {
         let mut actions = Vec::new();
         let mut news = Vec::new();
@@ -617,7 +654,12 @@
             .filter_map(|attempt| attempt.progress(now, REPEAT))
             .collect();
         if !all.is_empty() {
-            let message = Message::Progress(self.domain.clone(), all);
+            let origin = Origin {
+                domain: self.domain.clone(),
+                host: self.host.clone(),
+                region: self.region.clone(),
+            };
+            let message = Message::Progress(origin, all);
             let siblings = self.role.siblings.iter();
             actions.extend(siblings.map(|host| Action::Send(host.clone(), message.clone())));
         }
@@ -627,13 +669,16 @@
     fn lend(&mut self, now: Moment) -> Vec<Action> {
         let mut lent: BTreeMap<Host, Vec<Batch>> = BTreeMap::new();
         for attempt in self.attempts.values_mut() {
-            let tag = attempt.id.tag();
-            if let Some((host, rows)) = attempt.lend(now, &self.domain) {
-                let share = attempt.share();
+            let rows = attempt.lend();
+            let Some(host) = attempt.lender(now, &self.domain) else {
+                attempt.borrow(rows);
+                continue;
+            };
+            if !rows.is_empty() {
                 let batch = Batch {
-                    attempt: tag,
+                    attempt: attempt.id.tag(),
                     rows,
-                    share,
+                    share: attempt.share(),
                 };
                 lent.entry(host).or_default().push(batch);
             }
--- a/src/rollout/message.rs
+++ b/src/rollout/message.rs
@@ -7,7 +7,7 @@
         judge::Weight,
         outcome::{Finding, Tally},
     },
-    crate::world::{Domain, Moment, Permille},
+    crate::world::{Domain, Host, Moment, Permille, Region},
     serde::{Deserialize, Serialize},
 };
 
@@ -16,14 +16,26 @@
 pub enum Message {
     /// Counts, up a failure domain's tree.
     Evidence(Vec<Batch>),
-    /// How far a failure domain is, between the relays of all domains.
-    Progress(Domain, Vec<Progress>),
+    /// How far a failure domain is, from the root of its tree to all others; it crosses the link between
+    /// two regions once.
+    Progress(Origin, Vec<Progress>),
     /// Shares, down a failure domain's tree.
     Stages(Vec<Stage>),
     /// A version is bad; to everybody, ahead of all else.
     Veto(Id, Finding),
 }
 
+/// The root whose progress a message tells.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Origin {
+    /// Its failure domain.
+    pub domain: Domain,
+    /// Its host.
+    pub host: Host,
+    /// Its region.
+    pub region: Region,
+}
+
 /// What was counted for one attempt.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Batch {
