--- a/examples/demo/mesh.rs
+++ b/examples/demo/mesh.rs
@@ -15,6 +15,10 @@
     std::{
         collections::BTreeMap,
         net::{Ipv4Addr, SocketAddr},
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
         time::{Duration, Instant},
     },
 };
@@ -30,6 +34,7 @@
     ("visayas-b", "visayas"),
 ];
 const TOKEN: &str = "change";
+const WATCH: Duration = Duration::from_millis(5);
 const UPSTREAMS: [(&str, &str); 4] = [
     ("resident-desk", "desk-1"),
     ("dispatch-hub", "hub-1"),
@@ -52,6 +57,7 @@
     pub hosts: Vec<Host>,
     pub operator: Operator,
     pub platform: Platform,
+    reverted: Arc<AtomicU64>,
     started: Instant,
 }
 
@@ -61,6 +67,7 @@
         let authority = Authority::create().expect("an authority");
         let platform = Platform::bind(ANY).expect("a free port");
         let mut hosts: Vec<Host> = Vec::new();
+        let reverted = Arc::<AtomicU64>::default();
         for (service, version) in UPSTREAMS {
             for (domain, region) in PLACES {
                 let name = format!("{version}-{domain}");
@@ -78,6 +85,7 @@
                 let upstream = Upstream::bind(ANY, &name).await.expect("a free port");
                 let handle = node.handle().clone();
                 announce(handle.clone(), upstream.address, service, version);
+                tokio::spawn(watch(handle.clone(), reverted.clone()));
                 hosts.push(Host {
                     name,
                     node: Some(node),
@@ -92,6 +100,7 @@
             hosts,
             operator: Operator::new(api, TOKEN),
             platform,
+            reverted,
             started: Instant::now(),
         }
     }
@@ -104,6 +113,11 @@
             .collect()
     }
 
+    /// Gives how often a node was seen to run an older revision than before.
+    pub fn reverted(&self) -> u64 {
+        self.reverted.load(Ordering::Relaxed)
+    }
+
     /// Gives every host whose node runs.
     pub fn running(&self) -> impl Iterator<Item = &Host> {
         self.hosts.iter().filter(|host| host.node.is_some())
@@ -160,10 +174,16 @@
             println!("  requests run by {version}: {}", self.runs(version));
         }
         println!("  refusals and retries by reason:");
-        for (name, count) in totals {
-            if name.starts_with("refused.") || name.starts_with("retry.") {
-                println!("    {name}: {count}");
-            }
+        let reasons = ["refused.", "retry."];
+        let mut counted = totals
+            .iter()
+            .filter(|(name, _)| reasons.iter().any(|reason| name.starts_with(reason)))
+            .peekable();
+        if counted.peek().is_none() {
+            println!("    none");
+        }
+        for (name, count) in counted {
+            println!("    {name}: {count}");
         }
     }
 }
@@ -214,3 +234,17 @@
         }
     });
 }
+
+/// Looks at a node's revision again and again.
+async fn watch(handle: Handle, reverted: Arc<AtomicU64>) {
+    let mut last = Revision::default();
+    let mut ticks = tokio::time::interval(WATCH);
+    loop {
+        ticks.tick().await;
+        let revision = handle.snapshot().revision;
+        if revision < last {
+            reverted.fetch_add(1, Ordering::Relaxed);
+        }
+        last = revision;
+    }
+}
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -6,6 +6,7 @@
         control::Event,
         journal::Change,
         reach::Reach,
+        rollout::outcome::End,
         source::Outcome,
         telemetry::{
             Telemetry,
@@ -164,6 +165,7 @@
         Change::Leaving,
         Change::PlatformBack,
         Change::PlatformLost,
+        Change::RolloutEnded("hub".parse().unwrap(), End::RolledBack),
         Change::Started,
         Change::Stopped,
         Change::Stopping,
