--- /dev/null
+++ b/src/api/show.rs
@@ -0,0 +1,172 @@
+//! Resources as operators read them, with what the mesh reports of each.
+
+use {
+    crate::{
+        node::Handle,
+        resource::{Key, Kind, Resource, Rollout, Spec},
+        rollout::{
+            outcome::{End, Outcome},
+            status::Status as Progress,
+        },
+        spread::Coverage,
+        world::{Domain, Moment, Revision},
+    },
+    serde::Serialize,
+    serde_json::Value,
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// What a node knows of the mesh beside the resources themselves.
+#[derive(Debug)]
+pub struct View {
+    coverage: Arc<BTreeMap<Domain, Coverage>>,
+    rollouts: Arc<Vec<Progress>>,
+}
+
+/// A resource with its status.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Document {
+    kind: crate::resource::Kind,
+    metadata: Metadata,
+    spec: Value,
+    status: Status,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(rename_all = "camelCase")]
+struct Metadata {
+    name: crate::world::Name,
+    resource_version: Revision,
+}
+
+/// What the mesh reports of a resource.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Status {
+    conditions: Vec<Condition>,
+    #[serde(flatten, skip_serializing_if = "Option::is_none")]
+    rollout: Option<Course>,
+}
+
+/// How far a rollout is.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+struct Course {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    outcome: Option<Box<Outcome>>,
+    phase: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    progress: Option<Progress>,
+    started: Moment,
+}
+
+/// One thing that holds of a resource, or not.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(rename_all = "camelCase")]
+struct Condition {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    domain: Option<Domain>,
+    reason: &'static str,
+    resource_version: Revision,
+    status: &'static str,
+    r#type: &'static str,
+}
+
+impl Document {
+    /// Shows an accepted resource.
+    #[must_use]
+    pub fn new(resource: &Resource, view: &View) -> Self {
+        let spec = match &resource.spec {
+            Spec::Limits(spec) => serde_json::to_value(spec),
+            Spec::Rollout(spec) => spec.show(),
+            Spec::Route(spec) => serde_json::to_value(spec),
+            Spec::Version(spec) => serde_json::to_value(spec),
+        };
+        Self {
+            kind: resource.key.kind,
+            metadata: Metadata {
+                name: resource.key.name.clone(),
+                resource_version: resource.revision,
+            },
+            spec: spec.unwrap_or_default(),
+            status: Status::new(resource, view),
+        }
+    }
+}
+
+impl View {
+    /// Takes what a node knows now.
+    #[must_use]
+    pub fn of(handle: &Handle) -> Self {
+        Self {
+            coverage: handle.coverage(),
+            rollouts: handle.rollouts(),
+        }
+    }
+
+    fn progress(&self, key: &Key) -> Option<Progress> {
+        let mut rollouts = self.rollouts.iter();
+        let found = rollouts.find(|rollout| key.kind == Kind::Rollout && rollout.name == key.name);
+        found.cloned()
+    }
+}
+
+impl Course {
+    fn new(rollout: &Rollout, progress: Option<Progress>) -> Self {
+        let phase = match &rollout.outcome {
+            None => "Progressing",
+            Some(outcome) => match outcome.end {
+                End::Completed => "Completed",
+                End::RolledBack => "RolledBack",
+            },
+        };
+        Self {
+            outcome: rollout.outcome.clone(),
+            phase,
+            progress,
+            started: rollout.started,
+        }
+    }
+}
+
+impl Status {
+    fn new(resource: &Resource, view: &View) -> Self {
+        let revision = resource.revision;
+        let rollout = match &resource.spec {
+            Spec::Rollout(rollout) => Some(Course::new(rollout, view.progress(&resource.key))),
+            _ => None,
+        };
+        let accepted = Condition {
+            domain: None,
+            reason: "InTable",
+            resource_version: revision,
+            status: "True",
+            r#type: "Accepted",
+        };
+        let in_force = view
+            .coverage
+            .iter()
+            .map(|(domain, coverage)| Condition::in_force(revision, domain, *coverage));
+        Self {
+            conditions: std::iter::once(accepted).chain(in_force).collect(),
+            rollout,
+        }
+    }
+}
+
+impl Condition {
+    /// A failure domain never goes back, so what was in force in one out of reach still is.
+    fn in_force(revision: Revision, domain: &Domain, coverage: Coverage) -> Self {
+        let (status, reason) = match (coverage.revision >= revision, coverage.reached) {
+            (true, true) => ("True", "Reported"),
+            (true, false) => ("True", "OutOfReach"),
+            (false, true) => ("False", "Behind"),
+            (false, false) => ("Unknown", "OutOfReach"),
+        };
+        Self {
+            domain: Some(domain.clone()),
+            reason,
+            resource_version: coverage.revision,
+            status,
+            r#type: "InForce",
+        }
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -4,6 +4,7 @@
 use {
     crate::{
         member::{Attendance, Contact, Offer, Record, Roster, State},
+        rollout,
         snapshot::Snapshot,
         source::{self, Operation, Outcome, Page, Source, Ticket, Verdict},
         spread::{Backoff, Bucket, Coverage, FANOUT, History, Neighbor, Reports, Role, Tree},
@@ -179,6 +180,7 @@
     probed_at: Moment,
     read_at: Moment,
     replaced: bool,
+    reported: Option<Revision>,
     reports: Reports,
     rng: StdRng,
     role: Role,
@@ -245,6 +247,7 @@
             probed_at: start.now,
             read_at: Moment::default(),
             replaced: false,
+            reported: None,
             reports: Reports::default(),
             rng: StdRng::seed_from_u64(start.seed),
             role: Role::default(),
@@ -307,7 +310,8 @@
             }
             Event::Read(page) => self.read(now, page.as_ref()),
             Event::Received(host, frame) => self.received(now, &host, frame),
-            Event::Submitted(ticket, operation) => {
+            Event::Submitted(ticket, mut operation) => {
+                rollout::rules::stamp(now, &self.snapshot, &mut operation);
                 let actions = self.source.submit(now, &self.snapshot, ticket, operation);
                 self.accept(now, actions)
             }
@@ -315,6 +319,7 @@
             Event::Transacted(revision, outcome) => self.transacted(now, revision, outcome),
         };
         actions.extend(self.place());
+        actions.extend(self.note_floor(now));
         actions
     }
 
--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -118,6 +118,26 @@
         actions
     }
 
+    /// Shows at once how far this failure domain has come, where this node is its first relay.
+    pub(super) fn note_floor(&mut self, now: Moment) -> Option<Action> {
+        if !self.is_root() {
+            self.reported = None;
+            return None;
+        }
+        let floor = self.floor();
+        if self.reported == Some(floor) {
+            return None;
+        }
+        self.reported = Some(floor);
+        let own = Report {
+            age_ms: 0,
+            domain: self.contact.domain.clone(),
+            floor,
+        };
+        self.reports.take(now, &own);
+        self.cover(now)
+    }
+
     fn cover_ties(&self, frame: &Frame, wanted: impl Fn(Tie) -> bool) -> Vec<Action> {
         self.neighbors
             .iter()
--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -3,15 +3,22 @@
 use {
     crate::error::{Error, Result},
     getopts::{Matches, Options},
-    std::process::ExitCode,
+    std::{fmt::Display, io::Write, process::ExitCode},
 };
 
 mod apply;
 mod authority;
 mod client;
+mod delete;
+mod drain;
 mod get;
 mod list;
+mod status;
+mod table;
+mod watch;
 
+/// The exit code of a request that was done.
+pub const DONE: u8 = 0;
 /// The exit code of a request that was refused or failed.
 pub const REFUSED: u8 = 1;
 /// The exit code of an unusable command line.
@@ -24,8 +31,12 @@
 Commands:
   apply -f FILE      create or replace resources, all or none
   authority          make a development authority and nodes' certificates
+  delete KIND NAME   delete a resource
+  drain              have the upstream beside a node take no new work
   get KIND NAME      show one resource
   list KIND          show every resource of a kind
+  status             show which revision each failure domain runs
+  watch KIND [NAME]  show changes as they come; of a rollout until it ends
 
 `mulberryctl COMMAND --help` lists a command's options.
 
@@ -35,35 +46,44 @@
 /// Runs `mulberryctl`, and says what became of it by the exit code.
 #[must_use]
 pub fn run(arguments: &[String]) -> ExitCode {
-    let Err(error) = dispatch(arguments) else {
-        return ExitCode::SUCCESS;
+    crate::error::install_report();
+    execute(arguments, &mut std::io::stdout(), &mut std::io::stderr()).into()
+}
+
+/// Runs a command, writes what it shows to `out` and what went wrong to `report`, and gives the exit
+/// code.
+pub fn execute(arguments: &[String], out: &mut dyn Write, report: &mut dyn Write) -> u8 {
+    let Err(error) = dispatch(arguments, out) else {
+        return DONE;
     };
     let code = match &error {
         Error::Usage { .. } => USAGE,
         Error::OutcomeUnknown { .. } => UNKNOWN,
         _ => REFUSED,
     };
-    eprintln!("{:?}", miette::Report::from(error));
-    code.into()
+    // There is nowhere left to say that this could not be written.
+    let _ = writeln!(report, "{:?}", miette::Report::from(error));
+    code
 }
 
-fn dispatch(arguments: &[String]) -> Result {
+fn dispatch(arguments: &[String], out: &mut dyn Write) -> Result {
     let Some((command, rest)) = arguments.split_first() else {
         return Err(usage(format!("a command is needed\n\n{HELP}")));
     };
     match command.as_str() {
-        "apply" => apply::run(rest),
-        "authority" => authority::run(rest),
-        "get" => get::run(rest),
-        "list" => list::run(rest),
-        "--help" | "-h" | "help" => {
-            print!("{HELP}");
-            Ok(())
-        }
-        "--version" | "-V" => {
-            println!("mulberryctl {}", env!("CARGO_PKG_VERSION"));
-            Ok(())
-        }
+        "apply" => apply::run(rest, out),
+        "authority" => authority::run(rest, out),
+        "delete" => delete::run(rest, out),
+        "drain" => drain::run(rest, out),
+        "get" => get::run(rest, out),
+        "list" => list::run(rest, out),
+        "status" => status::run(rest, out),
+        "watch" => watch::run(rest, out),
+        "--help" | "-h" | "help" => show(out, HELP.trim_end()),
+        "--version" | "-V" => show(
+            out,
+            format_args!("mulberryctl {}", env!("CARGO_PKG_VERSION")),
+        ),
         _ => Err(usage(format!("unknown command `{command}`\n\n{HELP}"))),
     }
 }
@@ -72,14 +92,30 @@
     Error::Usage { message }
 }
 
+/// Writes a line and flushes it, so that a watch is seen as it moves.
+fn show(out: &mut dyn Write, line: impl Display) -> Result {
+    writeln!(out, "{line}")
+        .and_then(|()| out.flush())
+        .map_err(|source| Error::File {
+            step: "write",
+            path: "the output".into(),
+            source,
+        })
+}
+
 /// Reads a subcommand's options; nothing if only its help was asked for.
-fn parse(options: &mut Options, brief: &str, arguments: &[String]) -> Result<Option<Matches>> {
+fn parse(
+    options: &mut Options,
+    brief: &str,
+    arguments: &[String],
+    out: &mut dyn Write,
+) -> Result<Option<Matches>> {
     options.optflag("h", "help", "print this help");
     let matches = options
         .parse(arguments)
         .map_err(|error| usage(error.to_string()))?;
     if matches.opt_present("help") {
-        print!("{}", options.usage(brief));
+        show(out, options.usage(brief).trim_end())?;
         return Ok(None);
     }
     Ok(Some(matches))
--- a/src/node.rs
+++ b/src/node.rs
@@ -7,9 +7,11 @@
         control::{self, Control, Start},
         error::{Error, Result},
         flight::Flight,
+        journal::{Change, Journal},
         link::{self, Link},
         presence::Presence,
         proxy::{Proxy, egress, ingress::Ingress},
+        rollout,
         settings::{Settings, Stop},
         telemetry::Telemetry,
         tls::Identity,
@@ -27,6 +29,7 @@
 mod clock;
 mod driver;
 mod handle;
+mod rollouts;
 mod worker;
 
 pub use {clock::Clock, handle::Handle};
@@ -70,9 +73,13 @@
             clock,
             coverage: Arc::default(),
             events: events.clone(),
+            feed: Arc::default(),
+            rollouts: Arc::default(),
             flight: Flight::default(),
+            journal: Journal::open(settings.host.clone()),
             presence: Arc::new(Mutex::new(presence)),
             proxy: proxy.clone(),
+            reach: Arc::default(),
             snapshot: Arc::default(),
             telemetry,
             tickets: Arc::default(),
@@ -95,6 +102,11 @@
             seed: rand::random(),
             spread: control::Spread::default(),
         });
+        let start = rollout::Start {
+            domain: settings.domain.clone(),
+            host: settings.host.clone(),
+            now: clock.now(),
+        };
         let driver = Driver {
             clock,
             control,
@@ -102,9 +114,16 @@
             link: link.clone(),
             platform: worker::spawn(&settings.platform, &events),
             proxy: proxy.clone(),
+            rollouts: rollouts::Rollouts::new(
+                start,
+                link.clone(),
+                proxy.clone(),
+                handle.telemetry().clone(),
+            ),
         };
         tokio::spawn(driver.run(from_edges));
         tokio::spawn(relay(from_link, events, proxy, handle.flight.clone()));
+        handle.journal.write(&Change::Started);
         Ok(Self {
             admin,
             api,
@@ -149,6 +168,7 @@
     /// Stops: other nodes are told first and given time to send no more, then what runs is finished,
     /// and only then the connections close. Requests that outlast the time limit are cut and counted.
     pub async fn stop(self) {
+        self.handle.journal.write(&Change::Stopping);
         self.handle.stop();
         tokio::time::sleep(self.stop.spread).await;
         let ingress = self.ingress.stop();
@@ -161,10 +181,13 @@
             .is_err()
         {
             self.handle.telemetry.count("stop.timeout");
+            let running = self.handle.running();
+            self.handle.journal.write(&Change::Cut(running));
         }
         self.api.stop();
         self.admin.stop();
         self.link.close().await;
+        self.handle.journal.write(&Change::Stopped);
     }
 }
 
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -1,12 +1,13 @@
 //! The loop that drives the decisions: events in, actions out.
 
 use {
-    super::{Clock, Handle},
+    super::{Clock, Handle, rollouts::Rollouts},
     crate::{
         control::{self, Control},
+        journal::Change,
         link::Link,
         proxy::Proxy,
-        source,
+        source::{self, Operation, Ticket},
     },
     std::{
         sync::{Arc, mpsc},
@@ -15,6 +16,9 @@
     tokio::sync::mpsc::UnboundedReceiver,
 };
 
+/// The ticket of operations that no client waits for.
+const UNATTENDED: Ticket = Ticket(u64::MAX);
+
 const TICK: Duration = Duration::from_millis(50);
 
 /// What the loop holds.
@@ -25,6 +29,7 @@
     pub(super) link: Link,
     pub(super) platform: mpsc::Sender<source::Action>,
     pub(super) proxy: Proxy,
+    pub(super) rollouts: Rollouts,
 }
 
 impl Driver {
@@ -44,12 +49,37 @@
                 }
             };
             self.count(&event);
-            for action in self.control.handle(self.clock.now(), event) {
-                self.act(action);
+            self.note(&event);
+            let ticks = matches!(event, control::Event::Tick);
+            self.decide(event);
+            if ticks {
+                let operations = self.rollouts.tick(self.clock.now());
+                self.submit(operations);
+                self.report();
             }
         }
     }
 
+    fn decide(&mut self, event: control::Event) {
+        for action in self.control.handle(self.clock.now(), event) {
+            self.act(action);
+        }
+    }
+
+    /// Has the ends of rollouts accepted, which are decided by this node.
+    fn submit(&mut self, operations: Vec<Operation>) {
+        for operation in operations {
+            self.decide(control::Event::Submitted(UNATTENDED, operation));
+        }
+    }
+
+    fn report(&self) {
+        let statuses = self.rollouts.controller().statuses(self.clock.now());
+        if **self.handle.rollouts.load() != statuses {
+            self.handle.rollouts.store(Arc::new(statuses));
+        }
+    }
+
     fn count(&self, event: &control::Event) {
         match event {
             control::Event::Read(None) => self.handle.telemetry.count("source.read.failed"),
@@ -60,6 +90,21 @@
         }
     }
 
+    fn note(&self, event: &control::Event) {
+        let mut reach = self.handle.reach();
+        let change = match event {
+            control::Event::Connected(host) => Some(Change::Connected(host.clone())),
+            control::Event::Disconnected(host) => Some(Change::Disconnected(host.clone())),
+            event => reach.learn(event),
+        };
+        if reach != self.handle.reach() {
+            self.handle.reach.store(Arc::new(reach));
+        }
+        if let Some(change) = change {
+            self.handle.journal.write(&change);
+        }
+    }
+
     fn act(&mut self, action: control::Action) {
         match action {
             control::Action::Connect(address) => {
@@ -70,11 +115,23 @@
             control::Action::Count(name) => self.handle.telemetry.count(name),
             control::Action::Cover(coverage) => self.handle.coverage.store(Arc::new(coverage)),
             control::Action::Install(snapshot) => {
+                self.handle.feed.install(&self.handle.snapshot(), &snapshot);
                 self.handle.snapshot.store(snapshot.clone());
-                self.proxy.traffic().install(snapshot);
+                self.handle.feed.wake();
+                let change = Change::InForce(snapshot.revision);
+                self.handle.journal.write(&change);
+                self.proxy.traffic().install(snapshot.clone());
+                let operations = self.rollouts.install(self.clock.now(), snapshot);
+                self.submit(operations);
+            }
+            control::Action::Role(role) => {
+                let operations = self.rollouts.place(self.clock.now(), role);
+                self.submit(operations);
+            }
+            control::Action::Rollout(host, message) => {
+                let operations = self.rollouts.receive(self.clock.now(), host, &message);
+                self.submit(operations);
             }
-            // Nothing in this node judges rollouts yet.
-            control::Action::Role(_) | control::Action::Rollout(..) => {}
             control::Action::Send(host, frame) => self.link.send(&host, &frame),
             control::Action::Source(source::Action::Reply(ticket, verdict)) => {
                 if let Some(waiting) = self.handle.waiting().remove(&ticket.0) {
@@ -85,7 +142,9 @@
             control::Action::Source(action) => drop(self.platform.send(action)),
             control::Action::Update(records) => {
                 let now = self.clock.now();
-                self.proxy.traffic().update(now, records);
+                self.proxy.traffic().update(now, records.clone());
+                let operations = self.rollouts.update(now, records);
+                self.submit(operations);
             }
         }
     }
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -5,20 +5,29 @@
 mod standin;
 
 mod admit;
+mod api;
 mod caller;
+mod ctl;
 mod faults;
 mod member;
+#[path = "rollout/mesh.rs"]
 mod mesh;
+mod nodes;
 mod once;
 mod path;
 mod quarantine;
 mod requests;
 mod retry;
+mod rollout;
+mod rollout_nodes;
 mod security;
 mod settings;
 mod snapshot;
 mod source;
+#[path = "rollout/specimen.rs"]
+mod specimen;
 mod spread;
 mod stop;
+mod telemetry;
 mod test;
 mod wire;
