--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -120,6 +120,7 @@
                 // A failure is counted by the link, and the next tick tries again.
                 tokio::spawn(async move { drop(link.connect(address).await) });
             }
+            control::Action::Count(name) => self.handle.telemetry.count(name),
             control::Action::Cover(coverage) => self.handle.coverage.store(Arc::new(coverage)),
             control::Action::Install(snapshot) => {
                 let before = self.handle.snapshot();
--- a/src/telemetry/catalogue.rs
+++ b/src/telemetry/catalogue.rs
@@ -70,6 +70,14 @@
         "frames for a node that is not connected",
     ),
     counter("link.sent.bytes", "bytes of frames sent"),
+    counter(
+        "member.lost",
+        "times that hosts were taken for gone, as nothing was heard of them",
+    ),
+    counter(
+        "member.refuted",
+        "records of others about this host that it outbid, as they were wrong",
+    ),
     counter(
         "quarantine.late",
         "strikes that some nodes had not confirmed when the caller was answered",
@@ -103,6 +111,34 @@
         "source.unsent",
         "transactions that were not sent, as the platform could not be reached",
     ),
+    counter(
+        "spread.delta.backwards",
+        "deltas that were refused, as they lead no further than what is in force",
+    ),
+    counter(
+        "spread.delta.gap",
+        "deltas that were refused, as they start from a later revision",
+    ),
+    counter(
+        "spread.delta.unsound",
+        "deltas that were refused, as a reference dangles or the digest differs",
+    ),
+    counter(
+        "spread.join.busy",
+        "nodes that were told to join elsewhere or later",
+    ),
+    counter(
+        "spread.snapshot.backwards",
+        "snapshots that were refused, as they lead no further than what is in force",
+    ),
+    counter(
+        "spread.snapshot.unsound",
+        "snapshots that were refused, as a reference dangles or the digest differs",
+    ),
+    counter(
+        "spread.sync.busy",
+        "requests for records that were put off, as too many asked",
+    ),
     counter(
         "stop.timeout",
         "planned stops that cut requests at the time limit",
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -6,13 +6,15 @@
     crate::{
         member::{Contact, Record},
         snapshot::{Delta, Snapshot},
+        spread::{Beat, Join, Report},
         traffic::{
             endpoint::Load,
             quarantine::{Fingerprint, Strike},
         },
-        world::{Revision, Service, Version},
+        world::{Domain, Host, Revision, Service, Version},
     },
     serde::{Deserialize, Serialize, de::DeserializeOwned},
+    std::sync::Arc,
 };
 
 /// The longest frame, in bytes.
@@ -24,20 +26,62 @@
 /// One message of the control traffic.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
-    /// The sender, and the revision it runs.
-    Hello(Contact, Revision),
+    /// What neighbours tell each other once a second.
+    Beat(Beat),
+    /// Not now: ask again after so many milliseconds.
+    Busy(u32),
+    /// The children of a node, sent up to the first relay.
+    Children(Host, Vec<Host>),
+    /// How far failure domains have come.
+    Cover(Vec<Report>),
+    /// A step between revisions.
+    Delta(Arc<Delta>),
+    /// The digest of the sender's records of each failure domain.
+    Digests(Vec<(Domain, u64)>),
     /// Asks for what follows a revision.
     Fetch(Revision),
-    /// A step between revisions.
-    Delta(Delta),
-    /// A whole state.
-    Snapshot(Snapshot),
+    /// Asks for the first hosts of the sender's failure domain.
+    Hello(Contact, Revision),
+    /// Asks to exchange.
+    Join(Join),
     /// What the sender knows of hosts.
-    Members(Vec<Record>),
-    /// What the sender knows of requests that crash upstreams.
-    Strikes(Vec<Strike>),
+    Members(Vec<Arc<Record>>),
+    /// Ends the exchange.
+    Quit,
     /// A message about rollouts, which `rollout` encodes and decodes.
     Rollout(Vec<u8>),
+    /// A whole state.
+    Snapshot(Arc<Snapshot>),
+    /// What the sender knows of requests that crash upstreams.
+    Strikes(Vec<Strike>),
+    /// The digests of the parts of the sender's records of a failure domain.
+    Sync(Sync),
+    /// Tells a node that knows few others whom to ask.
+    Welcome(Welcome),
+}
+
+/// Compares the records of a failure domain, part by part.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sync {
+    /// The digest of each part.
+    pub buckets: Vec<u64>,
+    /// The failure domain.
+    pub domain: Domain,
+    /// Whether the receiver is to send its own digests too.
+    pub reply: bool,
+}
+
+/// What a node needs to find its place.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Welcome {
+    /// How many hosts the receiver's failure domain has.
+    pub hosts: u32,
+    /// The first hosts of each failure domain.
+    pub records: Vec<Arc<Record>>,
+    /// The revision that the sender runs.
+    pub revision: Revision,
+    /// Whether the sender serves callers, and so knows the mesh.
+    pub serving: bool,
 }
 
 /// One part of a proxied request or answer.
