--- a/src/ctl/apply.rs
+++ b/src/ctl/apply.rs
@@ -1,25 +1,45 @@
 //! `mulberryctl apply`: create or replace resources, all or none.
 
 use {
-    super::{client, parse, usage},
+    super::{
+        client::{Client, options},
+        parse, show, usage,
+    },
     crate::error::{Error, Result},
-    getopts::Options,
+    getopts::{Matches, Options},
     serde_json::{Value, json},
-    std::{fs, path::PathBuf},
+    std::{
+        fs,
+        io::Write,
+        path::PathBuf,
+        thread,
+        time::{Duration, Instant},
+    },
 };
 
-pub(super) fn run(arguments: &[String]) -> Result {
-    let mut options = Options::new();
-    client::options(&mut options);
-    options.optopt(
+/// For how long a request whose outcome is unknown is asked again.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// The wait between two times of asking.
+const PAUSE: Duration = Duration::from_secs(1);
+
+pub(super) fn run(arguments: &[String], out: &mut dyn Write) -> Result {
+    let mut known = Options::new();
+    options(&mut known);
+    known.optopt(
         "f",
         "file",
         "the resources, one or an array of them, in JSON",
         "FILE",
     );
-    options.optopt("", "operation", "the id that makes asking again safe", "ID");
+    known.optopt("", "operation", "the id that makes asking again safe", "ID");
+    known.optopt(
+        "",
+        "patience",
+        "for how long an unknown outcome is asked for again (default 30)",
+        "SECONDS",
+    );
     let brief = "Usage: mulberryctl apply -f FILE [OPTIONS]";
-    let Some(matches) = parse(&mut options, brief, arguments)? else {
+    let Some(matches) = parse(&mut known, brief, arguments, out)? else {
         return Ok(());
     };
     let path = matches
@@ -37,11 +57,72 @@
         Value::Array(resources) => resources,
         resource => vec![resource],
     };
-    let operation = matches
+    let patience = patience(&matches)?;
+    let operation = operation(&matches);
+    let body = json!({ "operation": operation, "resources": resources }).to_string();
+    let client = Client::open(&matches)?;
+    let answer = settled_within(patience, &operation, || {
+        client.write("POST", "/v1/apply", &body)
+    })?;
+    show(
+        out,
+        format_args!("accepted as {}", answer["resourceVersion"]),
+    )
+}
+
+fn patience(matches: &Matches) -> Result<Duration> {
+    let Some(text) = matches.opt_str("patience") else {
+        return Ok(PATIENCE);
+    };
+    text.parse()
+        .map(Duration::from_secs)
+        .map_err(|_| usage(format!("--patience is a number of seconds, not `{text}`")))
+}
+
+/// Gives the operation's id: the one that was stated, or a new one.
+pub(super) fn operation(matches: &Matches) -> String {
+    matches
         .opt_str("operation")
-        .unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()));
-    let body = json!({ "operation": operation, "resources": resources });
-    let reply = client::Client::open(&matches)?.post("/v1/apply", &body)?;
-    println!("accepted as {}", reply["resourceVersion"]);
-    Ok(())
+        .unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()))
+}
+
+/// Asks until the outcome is known, or for as long as patience lasts.
+pub(super) fn settled(operation: &str, ask: impl FnMut() -> Result<Value>) -> Result<Value> {
+    settled_within(PATIENCE, operation, ask)
+}
+
+fn settled_within(
+    patience: Duration,
+    operation: &str,
+    mut ask: impl FnMut() -> Result<Value>,
+) -> Result<Value> {
+    let start = Instant::now();
+    let mut doubt = None;
+    loop {
+        let message = match ask() {
+            Err(Error::OutcomeUnknown { message }) => message,
+            // Once the outcome is unknown, a node that sent nothing this time does not settle it.
+            Err(error @ (Error::Peer { .. } | Error::Refused { .. })) => match doubt.take() {
+                Some(message) if !settles(&error) => message,
+                _ => return Err(error),
+            },
+            other => return other,
+        };
+        if start.elapsed() + PAUSE > patience {
+            let message = format!(
+                "{message}\nask again with `--operation {operation}`: it is never applied twice"
+            );
+            return Err(Error::OutcomeUnknown { message });
+        }
+        doubt = Some(message);
+        thread::sleep(PAUSE);
+    }
+}
+
+/// Tells whether an error says that the operation was refused for its content.
+fn settles(error: &Error) -> bool {
+    match error {
+        Error::Refused { message } => message.starts_with("refused"),
+        _ => false,
+    }
 }
--- a/src/ctl/client.rs
+++ b/src/ctl/client.rs
@@ -5,26 +5,26 @@
     crate::error::{Error, Result},
     getopts::{Matches, Options},
     serde_json::Value,
-    std::{fs, time::Duration},
+    std::{fs, io, time::Duration},
 };
 
 const TIMEOUT: Duration = Duration::from_secs(15);
 const TOKEN_VARIABLE: &str = "MULBERRY_TOKEN";
 
-/// A client of one node's resource API.
-pub struct Client {
+/// A client of the resource API at a few nodes.
+pub(super) struct Client {
     agent: ureq::Agent,
-    node: String,
+    nodes: Vec<String>,
     token: String,
 }
 
 /// Adds the options that a client needs.
-pub fn options(options: &mut Options) {
-    options.optopt(
+pub(super) fn options(options: &mut Options) {
+    options.optmulti(
         "n",
         "node",
-        "the node's API (default 127.0.0.1:9001)",
-        "ADDR",
+        "a node's API; several are tried in turn (default 127.0.0.1:9001)",
+        "ADDR[,ADDR]",
     );
     options.optopt(
         "t",
@@ -32,11 +32,29 @@
         "the file of the token (default: $MULBERRY_TOKEN)",
         "FILE",
     );
+    options.optopt("o", "output", "table or json (default table)", "FORM");
+}
+
+/// How an answer is shown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Form {
+    Json,
+    Table,
+}
+
+impl Form {
+    pub(super) fn open(matches: &Matches) -> Result<Self> {
+        match matches.opt_str("output").as_deref() {
+            None | Some("table") => Ok(Self::Table),
+            Some("json") => Ok(Self::Json),
+            Some(other) => Err(usage(format!("--output is table or json, not `{other}`"))),
+        }
+    }
 }
 
 impl Client {
     /// Makes a client; nothing is sent yet.
-    pub fn open(matches: &Matches) -> Result<Self> {
+    pub(super) fn open(matches: &Matches) -> Result<Self> {
         let token = match matches.opt_str("token-file") {
             Some(path) => fs::read_to_string(&path)
                 .map_err(|error| usage(format!("cannot read {path}: {error}")))?,
@@ -44,92 +62,134 @@
                 .map_err(|_| usage(format!("set {TOKEN_VARIABLE} or give --token-file")))?,
         };
         let config = ureq::Agent::config_builder()
-            .timeout_global(Some(TIMEOUT))
+            .timeout_connect(Some(TIMEOUT))
+            .timeout_recv_response(Some(TIMEOUT))
             .http_status_as_error(false)
             .build();
+        let mut nodes: Vec<String> = matches
+            .opt_strs("node")
+            .iter()
+            .flat_map(|list| list.split(','))
+            .map(|node| node.trim().to_string())
+            .filter(|node| !node.is_empty())
+            .collect();
+        if nodes.is_empty() {
+            nodes.push("127.0.0.1:9001".into());
+        }
         Ok(Self {
             agent: config.into(),
-            node: matches
-                .opt_str("node")
-                .unwrap_or_else(|| "127.0.0.1:9001".into()),
+            nodes,
             token: token.trim().into(),
         })
     }
 
-    /// Reads a path of the API.
-    pub fn get(&self, path: &str) -> Result<Value> {
-        let request = self
-            .agent
-            .get(self.url(path))
-            .header("authorization", format!("Bearer {}", self.token));
-        let response = request.call().map_err(|error| self.lost(&error))?;
-        self.read(response)
-    }
-
-    /// Posts to a path of the API.
-    pub fn post(&self, path: &str, body: &Value) -> Result<Value> {
-        let request = self
-            .agent
-            .post(self.url(path))
-            .header("authorization", format!("Bearer {}", self.token));
-        let response = request
-            .send(body.to_string())
-            .map_err(|error| match error {
-                ureq::Error::ConnectionFailed => self.lost(&error),
-                ureq::Error::Io(ref cause)
-                    if cause.kind() == std::io::ErrorKind::ConnectionRefused =>
-                {
-                    self.lost(&error)
-                }
-                _ => Error::OutcomeUnknown {
-                    message: format!("{}: {error}", self.node),
-                },
-            })?;
-        self.read(response)
+    /// Reads a path of the API at the first node that can be reached.
+    pub(super) fn get(&self, path: &str) -> Result<Value> {
+        let mut answer = self.stream(path)?;
+        let status = answer.status().as_u16();
+        let text = answer
+            .body_mut()
+            .read_to_string()
+            .map_err(|error| lost(&self.nodes.join(","), &error))?;
+        settle(status, &text)
     }
 
-    fn url(&self, path: &str) -> String {
-        format!("http://{}{path}", self.node)
+    /// Opens a path of the API at the first node that can be reached.
+    pub(super) fn stream(&self, path: &str) -> Result<ureq::http::Response<ureq::Body>> {
+        let mut failure = None;
+        for node in &self.nodes {
+            let request = self
+                .agent
+                .get(format!("http://{node}{path}"))
+                .header("authorization", self.bearer());
+            match request.call() {
+                Ok(answer) => return Ok(answer),
+                Err(error) => failure = Some(lost(node, &error)),
+            }
+        }
+        Err(failure.unwrap_or_else(|| usage("a node is needed".into())))
     }
 
-    fn lost(&self, error: &ureq::Error) -> Error {
-        Error::Peer {
-            step: "ask",
-            peer: self.node.clone(),
-            message: error.to_string(),
+    /// Writes to a path of the API. A node that can't be reached at all has not taken it, so the next
+    /// one is tried; any other failure leaves the outcome unknown.
+    pub(super) fn write(&self, method: &str, path: &str, body: &str) -> Result<Value> {
+        let mut failure = None;
+        for node in &self.nodes {
+            match self.write_at(node, method, path, body) {
+                Err(error @ Error::Peer { .. }) => failure = Some(error),
+                other => return other,
+            }
         }
+        Err(failure.unwrap_or_else(|| usage("a node is needed".into())))
     }
 
-    fn read(&self, mut response: ureq::http::Response<ureq::Body>) -> Result<Value> {
-        let status = response.status().as_u16();
-        let text = response
+    fn write_at(&self, node: &str, method: &str, path: &str, body: &str) -> Result<Value> {
+        let request = ureq::http::Request::builder()
+            .method(method)
+            .uri(format!("http://{node}{path}"))
+            .header("authorization", self.bearer())
+            .body(body.to_string())
+            .map_err(|error| usage(error.to_string()))?;
+        let unknown = |message: String| Error::OutcomeUnknown {
+            message: format!("{node}: {message}"),
+        };
+        let mut answer = self.agent.run(request).map_err(|error| match &error {
+            ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => lost(node, &error),
+            ureq::Error::Io(cause) if cause.kind() == io::ErrorKind::ConnectionRefused => {
+                lost(node, &error)
+            }
+            _ => unknown(error.to_string()),
+        })?;
+        let text = answer
             .body_mut()
             .read_to_string()
-            .map_err(|error| self.lost(&error))?;
-        let value = serde_json::from_str(&text).unwrap_or(Value::String(text));
-        match status {
-            200..=299 => Ok(value),
-            504 => Err(Error::OutcomeUnknown {
-                message: value.to_string(),
-            }),
-            _ => Err(Error::Refused {
-                message: problem(&value),
-            }),
-        }
+            .map_err(|error| unknown(error.to_string()))?;
+        settle(answer.status().as_u16(), &text)
+    }
+
+    fn bearer(&self) -> String {
+        format!("Bearer {}", self.token)
+    }
+}
+
+fn lost(node: &str, error: &ureq::Error) -> Error {
+    Error::Peer {
+        step: "ask",
+        peer: node.into(),
+        message: error.to_string(),
+    }
+}
+
+/// Makes a result of an answer.
+pub(super) fn settle(status: u16, text: &str) -> Result<Value> {
+    let value = serde_json::from_str(text).unwrap_or(Value::String(text.into()));
+    match status {
+        200..=299 => Ok(value),
+        504 => Err(Error::OutcomeUnknown {
+            message: problem(&value),
+        }),
+        _ => Err(Error::Refused {
+            message: problem(&value),
+        }),
     }
 }
 
 fn problem(value: &Value) -> String {
     let title = value["title"].as_str().unwrap_or("no reason given");
+    let detail = value["detail"].as_str();
     let faults = value["faults"].as_array().into_iter().flatten();
     let lines = faults.map(|fault| {
         let part = |name: &str| fault[name].as_str().unwrap_or_default().to_string();
-        format!(
-            "\n  {} {}: {}",
-            part("resource"),
-            part("field"),
-            part("message")
-        )
+        let field = format!("{} {}", part("resource"), part("field"));
+        format!("\n  {}: {}", field.trim(), part("message"))
     });
-    std::iter::once(title.to_string()).chain(lines).collect()
+    std::iter::once(title.to_string())
+        .chain(detail.map(|detail| format!(": {detail}")))
+        .chain(lines)
+        .collect()
+}
+
+/// Writes a text into a path so that it stays one segment of it.
+pub(super) fn segment(text: &str) -> String {
+    percent_encoding::utf8_percent_encode(text, percent_encoding::NON_ALPHANUMERIC).to_string()
 }
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -4,6 +4,7 @@
     super::{Clock, Handle, rollouts::Rollouts},
     crate::{
         control::{self, Control},
+        journal::Change,
         link::Link,
         proxy::Proxy,
         source::{self, Operation, Ticket},
@@ -48,6 +49,7 @@
                 }
             };
             self.count(&event);
+            self.note(&event);
             let ticks = matches!(event, control::Event::Tick);
             self.decide(event);
             if ticks {
@@ -88,6 +90,21 @@
         }
     }
 
+    fn note(&self, event: &control::Event) {
+        let mut reach = self.handle.reach();
+        let change = match event {
+            control::Event::Connected(host) => Some(Change::Connected(host.clone())),
+            control::Event::Disconnected(host) => Some(Change::Disconnected(host.clone())),
+            event => reach.learn(event),
+        };
+        if reach != self.handle.reach() {
+            self.handle.reach.store(Arc::new(reach));
+        }
+        if let Some(change) = change {
+            self.handle.journal.write(&change);
+        }
+    }
+
     fn act(&mut self, action: control::Action) {
         match action {
             control::Action::Connect(address) => {
@@ -97,7 +114,11 @@
             }
             control::Action::Cover(coverage) => self.handle.coverage.store(Arc::new(coverage)),
             control::Action::Install(snapshot) => {
+                self.handle.feed.install(&self.handle.snapshot(), &snapshot);
                 self.handle.snapshot.store(snapshot.clone());
+                self.handle.feed.wake();
+                let change = Change::InForce(snapshot.revision);
+                self.handle.journal.write(&change);
                 self.proxy.traffic().install(snapshot.clone());
                 let operations = self.rollouts.install(self.clock.now(), snapshot);
                 self.submit(operations);
--- a/src/resource.rs
+++ b/src/resource.rs
@@ -127,7 +127,7 @@
     pub deadline: Moment,
     /// The version that has the traffic now.
     pub from: Version,
-    /// How it ended; recorded by the mesh, and ignored if an operator states it.
+    /// How it ended; recorded by the mesh, never by operators.
     #[serde(default)]
     pub outcome: Option<Box<Outcome>>,
     /// What to favour where timely completion and safety pull apart.
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -5,7 +5,10 @@
 mod standin;
 
 mod admit;
+mod api;
 mod caller;
+mod ctl;
+mod faults;
 #[path = "rollout/mesh.rs"]
 mod mesh;
 mod once;
@@ -22,4 +25,5 @@
 #[path = "rollout/specimen.rs"]
 mod specimen;
 mod stop;
+mod telemetry;
 mod test;
