--- a/src/api/show.rs
+++ b/src/api/show.rs
@@ -2,16 +2,27 @@
 
 use {
     crate::{
-        resource::{Resource, Spec},
-        rollout::{outcome::Outcome, status},
+        node::Handle,
+        resource::{Key, Kind, Resource, Rollout, Spec},
+        rollout::{
+            outcome::{End, Outcome},
+            status::Status as Progress,
+        },
         spread::Coverage,
         world::{Domain, Moment, Revision},
     },
     serde::Serialize,
     serde_json::Value,
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, sync::Arc},
 };
 
+/// What a node knows of the mesh beside the resources themselves.
+#[derive(Debug)]
+pub struct View {
+    coverage: Arc<BTreeMap<Domain, Coverage>>,
+    rollouts: Arc<Vec<Progress>>,
+}
+
 /// A resource with its status.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Document {
@@ -32,15 +43,18 @@
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Status {
     conditions: Vec<Condition>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    rollout: Option<Movement>,
+    #[serde(flatten, skip_serializing_if = "Option::is_none")]
+    rollout: Option<Course>,
 }
 
-/// How far a rollout is: its start and end as recorded, and until then what this node knows of it.
+/// How far a rollout is.
 #[derive(Debug, Clone, PartialEq, Serialize)]
-struct Movement {
+struct Course {
+    #[serde(skip_serializing_if = "Option::is_none")]
     outcome: Option<Box<Outcome>>,
-    progress: Option<status::Status>,
+    phase: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    progress: Option<Progress>,
     started: Moment,
 }
 
@@ -59,14 +73,10 @@
 impl Document {
     /// Shows an accepted resource.
     #[must_use]
-    pub fn new(
-        resource: &Resource,
-        coverage: &BTreeMap<Domain, Coverage>,
-        rollouts: &[status::Status],
-    ) -> Self {
+    pub fn new(resource: &Resource, view: &View) -> Self {
         let spec = match &resource.spec {
             Spec::Limits(spec) => serde_json::to_value(spec),
-            Spec::Rollout(spec) => serde_json::to_value(spec),
+            Spec::Rollout(spec) => spec.show(),
             Spec::Route(spec) => serde_json::to_value(spec),
             Spec::Version(spec) => serde_json::to_value(spec),
         };
@@ -76,41 +86,54 @@
                 name: resource.key.name.clone(),
                 resource_version: resource.revision,
             },
-            spec: declared(spec.unwrap_or_default()),
-            status: Status {
-                rollout: Movement::of(resource, rollouts),
-                ..Status::new(resource.revision, coverage)
-            },
+            spec: spec.unwrap_or_default(),
+            status: Status::new(resource, view),
         }
     }
 }
 
-/// Leaves out of a specification what the mesh has recorded.
-fn declared(mut spec: Value) -> Value {
-    if let Some(fields) = spec.as_object_mut() {
-        fields.remove("outcome");
-        fields.remove("started");
+impl View {
+    /// Takes what a node knows now.
+    #[must_use]
+    pub fn of(handle: &Handle) -> Self {
+        Self {
+            coverage: handle.coverage(),
+            rollouts: handle.rollouts(),
+        }
+    }
+
+    fn progress(&self, key: &Key) -> Option<Progress> {
+        let mut rollouts = self.rollouts.iter();
+        let found = rollouts.find(|rollout| key.kind == Kind::Rollout && rollout.name == key.name);
+        found.cloned()
     }
-    spec
 }
 
-impl Movement {
-    fn of(resource: &Resource, rollouts: &[status::Status]) -> Option<Self> {
-        let Spec::Rollout(rollout) = &resource.spec else {
-            return None;
+impl Course {
+    fn new(rollout: &Rollout, progress: Option<Progress>) -> Self {
+        let phase = match &rollout.outcome {
+            None => "Progressing",
+            Some(outcome) => match outcome.end {
+                End::Completed => "Completed",
+                End::RolledBack => "RolledBack",
+            },
         };
-        let mut rollouts = rollouts.iter();
-        let progress = rollouts.find(|status| status.name == resource.key.name);
-        Some(Self {
+        Self {
             outcome: rollout.outcome.clone(),
-            progress: progress.cloned(),
+            phase,
+            progress,
             started: rollout.started,
-        })
+        }
     }
 }
 
 impl Status {
-    fn new(revision: Revision, coverage: &BTreeMap<Domain, Coverage>) -> Self {
+    fn new(resource: &Resource, view: &View) -> Self {
+        let revision = resource.revision;
+        let rollout = match &resource.spec {
+            Spec::Rollout(rollout) => Some(Course::new(rollout, view.progress(&resource.key))),
+            _ => None,
+        };
         let accepted = Condition {
             domain: None,
             reason: "InTable",
@@ -118,12 +141,13 @@
             status: "True",
             r#type: "Accepted",
         };
-        let in_force = coverage
+        let in_force = view
+            .coverage
             .iter()
             .map(|(domain, coverage)| Condition::in_force(revision, domain, *coverage));
         Self {
             conditions: std::iter::once(accepted).chain(in_force).collect(),
-            rollout: None,
+            rollout,
         }
     }
 }
--- a/src/ctl/watch.rs
+++ b/src/ctl/watch.rs
@@ -140,14 +140,14 @@
         }
         if self.form == Form::Table {
             let kind = event["type"].as_str().unwrap_or("?");
-            let phase = phase(object).map_or_else(String::new, |phase| format!("  {phase}"));
+            let course = course(object);
             let cells = table::row(object).join("  ");
-            show(out, format_args!("{kind:6}  {cells}{phase}"))?;
+            show(out, format_args!("{kind:6}  {cells}{course}"))?;
         }
         if !self.ends {
             return Ok(false);
         }
-        match phase(object).as_deref() {
+        match phase(object) {
             Some("Completed") => Ok(true),
             Some("RolledBack") => Err(Error::Refused {
                 message: "the rollout was rolled back".into(),
@@ -157,9 +157,18 @@
     }
 }
 
-/// Gives how far a rollout is, if the status says so.
-fn phase(object: &Value) -> Option<String> {
-    object["status"]["phase"].as_str().map(String::from)
+/// Gives how far a rollout is: its phase, and the share of its new version at the node that is watched.
+fn course(object: &Value) -> String {
+    let phase = phase(object).unwrap_or_default();
+    match object["status"]["progress"]["share"].as_u64() {
+        Some(share) => format!("  {phase} {share}‰"),
+        None if phase.is_empty() => String::new(),
+        None => format!("  {phase}"),
+    }
+}
+
+fn phase(object: &Value) -> Option<&str> {
+    object["status"]["phase"].as_str()
 }
 
 fn cut(message: &str) -> Error {
--- a/src/node.rs
+++ b/src/node.rs
@@ -73,8 +73,8 @@
             clock,
             coverage: Arc::default(),
             events: events.clone(),
-            rollouts: Arc::default(),
             feed: Arc::default(),
+            rollouts: Arc::default(),
             flight: Flight::default(),
             journal: Journal::open(settings.host.clone()),
             presence: Arc::new(Mutex::new(presence)),
@@ -99,6 +99,8 @@
             contact,
             now: clock.now(),
             peers: settings.peers.clone(),
+            seed: rand::random(),
+            spread: control::Spread::default(),
         });
         let start = rollout::Start {
             domain: settings.domain.clone(),
--- a/src/node/handle.rs
+++ b/src/node/handle.rs
@@ -66,18 +66,18 @@
         self.coverage.load_full()
     }
 
-    /// Gives how far the rollouts are that may still change.
-    #[must_use]
-    pub fn rollouts(&self) -> Arc<Vec<Status>> {
-        self.rollouts.load_full()
-    }
-
     /// Gives what was deleted of late.
     #[must_use]
     pub fn feed(&self) -> &Feed {
         &self.feed
     }
 
+    /// Gives how far the rollouts are that may still change.
+    #[must_use]
+    pub fn rollouts(&self) -> Arc<Vec<Status>> {
+        self.rollouts.load_full()
+    }
+
     /// Gives the counters.
     #[must_use]
     pub fn telemetry(&self) -> &Telemetry {
@@ -90,6 +90,12 @@
         self.wait(|ticket| control::Event::Submitted(ticket, operation))
     }
 
+    /// Has an operation accepted whose outcome an earlier call, here or elsewhere, left unknown.
+    #[must_use]
+    pub fn resubmit(&self, operation: Operation) -> Verdict {
+        self.wait(|ticket| control::Event::Resubmitted(ticket, operation))
+    }
+
     /// Asks the platform what became of an operation.
     #[must_use]
     pub fn look(&self, id: String) -> Verdict {
--- a/src/resource.rs
+++ b/src/resource.rs
@@ -152,6 +152,19 @@
             ..self
         }
     }
+
+    /// Gives in JSON what an operator declared.
+    ///
+    /// # Errors
+    /// Fails if it can't be encoded, which its types rule out.
+    pub fn show(&self) -> serde_json::Result<serde_json::Value> {
+        let mut value = serde_json::to_value(self)?;
+        if let Some(fields) = value.as_object_mut() {
+            fields.remove("outcome");
+            fields.remove("started");
+        }
+        Ok(value)
+    }
 }
 
 /// What a rollout favours where evidence is scarce. See docs/design/rollouts.md.
--- a/src/source/log.rs
+++ b/src/source/log.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        resource::{Change, Key},
+        resource::{Change, Key, Spec},
         snapshot::{Digest, Snapshot},
         world::Revision,
     },
@@ -22,14 +22,29 @@
 }
 
 impl Operation {
-    /// Gives the hash of the changes, which tells whether an id is used again for something else.
+    /// Gives the hash of the changes as they were declared, which tells whether an id is used again for
+    /// something else. What a node fills in differs from one time of asking to the next.
     #[must_use]
     pub fn hash(&self) -> u64 {
-        let bytes = postcard::to_stdvec(&self.changes).unwrap_or_default();
+        let changes: Vec<_> = self
+            .changes
+            .iter()
+            .map(|(change, precondition)| (declared(change), precondition))
+            .collect();
+        let bytes = postcard::to_stdvec(&changes).unwrap_or_default();
         xxhash_rust::xxh3::xxh3_64(&bytes)
     }
 }
 
+fn declared(change: &Change) -> Change {
+    match change {
+        Change::Put(key, Spec::Rollout(rollout)) => {
+            Change::Put(key.clone(), Spec::Rollout(rollout.clone().declared()))
+        }
+        other => other.clone(),
+    }
+}
+
 /// One entry of the log: what one transaction accepted.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
--- a/src/telemetry/catalogue.rs
+++ b/src/telemetry/catalogue.rs
@@ -17,6 +17,10 @@
 
 /// Every counter, in the order of the names.
 pub const COUNTERS: &[Counter] = &[
+    counter(
+        "api.refused.{status}",
+        "operators' requests that the resource API refused, by HTTP status",
+    ),
     counter(
         "egress.cancelled",
         "requests that the other node gave up while they waited or ran here",
@@ -66,6 +70,14 @@
         "frames for a node that is not connected",
     ),
     counter("link.sent.bytes", "bytes of frames sent"),
+    counter(
+        "member.lost",
+        "times that hosts were taken for gone, as nothing was heard of them",
+    ),
+    counter(
+        "member.refuted",
+        "records of others about this host that it outbid, as they were wrong",
+    ),
     counter(
         "quarantine.late",
         "strikes that some nodes had not confirmed when the caller was answered",
@@ -87,6 +99,10 @@
         "retry.{reason}",
         "retries, by the reason why the attempt before failed",
     ),
+    counter(
+        "rollout.malformed",
+        "messages about rollouts that could not be encoded or decoded",
+    ),
     counter("source.committed", "transactions that took effect"),
     counter("source.conflict", "transactions that another one overtook"),
     counter("source.read.failed", "readings of the platform that failed"),
@@ -95,6 +111,34 @@
         "source.unsent",
         "transactions that were not sent, as the platform could not be reached",
     ),
+    counter(
+        "spread.delta.backwards",
+        "deltas that were refused, as they lead no further than what is in force",
+    ),
+    counter(
+        "spread.delta.gap",
+        "deltas that were refused, as they start from a later revision",
+    ),
+    counter(
+        "spread.delta.unsound",
+        "deltas that were refused, as a reference dangles or the digest differs",
+    ),
+    counter(
+        "spread.join.busy",
+        "nodes that were told to join elsewhere or later",
+    ),
+    counter(
+        "spread.snapshot.backwards",
+        "snapshots that were refused, as they lead no further than what is in force",
+    ),
+    counter(
+        "spread.snapshot.unsound",
+        "snapshots that were refused, as a reference dangles or the digest differs",
+    ),
+    counter(
+        "spread.sync.busy",
+        "requests for records that were put off, as too many asked",
+    ),
     counter(
         "stop.timeout",
         "planned stops that cut requests at the time limit",
--- a/tests/api.rs
+++ b/tests/api.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         standin::platform::Faults,
-        test::{Test, eventually, whole_route},
+        test::{Test, eventually, reported, whole_route},
     },
     insta::assert_snapshot,
     mulberryshelf::api::{Apply, BODY_MAX, Target},
@@ -396,6 +396,7 @@
     host.node.stop().await;
     eventually(|| all(false, 1)).await;
     test.apply(0, json!([version("v2")])).await;
+    reported(&handle, "luzon-a", 2).await;
     let (_, old) = ask(address, "GET", "/v1/route/dispatch-hub", "read", "").await;
     let (_, new) = ask(address, "GET", "/v1/version/v2", "read", "").await;
     let conditions = |document: &Value| {
@@ -505,6 +506,30 @@
     assert_eq!(answer["faults"][0]["field"], "operation");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn rollout_asked_for_again_is_the_same_operation() {
+    let (test, address) = one_host().await;
+    let mut resources = whole_route("desk", "v1");
+    let list = resources.as_array_mut().unwrap();
+    list.push(version("v2"));
+    test.apply(0, resources).await;
+    let rollout = json!({
+        "kind": "rollout",
+        "metadata": { "name": "move" },
+        "spec": { "route": "desk", "from": "v1", "to": "v2", "deadline": "2100-01-01T00:00:00Z" },
+    });
+    let body = json!({ "operation": "op-1", "resources": [rollout] });
+    let first = ask(address, "POST", "/v1/apply", "write", &body).await;
+    assert_eq!(first.0, 200, "{}", first.1);
+    let (_, shown) = ask(address, "GET", "/v1/rollout/move", "read", "").await;
+    assert_eq!(shown["status"]["phase"], "Progressing", "{shown}");
+    // Once it is deleted, a node would fill in another start.
+    let (status, answer) = ask(address, "DELETE", "/v1/rollout/move", "write", "").await;
+    assert_eq!(status, 200, "{answer}");
+    let again = ask(address, "POST", "/v1/apply", "write", &body).await;
+    assert_eq!(first, again);
+}
+
 fn arbitrary_json() -> impl Strategy<Value = Value> {
     let words = prop_oneof![
         Just("kind"),
--- a/tests/ctl.rs
+++ b/tests/ctl.rs
@@ -3,9 +3,15 @@
 use {
     crate::{
         standin::platform::Faults,
-        test::{Test, whole_route},
+        test::{Test, reported, whole_route},
+    },
+    mulberryshelf::{
+        ctl,
+        resource::{Change, Key, Kind, Route, Spec},
+        rollout::outcome::{End, Outcome},
+        source::{Operation, Verdict},
+        world::Permille,
     },
-    mulberryshelf::ctl,
     serde_json::{Value, json},
     std::net::SocketAddr,
     tempfile::TempDir,
@@ -67,7 +73,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn resources_are_applied_shown_and_deleted() {
-    let (_test, desk) = one_host().await;
+    let (test, desk) = one_host().await;
     let file = desk.file("all.json", &whole_route("desk", "v1"));
     let (code, out, report) = desk.run(&["apply", "-f", &file]).await;
     assert_eq!(
@@ -75,6 +81,7 @@
         (ctl::DONE, "accepted as 1\n"),
         "{report}"
     );
+    reported(test.hosts[0].node.handle(), "luzon-a", 1).await;
     let (code, out, _) = desk.run(&["list", "route"]).await;
     assert_eq!(code, ctl::DONE);
     insta::assert_snapshot!(out, @r#"
@@ -254,7 +261,77 @@
 async fn watch_shows_changes_as_they_come() {
     let (test, desk) = one_host().await;
     test.apply(0, json!([version("v1")])).await;
+    reported(test.hosts[0].node.handle(), "luzon-a", 1).await;
     let (code, out, report) = desk.run(&["watch", "version", "--timeout", "1"]).await;
     assert_eq!(code, ctl::DONE, "{report}");
     assert_eq!(out, "PUT     version  v1  1  1/1  {\"service\":\"desk\"}\n");
 }
+
+/// Has the end of the rollout `move` recorded, as the nodes do.
+fn end(test: &Test, end: End) {
+    let handle = test.hosts[0].node.handle();
+    let snapshot = handle.snapshot();
+    let (kind, name) = (Kind::Rollout, "move".parse().unwrap());
+    let Spec::Rollout(mut rollout) = snapshot.get(kind, &name).unwrap().spec.clone() else {
+        panic!("a rollout");
+    };
+    rollout.outcome = Some(Box::new(Outcome {
+        at: rollout.started,
+        domains: Vec::new(),
+        end,
+        finding: None,
+    }));
+    let whole = match end {
+        End::Completed => rollout.to.clone(),
+        End::RolledBack => rollout.from.clone(),
+    };
+    let route = Route {
+        path: "/".into(),
+        service: "desk".parse().unwrap(),
+        shares: [(whole, Permille::WHOLE)].into(),
+    };
+    let key = |kind, name: &str| Key {
+        kind,
+        name: name.parse().unwrap(),
+    };
+    let changes = vec![
+        (Change::Put(key(kind, "move"), Spec::Rollout(rollout)), None),
+        (
+            Change::Put(key(Kind::Route, "desk"), Spec::Route(route)),
+            None,
+        ),
+    ];
+    let id = "end".into();
+    let verdict = handle.submit(Operation { changes, id });
+    assert!(matches!(verdict, Verdict::Accepted(_)), "{verdict:?}");
+}
+
+async fn watched(how: End) -> Done {
+    let (test, desk) = one_host().await;
+    let mut resources = whole_route("desk", "v1");
+    let list = resources.as_array_mut().unwrap();
+    list.push(version("v2"));
+    test.apply(0, resources).await;
+    let rollout = json!({
+        "kind": "rollout",
+        "metadata": { "name": "move" },
+        "spec": { "route": "desk", "from": "v1", "to": "v2", "deadline": "2100-01-01T00:00:00Z" },
+    });
+    test.apply(0, json!([rollout])).await;
+    let later = async {
+        tokio::time::sleep(std::time::Duration::from_secs(1)).await;
+        tokio::task::block_in_place(|| end(&test, how));
+    };
+    tokio::join!(desk.run(&["watch", "rollout", "move"]), later).0
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn watch_of_a_rollout_ends_with_it() {
+    let (code, out, report) = watched(End::Completed).await;
+    assert_eq!(code, ctl::DONE, "{report}");
+    assert!(out.lines().next().unwrap().contains("Progressing"), "{out}");
+    assert!(out.lines().last().unwrap().contains("Completed"), "{out}");
+    let (code, out, report) = watched(End::RolledBack).await;
+    assert_eq!(code, ctl::REFUSED, "{out}");
+    assert!(report.contains("the rollout was rolled back"), "{report}");
+}
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -9,6 +9,9 @@
 mod caller;
 mod ctl;
 mod faults;
+mod golden;
+mod links;
+mod member;
 #[path = "rollout/mesh.rs"]
 mod mesh;
 mod once;
@@ -24,6 +27,8 @@
 mod source;
 #[path = "rollout/specimen.rs"]
 mod specimen;
+mod spread;
 mod stop;
 mod telemetry;
 mod test;
+mod wire;
--- a/tests/test.rs
+++ b/tests/test.rs
@@ -5,7 +5,7 @@
     mulberryshelf::{
         api::Apply,
         member::Offer,
-        node::Node,
+        node::{Handle, Node},
         settings::{Settings, Stop, Tokens},
         source::{Operation, Verdict},
         tls::Authority,
@@ -165,6 +165,13 @@
     }
 }
 
+/// Waits until a node's status says that a failure domain runs a revision.
+pub async fn reported(handle: &Handle, domain: &str, revision: u64) {
+    let domain = domain.parse().unwrap();
+    let held = || handle.coverage().get(&domain).map(|held| held.revision.0);
+    eventually(|| held() >= Some(revision)).await;
+}
+
 /// Waits until a condition holds.
 pub async fn eventually(mut condition: impl FnMut() -> bool) {
     let start = Instant::now();
