Take a version back that is under suspicion at the end of its rollout

Cause: rollout_nodes::bad_version_is_taken_back_by_the_nodes ended as Completed in 3 of 20 runs side by side, with half of the answers bad. A trace of one such run showed evidence of 6.55 without the worst host, where a verdict with two roots needs 7.1; the only sender's brake held the new version's traffic, so no more evidence came; at the closing the share jumped from 100 permille to all of it; and from then on no single failure domain may carry a verdict.

Ruled out: lost evidence and changing roots (the roles stood still in the failing run), and the load of the machine by itself.

Change: when the old version is to lose its last share, suspicion (half of a verdict's evidence) takes the new one back.

Before and after: version_under_suspicion_at_the_end_is_taken_back failed with `completed`, and passes.

--- a/src/rollout/attempt.rs
+++ b/src/rollout/attempt.rs
@@ -274,18 +274,22 @@
             .map(|measure| MEASURES[measure])
     }
 
-    fn calm(&self, now: Moment, new_hosts: usize) -> bool {
-        let own = self.judge.weights();
+    /// Gives what speaks against the new version in any failure domain, though not enough for a verdict.
+    fn suspicion(&self, now: Moment, new_hosts: usize) -> Option<Cause> {
         let single = new_hosts < 2 && self.judge.hosts() < 2;
-        own.iter()
-            .chain(&self.pool.weights())
-            .all(|weight| combined(&[*weight], single) < bound(1) / 2.0)
-            && self.reached(now).all(|heard| {
-                let weights = heard.progress.weights;
-                weights
-                    .iter()
-                    .all(|weight| combined(&[*weight], single) < bound(1) / 2.0)
+        let heard = self.reached(now).map(|heard| heard.progress.weights);
+        let all: Vec<[Weight; 2]> = heard
+            .chain([self.judge.weights(), self.pool.weights()])
+            .collect();
+        let speaks =
+            |measure: usize| move |weights: &[Weight; 2]| combined(&[weights[measure]], single);
+        (0..MEASURES.len())
+            .find(|measure| {
+                all.iter()
+                    .map(speaks(*measure))
+                    .any(|sum| sum >= bound(1) / 2.0)
             })
+            .map(|measure| MEASURES[measure])
     }
 
     fn answers(&self) -> u64 {
@@ -311,14 +315,19 @@
     pub fn pace(&mut self, now: Moment, endpoints: &Endpoints) -> Option<Cause> {
         let plan = self.plan();
         let carried = self.carried(endpoints);
+        let suspicion = self.suspicion(now, endpoints.new_hosts);
         let facts = Facts {
             answers: self.answers(),
-            calm: self.calm(now, endpoints.new_hosts),
+            calm: suspicion.is_none(),
             carried,
             own_answers: self.tally(Side::Candidate).done,
             rate: self.judge.rate(),
         };
-        if now >= plan.closing() && !self.ramp.done() && self.spec.outcome.is_none() {
+        let closes = now >= plan.closing() && self.spec.outcome.is_none();
+        if closes && self.share < Permille::WHOLE && suspicion.is_some() {
+            return suspicion;
+        }
+        if closes && !self.ramp.done() {
             if let Some(cause) = overdue(&plan, &facts) {
                 return Some(cause);
             }
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -444,6 +444,29 @@
     assert!(lone.submitted.is_empty());
 }
 
+#[test]
+fn version_under_suspicion_at_the_end_is_taken_back() {
+    let mut lone = Lone::new(table(&[("move", on("one"))]), hosts(1200));
+    let old = || count("old-0", "desk-1", "one", 20, 0);
+    for _ in 0..4 {
+        lone.step(vec![old()]);
+    }
+    lone.step(vec![
+        old(),
+        count("new-0", "desk-2", "one", 4, 2),
+        count("new-1", "desk-2", "one", 3, 2),
+    ]);
+    while lone.submitted.is_empty() {
+        lone.step(vec![old()]);
+    }
+    assert!(
+        lone.submitted[0].id.ends_with("rolled-back"),
+        "{}",
+        lone.submitted[0].id
+    );
+    assert_eq!(lone.share("move"), Permille(0));
+}
+
 #[test]
 fn run_of_failures_that_the_old_version_shows_as_well_stops_nothing() {
     let mut lone = Lone::new(table(&[("move", on("one"))]), hosts(1200));
