--- a/examples/footprint.rs
+++ b/examples/footprint.rs
@@ -112,8 +112,9 @@
 fn main() {
     let start = resident_kib();
     let mut roster = Roster::default();
-    for number in 0..HOSTS {
-        roster.merge(Moment(1), Arc::new(record(number)));
+    let records: Vec<Arc<Record>> = (0..HOSTS).map(|number| Arc::new(record(number))).collect();
+    for record in &records {
+        roster.merge(Moment(1), record.clone());
     }
     let mark = report("roster of 14,000 hosts", start);
     let mut snapshot = Snapshot::default();
@@ -128,7 +129,7 @@
     let (domain, region) = ("domain-0".parse(), "region-0".parse());
     let mut traffic = Traffic::new(domain.expect("a name"), region.expect("a name"), 1);
     traffic.install(Arc::new(snapshot.clone()));
-    traffic.update(Moment(1), (0..HOSTS).map(record).collect());
+    traffic.update(Moment(1), records);
     report("routing state of the same", mark);
     report("all of it", start);
     let deltas: Vec<Delta> = (0..CHANGES)
--- a/src/control.rs
+++ b/src/control.rs
@@ -79,7 +79,7 @@
     /// Act towards the platform or a client.
     Source(source::Action),
     /// The membership has changed.
-    Update(Vec<Record>),
+    Update(Vec<Arc<Record>>),
 }
 
 /// What a node is started with.
--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -77,8 +77,7 @@
         if news.is_empty() {
             return actions;
         }
-        let update = news.iter().map(|record| Record::clone(record)).collect();
-        actions.push(Action::Update(update));
+        actions.push(Action::Update(news.clone()));
         let (urgent, later): (Vec<_>, Vec<_>) = news
             .into_iter()
             .partition(|record| record.state != State::Ready);
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -151,8 +151,8 @@
             control::Action::Source(action) => drop(self.platform.send(action)),
             control::Action::Update(records) => {
                 let now = self.clock.now();
-                self.proxy.traffic().update(now, records.clone());
-                let operations = self.rollouts.update(now, records);
+                let operations = self.rollouts.update(now, &records);
+                self.proxy.traffic().update(now, records);
                 self.submit(operations);
             }
         }
--- a/src/node/rollouts.rs
+++ b/src/node/rollouts.rs
@@ -51,7 +51,8 @@
     }
 
     /// Takes changes of the membership over.
-    pub(super) fn update(&mut self, now: Moment, records: Vec<Record>) -> Vec<Operation> {
+    pub(super) fn update(&mut self, now: Moment, records: &[Arc<Record>]) -> Vec<Operation> {
+        let records = records.iter().map(|record| Record::clone(record)).collect();
         self.handle(now, Event::Members(records))
     }
 
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -77,7 +77,7 @@
     owners: owner::Owners,
     policy: Policy,
     ramps: BTreeMap<Name, Ramp>,
-    records: BTreeMap<Host, Record>,
+    records: BTreeMap<Host, Arc<Record>>,
     region: Region,
     rng: StdRng,
     routes: route::Index,
@@ -135,10 +135,10 @@
     }
 
     /// Takes changes of the membership over.
-    pub fn update(&mut self, now: Moment, records: Vec<Record>) {
-        for record in records {
+    pub fn update<R: Into<Arc<Record>>>(&mut self, now: Moment, records: Vec<R>) {
+        for record in records.into_iter().map(Into::into) {
             let host = record.contact.host.clone();
-            let before = self.records.get(&host);
+            let before = self.records.get(&host).map(Arc::as_ref);
             self.owners.update(now, before, &record);
             let from = before.and_then(serving).map(|offer| offer.version.clone());
             let to = serving(&record).map(|offer| offer.version.clone());
@@ -185,13 +185,14 @@
     /// Looks a host up.
     #[must_use]
     pub fn record(&self, host: &Host) -> Option<&Record> {
-        self.records.get(host)
+        self.records.get(host).map(Arc::as_ref)
     }
 
     /// Lists the hosts of a service that a node can be reached on.
     pub fn hosts(&self, service: &Service) -> impl Iterator<Item = &Record> {
         self.records
             .values()
+            .map(Arc::as_ref)
             .filter(|record| record.state != State::Gone)
             .filter(move |record| {
                 let offer = record.offer.as_ref();
