Run a node on the users' platform: the whole path, thin

Cause: the platform accepts orders in its store, and only the node beside an endpoint reaches it; nothing here spoke its words. src/sidecar holds the decisions (document, queue, placement, retries, ramp, duty) and their edges, src/http1 the messages, platform/ the translation.

--- /dev/null
+++ b/src/http1/parse.rs
@@ -0,0 +1,124 @@
+//! Heads of messages, and how their bodies are framed.
+
+use super::{Fault, Field, has_token};
+
+/// The most header fields of one message.
+const FIELDS_MAX: usize = 100;
+
+/// Where a body ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// It comes in chunks.
+    Chunked,
+    /// It has a length, in bytes.
+    Length(u64),
+    /// It ends with the connection.
+    UntilClose,
+}
+
+/// The head of a request.
+#[derive(Debug)]
+pub struct RequestHead {
+    pub close: bool,
+    pub fields: Vec<Field>,
+    pub framing: Framing,
+    pub method: String,
+    pub target: String,
+}
+
+/// The head of a response.
+#[derive(Debug)]
+pub struct ResponseHead {
+    pub close: bool,
+    pub fields: Vec<Field>,
+    pub framing: Framing,
+    pub status: u16,
+}
+
+/// Parses the head of a request; nothing if it is not all there. Gives its length beside it.
+pub fn request(bytes: &[u8]) -> Result<Option<(RequestHead, usize)>, Fault> {
+    let mut headers = [httparse::EMPTY_HEADER; FIELDS_MAX];
+    let mut parsed = httparse::Request::new(&mut headers);
+    let length = match parsed.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(_) => return Err(Fault::Malformed("head of a request")),
+    };
+    let fields = fields(parsed.headers);
+    let version = parsed.version.unwrap_or(1);
+    let framing = framing(&fields)?.unwrap_or(Framing::Length(0));
+    let head = RequestHead {
+        close: closes(version, &fields),
+        framing,
+        method: parsed.method.unwrap_or_default().into(),
+        target: parsed.path.unwrap_or_default().into(),
+        fields,
+    };
+    Ok(Some((head, length)))
+}
+
+/// Parses the head of a response; nothing if it is not all there. Gives its length beside it.
+pub fn response(bytes: &[u8], to_head: bool) -> Result<Option<(ResponseHead, usize)>, Fault> {
+    let mut headers = [httparse::EMPTY_HEADER; FIELDS_MAX];
+    let mut parsed = httparse::Response::new(&mut headers);
+    let length = match parsed.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(_) => return Err(Fault::Malformed("head of a response")),
+    };
+    let status = parsed.code.unwrap_or_default();
+    let fields = fields(parsed.headers);
+    let empty = to_head || matches!(status, 100..=199 | 204 | 304);
+    let framing = if empty {
+        Framing::Length(0)
+    } else {
+        framing(&fields)?.unwrap_or(Framing::UntilClose)
+    };
+    let head = ResponseHead {
+        close: closes(parsed.version.unwrap_or(1), &fields) || framing == Framing::UntilClose,
+        fields,
+        framing,
+        status,
+    };
+    Ok(Some((head, length)))
+}
+
+fn fields(headers: &[httparse::Header]) -> Vec<Field> {
+    headers
+        .iter()
+        .map(|header| Field::new(header.name, header.value))
+        .collect()
+}
+
+fn closes(version: u8, fields: &[Field]) -> bool {
+    let keeps = has_token(fields, "connection", "keep-alive");
+    has_token(fields, "connection", "close") || (version == 0 && !keeps)
+}
+
+/// Reads how a body is framed; nothing if the head does not say. Whatever two readers could take in two
+/// ways is refused, so that no request hides in another one's body.
+fn framing(fields: &[Field]) -> Result<Option<Framing>, Fault> {
+    let mut lengths = fields.iter().filter(|field| field.is("content-length"));
+    let mut codings = fields.iter().filter(|field| field.is("transfer-encoding"));
+    match (lengths.next(), codings.next()) {
+        (None, None) => Ok(None),
+        (Some(_), Some(_)) => Err(Fault::Malformed("both a length and a transfer coding")),
+        (None, Some(coding)) => {
+            if codings.next().is_some() || !coding.value.eq_ignore_ascii_case(b"chunked") {
+                return Err(Fault::Malformed("transfer coding"));
+            }
+            Ok(Some(Framing::Chunked))
+        }
+        (Some(length), None) => {
+            if lengths.next().is_some() {
+                return Err(Fault::Malformed("two lengths"));
+            }
+            let digits = !length.value.is_empty() && length.value.iter().all(u8::is_ascii_digit);
+            let text = std::str::from_utf8(&length.value).unwrap_or_default();
+            match text.parse() {
+                Ok(length) if digits => Ok(Some(Framing::Length(length))),
+                _ => Err(Fault::Malformed("length of a body")),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/sidecar/conductor.rs
@@ -0,0 +1,175 @@
+//! Conducts moves between versions. Both readers know the orders; the first of them judges and paces, and
+//! records the beginning and the end in the store, where an end stands for good.
+
+use {
+    super::{
+        frame::Frame,
+        node::Core,
+        ramp::{Evidence, Move, Phase, Ramp},
+        store::{Record, Store},
+    },
+    crate::world::{Moment, Service},
+    std::{collections::HashMap, rc::Rc, time::Duration},
+};
+
+/// How often what is in force is repeated, so that another node can go on from there.
+const REPEAT: Duration = Duration::from_secs(2);
+/// The pause after a failed record.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// The moves that this node knows of.
+#[derive(Default)]
+pub(super) struct Conductor {
+    pub moves: HashMap<Service, Move>,
+    recorded: HashMap<Service, (u64, Phase)>,
+    recording: bool,
+    sent: HashMap<Service, (Moment, Ramp)>,
+}
+
+impl Conductor {
+    /// Takes in what an upstream's runs came to.
+    pub fn add(&mut self, evidence: &Evidence) {
+        if let Some(held) = self.moves.get_mut(&evidence.service) {
+            held.add(evidence);
+        }
+    }
+}
+
+/// Hands evidence in, and paces the moves if that is this node's duty.
+pub(super) fn tick<S: Store>(core: &Rc<Core>, store: &Rc<S>, now: Moment) {
+    let first = core.conducting();
+    if let Some(evidence) = core.egress.evidence() {
+        match &first {
+            Some(host) => core.peers.send(host, &Frame::Evidence(evidence)),
+            None => core.conductor.borrow_mut().add(&evidence),
+        }
+    }
+    adopt(core);
+    if first.is_some() {
+        return;
+    }
+    let mut news = Vec::new();
+    {
+        let mut conductor = core.conductor.borrow_mut();
+        let Conductor {
+            moves,
+            recorded,
+            sent,
+            ..
+        } = &mut *conductor;
+        for (service, held) in moves.iter_mut() {
+            // Before the store was asked, an end that was recorded earlier may not be known here.
+            if recorded.get(service).map(|(mark, _)| *mark) != Some(held.order().mark) {
+                continue;
+            }
+            let serving = core.placement.borrow().has(service, &held.order().to);
+            let ramp = held.step(now, serving);
+            let changed = sent.get(service).is_none_or(|(at, before)| {
+                (before.mark, before.phase, before.share, &before.late_after)
+                    != (ramp.mark, ramp.phase, ramp.share, &ramp.late_after)
+                    && (now.since(*at) >= REPEAT / 4
+                        || (before.mark, before.phase, before.share)
+                            != (ramp.mark, ramp.phase, ramp.share))
+                    || (ramp.phase == Phase::Running && now.since(*at) >= REPEAT)
+            });
+            if changed {
+                sent.insert(service.clone(), (now, ramp.clone()));
+                news.push(ramp);
+            }
+        }
+    }
+    for ramp in news {
+        core.peers.broadcast(&Frame::Ramp(ramp.clone()));
+        core.follow(ramp);
+    }
+    record(core, store);
+}
+
+/// Takes over what another conductor has decided.
+fn adopt(core: &Core) {
+    let ramps = core.ramps.borrow();
+    let mut conductor = core.conductor.borrow_mut();
+    for (service, held) in &mut conductor.moves {
+        let ended = ramps
+            .get(service)
+            .filter(|ramp| ramp.mark == held.order().mark && ramp.phase != Phase::Running);
+        if let Some(ramp) = ended {
+            held.settle(ramp.phase);
+        }
+    }
+}
+
+/// Records what is not recorded yet, one at a time.
+fn record<S: Store>(core: &Rc<Core>, store: &Rc<S>) {
+    let due = {
+        let conductor = core.conductor.borrow();
+        if conductor.recording {
+            return;
+        }
+        conductor.moves.values().find_map(|held| {
+            let order = held.order();
+            let state = (order.mark, held.phase());
+            let known = conductor.recorded.get(&order.service) == Some(&state);
+            let ramps = core.ramps.borrow();
+            let elapsed = ramps
+                .get(&order.service)
+                .map_or(Duration::ZERO, |ramp| ramp.elapsed);
+            (!known).then(|| Record {
+                elapsed,
+                mark: order.mark,
+                phase: held.phase(),
+                service: order.service.clone(),
+                to: order.to.clone(),
+            })
+        })
+    };
+    let Some(record) = due else {
+        return;
+    };
+    core.conductor.borrow_mut().recording = true;
+    let (core, store) = (core.clone(), store.clone());
+    tokio::task::spawn_local(async move {
+        match store.record(&record).await {
+            Ok(standing) => settle(&core, &record, &standing),
+            Err(fault) => {
+                core.log.line(
+                    core.now(),
+                    "record",
+                    format_args!(
+                        "outcome=failed service={} phase={:?} cause=\"{fault}\"",
+                        record.service, record.phase
+                    ),
+                );
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+        core.conductor.borrow_mut().recording = false;
+    });
+}
+
+/// Takes over what stands in the store: an end that was recorded before holds whatever was seen since.
+fn settle(core: &Core, record: &Record, standing: &Record) {
+    core.log.line(
+        core.now(),
+        "record",
+        format_args!(
+            "outcome=stands service={} to={} phase={:?} order={}",
+            standing.service, standing.to, standing.phase, standing.mark
+        ),
+    );
+    let mut conductor = core.conductor.borrow_mut();
+    let state = (standing.mark, standing.phase);
+    conductor.recorded.insert(record.service.clone(), state);
+    let Some(held) = conductor.moves.get_mut(&record.service) else {
+        return;
+    };
+    if held.order().mark != standing.mark {
+        return;
+    }
+    if standing.phase != Phase::Running {
+        held.settle(standing.phase);
+    } else if standing.elapsed > record.elapsed {
+        let order = held.order().clone();
+        *held = Move::new(core.now(), order, standing.elapsed, Phase::Running);
+    }
+}
--- /dev/null
+++ b/src/sidecar/egress.rs
@@ -0,0 +1,526 @@
+//! The side beside the upstream: only this node reaches it, so its own counts are the true load. A request
+//! that is turned away here has truly not run.
+
+use {
+    super::{
+        control::Announcement,
+        frame::{Answer, Frame, Outcome, Request},
+        node::Core,
+        placement::{Load, Offer},
+        queue::{Action, Queue},
+        ramp::{Evidence, Ramp, Sums},
+        upstream::{Failure, Outgoing, Upstream},
+    },
+    crate::{
+        http1::{self, Field},
+        refusal::Reason,
+        traffic::{
+            admit::Ticket,
+            quarantine::{Crash, Fingerprint, Quarantine, Strike},
+        },
+        world::{Moment, Service},
+    },
+    std::{
+        cell::{Cell, RefCell},
+        collections::{BTreeMap, HashMap},
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::sync::oneshot,
+};
+
+/// How many announcements may be missed before the upstream is taken for gone: they may come seconds late.
+const LEASE_HEARTBEATS: u32 = 6;
+/// How long the upstream may take after the deadline that it was given to say what became of a request.
+const DEADLINE_GRACE: Duration = Duration::from_millis(80);
+/// How long an upstream that takes no connection is left alone, unless it announces itself.
+const DOWN_FOR: Duration = Duration::from_secs(2);
+/// How often a waiting request has the queue looked through.
+const QUEUE_PERIOD: Duration = Duration::from_millis(50);
+
+struct Registered {
+    announced: Announcement,
+    cold_until: Moment,
+    down_until: Moment,
+    heard: Moment,
+    leaving: bool,
+}
+
+struct Running {
+    began: Moment,
+    late: bool,
+    route: u64,
+}
+
+/// The state of the upstream's side.
+pub(super) struct State {
+    heartbeat: Duration,
+    late_after: RefCell<HashMap<Service, BTreeMap<u64, Duration>>>,
+    quarantine: RefCell<Quarantine>,
+    queue: RefCell<Queue>,
+    registered: RefCell<Option<Registered>>,
+    running: RefCell<BTreeMap<Ticket, Running>>,
+    sums: RefCell<BTreeMap<u64, Sums>>,
+    tickets: Cell<u64>,
+    upstream: Upstream,
+    waiting: RefCell<HashMap<Ticket, oneshot::Sender<Result<(), (Reason, Duration)>>>>,
+}
+
+impl State {
+    pub fn new(
+        queue: Queue,
+        quarantine: Quarantine,
+        upstream: Upstream,
+        heartbeat: Duration,
+    ) -> Self {
+        Self {
+            heartbeat,
+            late_after: RefCell::default(),
+            quarantine: RefCell::new(quarantine),
+            queue: RefCell::new(queue),
+            registered: RefCell::default(),
+            running: RefCell::default(),
+            sums: RefCell::default(),
+            tickets: Cell::new(0),
+            upstream,
+            waiting: RefCell::default(),
+        }
+    }
+
+    /// Gives what the upstream offers to new requests.
+    pub fn offer(&self, now: Moment) -> Option<Offer> {
+        let registered = self.registered.borrow();
+        let held = registered.as_ref()?;
+        let lapsed = now.since(held.heard) > self.heartbeat * LEASE_HEARTBEATS;
+        if held.leaving || lapsed || now < held.down_until {
+            return None;
+        }
+        Some(held.announced.offer.clone())
+    }
+
+    pub fn load(&self) -> Load {
+        self.queue.borrow().load()
+    }
+
+    /// Tells whether no request runs or waits.
+    pub fn is_idle(&self) -> bool {
+        self.running.borrow().is_empty() && self.waiting.borrow().is_empty()
+    }
+
+    pub fn strikes(&self) -> Vec<Strike> {
+        self.quarantine.borrow().strikes()
+    }
+
+    pub fn learn(&self, now: Moment, strikes: Vec<Strike>) {
+        for strike in strikes {
+            self.quarantine.borrow_mut().learn(now, strike);
+        }
+    }
+
+    /// Takes an announcement; tells whether what the upstream offers has changed.
+    pub fn announce(&self, core: &Core, announcement: Announcement) -> bool {
+        let now = core.now();
+        let before = self.offer(now);
+        {
+            let mut registered = self.registered.borrow_mut();
+            if let Some(held) = registered.as_ref() {
+                let order = |held: &Announcement| (held.incarnation, held.sequence);
+                let same = held.announced.incarnation == announcement.incarnation;
+                let stale = order(&announcement) <= order(&held.announced);
+                if stale || (same && held.leaving && !announcement.draining) {
+                    return false;
+                }
+            }
+            let restarted = registered
+                .as_ref()
+                .is_none_or(|held| held.announced.incarnation != announcement.incarnation);
+            if restarted {
+                self.upstream.reset();
+                self.sums.borrow_mut().clear();
+                core.log.line(
+                    now,
+                    "upstream",
+                    format_args!(
+                        "outcome=announced instance={} service={} version={} slots={} incarnation={}",
+                        announcement.instance,
+                        announcement.offer.service,
+                        announcement.offer.version,
+                        announcement.offer.slots,
+                        announcement.incarnation
+                    ),
+                );
+            }
+            self.queue.borrow_mut().resize(announcement.offer.slots);
+            *registered = Some(Registered {
+                cold_until: now + announcement.offer.cold,
+                down_until: Moment::default(),
+                heard: now,
+                leaving: announcement.draining,
+                announced: announcement,
+            });
+        }
+        let after = self.offer(now);
+        if before.is_some() && after.is_none() {
+            self.close(core, "draining");
+        }
+        before != after
+    }
+
+    /// Takes in that an upstream is about to end; tells whether what it offers has changed.
+    pub fn leave(&self, core: &Core, instance: &str) -> bool {
+        {
+            let mut registered = self.registered.borrow_mut();
+            match registered.as_mut() {
+                Some(held) if held.announced.instance == instance && !held.leaving => {
+                    held.leaving = true;
+                }
+                _ => return false,
+            }
+        }
+        self.close(core, "leaving");
+        true
+    }
+
+    fn close(&self, core: &Core, cause: &str) {
+        core.log
+            .line(core.now(), "upstream", format_args!("outcome={cause}"));
+        let actions = self.queue.borrow_mut().close(Reason::Leaving);
+        self.act(actions);
+    }
+
+    fn down(&self, core: &Core, cause: Reason) {
+        let now = core.now();
+        if let Some(held) = self.registered.borrow_mut().as_mut() {
+            held.down_until = now + DOWN_FOR;
+        }
+        core.log
+            .line(now, "upstream", format_args!("outcome=down cause={cause}"));
+        self.close(core, "down");
+        core.announce();
+    }
+
+    /// Counts late runs of a service whose traffic moves.
+    pub fn watch(&self, ramp: &Ramp) {
+        let mut late_after = self.late_after.borrow_mut();
+        late_after.insert(ramp.service.clone(), ramp.late_after.clone());
+    }
+
+    /// Takes out what the upstream's runs came to.
+    pub fn evidence(&self) -> Option<Evidence> {
+        let registered = self.registered.borrow();
+        let offer = &registered.as_ref()?.announced.offer;
+        let routes = std::mem::take(&mut *self.sums.borrow_mut());
+        (!routes.is_empty()).then(|| Evidence {
+            routes,
+            service: offer.service.clone(),
+            version: offer.version.clone(),
+        })
+    }
+
+    /// Does what is due.
+    pub fn tick(&self, now: Moment) {
+        let actions = self.queue.borrow_mut().tick(now);
+        self.act(actions);
+        let registered = self.registered.borrow();
+        let Some(held) = registered.as_ref() else {
+            return;
+        };
+        let late_after = self.late_after.borrow();
+        let Some(late_after) = late_after.get(&held.announced.offer.service) else {
+            return;
+        };
+        if now < held.cold_until {
+            return;
+        }
+        for running in self.running.borrow_mut().values_mut() {
+            let late = late_after.get(&running.route);
+            if !running.late && late.is_some_and(|late| now.since(running.began) > *late) {
+                running.late = true;
+                let mut sums = self.sums.borrow_mut();
+                let sums = sums.entry(running.route).or_default();
+                sums.done += 1;
+                sums.late += 1;
+            }
+        }
+    }
+
+    fn act(&self, actions: Vec<Action>) {
+        for action in actions {
+            let (ticket, result) = match action {
+                Action::Decline(ticket, reason, room_in) => (ticket, Err((reason, room_in))),
+                Action::Start(ticket) => (ticket, Ok(())),
+            };
+            if let Some(waiting) = self.waiting.borrow_mut().remove(&ticket) {
+                // One that waits no more gives the slot back by its guard.
+                let _ = waiting.send(result);
+            }
+        }
+    }
+
+    /// Checks whether the upstream may take a request; gives the name of its start.
+    fn check(&self, now: Moment, request: &Request) -> Result<String, Reason> {
+        if self.offer(now).is_none() {
+            return Err(Reason::Leaving);
+        }
+        let registered = self.registered.borrow();
+        let held = registered.as_ref().ok_or(Reason::Leaving)?;
+        let offer = &held.announced.offer;
+        if offer.service != request.service || offer.version != request.version {
+            return Err(Reason::WrongVersion);
+        }
+        Ok(held.announced.instance.clone())
+    }
+
+    fn count(&self, now: Moment, ticket: Ticket, failed: bool) {
+        let Some(running) = self.running.borrow_mut().remove(&ticket) else {
+            return;
+        };
+        let registered = self.registered.borrow();
+        let Some(held) = registered.as_ref() else {
+            return;
+        };
+        let late_after = self.late_after.borrow();
+        let Some(late_after) = late_after.get(&held.announced.offer.service) else {
+            return;
+        };
+        let took = now.since(running.began);
+        let mut sums = self.sums.borrow_mut();
+        let sums = sums.entry(running.route).or_default();
+        sums.failed += u32::from(failed);
+        if running.late {
+            return;
+        }
+        sums.done += 1;
+        if now >= held.cold_until {
+            let late = late_after.get(&running.route);
+            sums.late += u32::from(late.is_some_and(|late| took > *late));
+        }
+        sums.time += took;
+    }
+}
+
+/// A request's place at the upstream, given back when it is dropped.
+struct Slot<'a> {
+    answered: bool,
+    core: &'a Core,
+    route: u64,
+    ticket: Ticket,
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        let state = &self.core.egress;
+        let now = self.core.now();
+        state.waiting.borrow_mut().remove(&self.ticket);
+        state.running.borrow_mut().remove(&self.ticket);
+        let strike = state
+            .quarantine
+            .borrow_mut()
+            .end(now, self.ticket, self.answered);
+        if let Some(strike) = strike {
+            self.core.peers.broadcast(&Frame::Strikes(vec![strike]));
+        }
+        let mut queue = state.queue.borrow_mut();
+        queue.cancel(self.ticket);
+        let actions = queue.finish(now, self.ticket, self.route, self.answered);
+        drop(queue);
+        state.act(actions);
+    }
+}
+
+/// Has a request run by the upstream on this host. `cancelled` ends with its sender's interest in it: the
+/// request then runs no further if it may run again or has not begun.
+pub(super) async fn serve(
+    core: &Rc<Core>,
+    request: Request,
+    mut cancelled: oneshot::Receiver<()>,
+) -> Outcome {
+    let state = &core.egress;
+    let arrived = core.now();
+    let demand = request.demand(arrived);
+    let fingerprint = Fingerprint::new(
+        request.service.as_str(),
+        &request.method,
+        &request.target,
+        &request.body,
+    );
+    let instance = match state.check(arrived, &request) {
+        Ok(instance) => instance,
+        Err(reason) => return decline(core, &request, arrived, reason, Duration::ZERO),
+    };
+    if state.quarantine.borrow_mut().holds(arrived, fingerprint) {
+        return decline(core, &request, arrived, Reason::Quarantined, Duration::ZERO);
+    }
+    let ticket = Ticket(state.tickets.get());
+    state.tickets.set(ticket.0 + 1);
+    let (sender, mut granted) = oneshot::channel();
+    state.waiting.borrow_mut().insert(ticket, sender);
+    let mut slot = Slot {
+        answered: false,
+        core,
+        route: request.route,
+        ticket,
+    };
+    let actions = state.queue.borrow_mut().arrive(arrived, ticket, demand);
+    state.act(actions);
+    let decided = loop {
+        tokio::select! {
+            biased;
+            decided = &mut granted => break decided,
+            _ = &mut cancelled => return Outcome::Declined(Reason::Cut, Duration::ZERO),
+            () = tokio::time::sleep(QUEUE_PERIOD) => {
+                let actions = state.queue.borrow_mut().tick(core.now());
+                state.act(actions);
+            }
+        }
+    };
+    if let Err((reason, room_in)) = decided.unwrap_or(Err((Reason::Leaving, Duration::ZERO))) {
+        return decline(core, &request, arrived, reason, room_in);
+    }
+    let began = core.now();
+    core.metrics.stage("waiting", began.since(arrived));
+    state.running.borrow_mut().insert(
+        ticket,
+        Running {
+            began,
+            late: false,
+            route: request.route,
+        },
+    );
+    state.quarantine.borrow_mut().begin(ticket, fingerprint);
+    let left = demand.deadline.since(began);
+    let running = run(core, &request, &instance, left);
+    let ended = if request.repeatable {
+        tokio::select! {
+            biased;
+            _ = &mut cancelled => return Outcome::Unknown(Reason::Cut),
+            ended = running => ended,
+        }
+    } else {
+        running.await
+    };
+    let now = core.now();
+    core.metrics.stage("running", now.since(began));
+    slot.answered = matches!(&ended, Outcome::Answered(answer) if !answer.not_run);
+    let failed = match &ended {
+        Outcome::Answered(answer) => answer.status >= 500 && !answer.not_run,
+        Outcome::Unknown(_) => true,
+        Outcome::Declined(..) => false,
+    };
+    state.count(now, ticket, failed);
+    if ended == Outcome::Unknown(Reason::Lost) {
+        crashed(core, ticket).await;
+    }
+    core.log.line(
+        now,
+        "run",
+        format_args!(
+            "id={} instance={instance} waited_ms={} took_ms={} {}",
+            request.id,
+            began.since(arrived).as_millis(),
+            now.since(began).as_millis(),
+            Summary(&ended)
+        ),
+    );
+    ended
+}
+
+struct Summary<'a>(&'a Outcome);
+
+impl std::fmt::Display for Summary<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self.0 {
+            Outcome::Answered(answer) => write!(
+                f,
+                "outcome=answered status={} not_run={}",
+                answer.status, answer.not_run
+            ),
+            Outcome::Declined(reason, _) => write!(f, "outcome=declined reason={reason}"),
+            Outcome::Unknown(reason) => write!(f, "outcome=unknown reason={reason}"),
+        }
+    }
+}
+
+fn decline(
+    core: &Core,
+    request: &Request,
+    arrived: Moment,
+    reason: Reason,
+    room_in: Duration,
+) -> Outcome {
+    let load = core.egress.load();
+    core.log.line(
+        core.now(),
+        "decline",
+        format_args!(
+            "id={} reason={reason} waited_ms={} left_ms={} running={} queued={} slots={} run_ms={} room_in_ms={}",
+            request.id,
+            core.now().since(arrived).as_millis(),
+            request.left.as_millis(),
+            load.running,
+            load.queued,
+            load.slots,
+            load.run.as_millis(),
+            room_in.as_millis()
+        ),
+    );
+    Outcome::Declined(reason, room_in)
+}
+
+async fn run(core: &Rc<Core>, request: &Request, instance: &str, left: Duration) -> Outcome {
+    let words = core.words;
+    let mut fields = request.fields.clone();
+    fields.push(Field::new(words.caller, request.caller.as_str()));
+    fields.push(Field::new(words.expected, instance));
+    fields.push(Field::new(words.time_left, left.as_millis().to_string()));
+    let outgoing = Outgoing {
+        bytes: http1::request(&request.method, &request.target, &fields, &request.body),
+        id: &request.id,
+        patience: left + DEADLINE_GRACE,
+        repeatable: request.repeatable,
+        to_head: request.method == "HEAD",
+    };
+    match core.egress.upstream.send(&outgoing).await {
+        Ok(response) => {
+            let not_run = http1::text(&response.fields, words.not_run).is_some();
+            let elsewhere = response.status == MISDIRECTED;
+            if elsewhere {
+                core.egress.down(core, Reason::WrongVersion);
+            }
+            let mut fields = response.fields;
+            http1::strip_hop_by_hop(&mut fields);
+            Outcome::Answered(Answer {
+                body: response.body,
+                fields,
+                not_run: not_run || elsewhere,
+                status: response.status,
+            })
+        }
+        Err(Failure::Unsent(reason)) => {
+            core.egress.down(core, reason);
+            Outcome::Declined(reason, Duration::ZERO)
+        }
+        Err(Failure::Sent(reason)) => Outcome::Unknown(reason),
+    }
+}
+
+/// The status by which an upstream says that a request is for another start.
+const MISDIRECTED: u16 = 421;
+
+/// Finds out whether the upstream has died of what ran there, and tells the other nodes if so. A connection
+/// that broke while the upstream takes new ones proves nothing against a request.
+async fn crashed(core: &Rc<Core>, ticket: Ticket) {
+    if core.egress.upstream.takes_connections().await {
+        return;
+    }
+    let crash = Crash(rand::random());
+    let state = &core.egress;
+    let strikes = state
+        .quarantine
+        .borrow_mut()
+        .crash(core.now(), crash, ticket);
+    state.down(core, Reason::Crashed);
+    if !strikes.is_empty() {
+        core.peers.broadcast(&Frame::Strikes(strikes));
+    }
+}
--- /dev/null
+++ b/src/sidecar/follower.rs
@@ -0,0 +1,210 @@
+//! Follows the store: two nodes read what operators write and hand it on, the others hear of it from them.
+
+use {
+    super::{
+        document::Order,
+        duty::{READERS, Reach},
+        frame::Frame,
+        node::Core,
+        ramp::Move,
+        store::{Fault, Orders, Store},
+    },
+    std::{rc::Rc, time::Duration},
+};
+
+/// How long a read waits for news: also how long a silent store stays unnoticed.
+const WAIT: Duration = Duration::from_millis(2000);
+/// How long one that does not read looks whether it should.
+const IDLE: Duration = Duration::from_millis(250);
+/// The pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(250);
+/// How long a node without a document waits for one from the others before it reads the store itself.
+const SUPPLIED_IN: Duration = Duration::from_millis(1500);
+/// How often a node that does not reach the store tries to, if it is not its duty.
+const PROBE: Duration = Duration::from_secs(2);
+/// How long the second reader leaves it to the first one to hand a document on.
+const SECOND_READER: Duration = Duration::from_millis(250);
+/// The longest answer time of a store in the same region, processing included.
+const NEAR: Duration = Duration::from_millis(14);
+
+/// Registers this node, finds the others, and follows the store while that is its duty.
+pub(super) async fn run<S: Store>(core: Rc<Core>, store: Rc<S>) {
+    register(&core, &*store).await;
+    let began = core.now();
+    let mut mark = None;
+    loop {
+        let duty = core.rank() < READERS;
+        let alone = !core.configured() && core.now().since(began) > SUPPLIED_IN;
+        let reads =
+            duty && (core.reach.get() != Reach::Far || core.now().since(began) > SUPPLIED_IN);
+        if !reads && !alone {
+            mark = None;
+            probe(&core, &*store).await;
+            continue;
+        }
+        let read = match mark {
+            Some(mark) => store.orders_after(mark, WAIT).await,
+            None => store.orders().await,
+        };
+        match read {
+            Ok(orders) => {
+                reached(&core);
+                mark = Some(orders.mark);
+                take(&core, orders).await;
+            }
+            Err(Fault::HistoryGone) => {
+                mark = None;
+                note(&core, "reading-anew", &Fault::HistoryGone);
+            }
+            Err(fault) => {
+                lost(&core, &fault);
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn register<S: Store>(core: &Rc<Core>, store: &S) {
+    let mut fastest = Duration::MAX;
+    loop {
+        let began = core.now();
+        let registered = store.register(&core.contact).await;
+        fastest = fastest.min(core.now().since(began));
+        let began = core.now();
+        let contacts = match registered {
+            Ok(()) => store.contacts().await,
+            Err(fault) => Err(fault),
+        };
+        match contacts {
+            Ok(contacts) => {
+                fastest = fastest.min(core.now().since(began));
+                let near = fastest <= NEAR;
+                core.reach.set(if near { Reach::Near } else { Reach::Far });
+                core.log.line(
+                    core.now(),
+                    "store",
+                    format_args!(
+                        "outcome=registered nodes={} answer_ms={} near={near}",
+                        contacts.len(),
+                        fastest.as_millis()
+                    ),
+                );
+                core.peers.learn(contacts);
+                super::peers::dial(core, core.now());
+                core.announce();
+                return;
+            }
+            Err(fault) => {
+                note(core, "unregistered", &fault);
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Waits a while; a node that does not reach the store looks whether it does again.
+async fn probe<S: Store>(core: &Core, store: &S) {
+    if core.reach.get() != Reach::Unknown {
+        tokio::time::sleep(IDLE).await;
+        return;
+    }
+    tokio::time::sleep(PROBE).await;
+    if store.records().await.is_ok() {
+        reached(core);
+    }
+}
+
+fn reached(core: &Core) {
+    if core.reach.get() == Reach::Unknown {
+        core.reach.set(Reach::Far);
+        core.log
+            .line(core.now(), "store", format_args!("outcome=regained"));
+        core.announce();
+    }
+}
+
+fn lost(core: &Core, fault: &Fault) {
+    note(core, "failed", fault);
+    if core.reach.replace(Reach::Unknown) != Reach::Unknown {
+        core.log
+            .line(core.now(), "store", format_args!("outcome=lost"));
+        core.announce();
+    }
+}
+
+fn note(core: &Core, outcome: &str, fault: &Fault) {
+    core.log.line(
+        core.now(),
+        "store",
+        format_args!("outcome={outcome} cause=\"{fault}\""),
+    );
+}
+
+async fn take(core: &Rc<Core>, orders: Orders) {
+    for order in orders.moves {
+        take_move(core, order);
+    }
+    let Some(document) = orders.document else {
+        return;
+    };
+    let held = core.document.borrow().clone();
+    if !core.install(document, "store") {
+        return;
+    }
+    if core.rank() > 0 {
+        let core = core.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(SECOND_READER).await;
+            hand_out(&core);
+        });
+        return;
+    }
+    drop(held);
+    hand_out(core);
+}
+
+/// Sends every connected node what it lacks of the document in force.
+fn hand_out(core: &Core) {
+    let number = core.number();
+    for (host, held) in core.peers.behind(number) {
+        core.supply(&host, held);
+        core.peers.supplied(&host, number);
+    }
+}
+
+fn take_move(core: &Core, order: Order) {
+    let mut conductor = core.conductor.borrow_mut();
+    let known = conductor
+        .moves
+        .get(&order.service)
+        .is_some_and(|held| held.order().mark >= order.mark);
+    if known {
+        return;
+    }
+    let now = core.now();
+    core.log.line(
+        now,
+        "order",
+        format_args!(
+            "service={} to={} duration_ms={} order={}",
+            order.service,
+            order.to,
+            order.duration.as_millis(),
+            order.mark
+        ),
+    );
+    let ramps = core.ramps.borrow();
+    let ramp = ramps
+        .get(&order.service)
+        .filter(|ramp| ramp.mark == order.mark);
+    let (elapsed, phase) = ramp.map_or(Default::default(), |ramp| (ramp.elapsed, Some(ramp.phase)));
+    let service = order.service.clone();
+    let begun = Move::new(
+        now,
+        order,
+        elapsed,
+        phase.unwrap_or(super::ramp::Phase::Running),
+    );
+    conductor.moves.insert(service, begun);
+    core.peers.broadcast(&Frame::Status(core.status()));
+}
--- /dev/null
+++ b/src/sidecar/forward.rs
@@ -0,0 +1,342 @@
+//! Takes a caller's request to an upstream, and again to another one where that is allowed. What is answered
+//! as not run has not run at any of them.
+
+use {
+    super::{
+        document::{Class, Route},
+        egress,
+        frame::{Answer, Outcome, Request},
+        node::Core,
+        peers,
+        placement::{self, End, Full, Load, Place},
+        ramp::Phase,
+    },
+    crate::{
+        http1::Field,
+        refusal::Reason,
+        world::{Host, Moment, Service, Version},
+    },
+    bytes::Bytes,
+    rand::Rng,
+    std::{rc::Rc, sync::Arc, time::Duration},
+    tokio::sync::oneshot,
+    xxhash_rust::xxh3::xxh3_64_with_seed,
+};
+
+/// How long the node at the upstream may take after the deadline to say what became of a request.
+const DEADLINE_GRACE: Duration = Duration::from_millis(150);
+/// How many nodes may turn a request away before its caller is told: the load that others report is a little
+/// old, so the second place is often right, and further ones seldom are.
+const DECLINES_MAX: usize = 3;
+/// The shortest time after which a refused caller is asked to come back.
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
+/// The time after which a caller is asked to come back where nothing is known of when there is room.
+const RETRY_AFTER_UNKNOWN: Duration = Duration::from_millis(400);
+/// The part of its remaining time that a caller spends on waiting for a refusal to pass.
+const RETRY_AFTER_PART: u32 = 3;
+/// The seeds of the hashes by which requests are divided, so that the divisions don't depend on each other.
+const SHARE_SEED: u64 = 1;
+const MOVE_SEED: u64 = 2;
+
+/// A caller's request.
+pub(super) struct Call {
+    pub body: Bytes,
+    pub deadline: Moment,
+    pub fields: Vec<Field>,
+    pub id: String,
+    pub method: String,
+    pub returned: bool,
+    pub route: Arc<Route>,
+    pub route_id: u64,
+    pub target: String,
+    /// Until when its answer has its full value.
+    pub valued: Moment,
+}
+
+/// What the caller is told.
+pub(super) enum Reply {
+    /// An upstream's answer.
+    Answer(Answer),
+    /// It has not run, and the caller may come back after a while.
+    Refused(Reason, Duration),
+    /// It may have run.
+    Unknown(Reason),
+}
+
+/// How a request went, for the log.
+#[derive(Default)]
+pub(super) struct Trail {
+    pub declines: usize,
+    pub hosts: Vec<Host>,
+    pub sent: u32,
+    pub service: Option<Service>,
+}
+
+enum Next {
+    Again(Reason),
+    Done(Reply),
+}
+
+struct Sending<'a> {
+    call: &'a Call,
+    core: &'a Rc<Core>,
+    /// An upstream's failure, which the caller gets if nothing better comes.
+    failure: Option<Answer>,
+    /// Whether it may have run somewhere.
+    ran: bool,
+    room_in: Option<Duration>,
+    service: Service,
+    trail: &'a mut Trail,
+}
+
+/// Sends a request to an upstream and gives what its caller is told.
+pub(super) async fn send(core: &Rc<Core>, call: &Call, trail: &mut Trail) -> Reply {
+    let Some(service) = call.route.service(point(&call.id, SHARE_SEED)).cloned() else {
+        return Reply::Refused(Reason::NoEndpoint, RETRY_AFTER_UNKNOWN);
+    };
+    let now = core.now();
+    core.retries.borrow_mut().request(now, &service);
+    trail.service = Some(service.clone());
+    let mut sending = Sending {
+        call,
+        core,
+        failure: None,
+        ran: false,
+        room_in: None,
+        service,
+        trail,
+    };
+    let patience = call.deadline.since(now) + DEADLINE_GRACE;
+    let finished = tokio::time::timeout(patience, sending.run()).await;
+    match finished {
+        Ok(reply) => reply,
+        Err(_) if sending.trail.sent > 0 => Reply::Unknown(Reason::Deadline),
+        Err(_) => Reply::Refused(Reason::Deadline, RETRY_AFTER_MIN),
+    }
+}
+
+impl Sending<'_> {
+    async fn run(&mut self) -> Reply {
+        loop {
+            let place = match self.choose() {
+                Ok(place) => place,
+                Err(full) => return self.full(full),
+            };
+            self.trail.hosts.push(place.host.clone());
+            let mut attempt = Attempt {
+                core: self.core,
+                over: false,
+                place: &place,
+            };
+            let (outcome, load) = self.attempt(&place).await;
+            attempt.end(&outcome, load);
+            match self.judge(&place, outcome) {
+                Next::Done(reply) => return reply,
+                Next::Again(reason) => self.core.metrics.retry(&reason.to_string()),
+            }
+        }
+    }
+
+    fn choose(&self) -> Result<Place, Full> {
+        let now = self.core.now();
+        let moving = self.moving();
+        let mut placement = self.core.placement.borrow_mut();
+        let mut choose = |version| {
+            placement.choose(
+                now,
+                placement::Request {
+                    avoid: &self.trail.hosts,
+                    priority: self.call.route.priority,
+                    service: &self.service,
+                    version,
+                },
+            )
+        };
+        let Some((version, wanted)) = moving else {
+            return choose(None);
+        };
+        match choose(Some((&version, wanted))) {
+            Err(_) if wanted => choose(Some((&version, false))),
+            chosen => chosen,
+        }
+    }
+
+    /// Gives the version that the request must run on, or must not.
+    fn moving(&self) -> Option<(Version, bool)> {
+        let ramps = self.core.ramps.borrow();
+        let ramp = ramps.get(&self.service)?;
+        let wanted = match ramp.phase {
+            Phase::Running => {
+                let moved = point(&self.call.id, MOVE_SEED) < f64::from(ramp.share.0) / 1000.0;
+                // What failed once goes to the version that is known to be good.
+                moved && self.trail.sent == 0
+            }
+            Phase::Succeeded => true,
+            Phase::RolledBack => false,
+        };
+        Some((ramp.to.clone(), wanted))
+    }
+
+    async fn attempt(&mut self, place: &Place) -> (Outcome, Option<Load>) {
+        let now = self.core.now();
+        let call = self.call;
+        let request = Request {
+            body: call.body.clone(),
+            caller: self.core.settings.borrow().service.clone(),
+            repeatable: call.route.class == Class::Repeatable,
+            fields: call.fields.clone(),
+            id: call.id.clone(),
+            left: call.deadline.since(now),
+            method: call.method.clone(),
+            priority: call.route.priority,
+            returned: call.returned,
+            route: call.route_id,
+            service: self.service.clone(),
+            target: call.target.clone(),
+            version: place.version.clone(),
+            worth_for: call.valued.since(now),
+        };
+        self.trail.sent += 1;
+        if place.host == *self.core.host() {
+            return here(self.core, request).await;
+        }
+        peers::request(self.core, &place.host, request).await
+    }
+
+    fn judge(&mut self, place: &Place, outcome: Outcome) -> Next {
+        match outcome {
+            Outcome::Answered(answer) if answer.not_run => {
+                self.again(Reason::Overloaded, Some(answer))
+            }
+            Outcome::Answered(answer) if answer.status >= 500 => {
+                self.ran = true;
+                self.again(Reason::Lost, Some(answer))
+            }
+            Outcome::Answered(answer) => Next::Done(Reply::Answer(answer)),
+            Outcome::Declined(reason, room_in) => self.declined(place, reason, room_in),
+            Outcome::Unknown(reason) => {
+                self.ran = true;
+                self.again(reason, None)
+            }
+        }
+    }
+
+    /// Goes on to the next place after a node turned the request away, which costs no upstream anything.
+    fn declined(&mut self, place: &Place, reason: Reason, room_in: Duration) -> Next {
+        self.trail.sent -= 1;
+        self.trail.declines += 1;
+        if reason == Reason::Overloaded {
+            let soonest = self.room_in.map_or(room_in, |known| known.min(room_in));
+            self.room_in = Some(soonest);
+            let now = self.core.now();
+            let priority = self.call.route.priority;
+            let mut placement = self.core.placement.borrow_mut();
+            placement.decline(now, &place.host, priority, room_in);
+        }
+        if self.trail.declines >= DECLINES_MAX || reason == Reason::Quarantined {
+            return Next::Done(self.refuse(reason));
+        }
+        Next::Again(reason)
+    }
+
+    /// Sends the request to another upstream if its class, its route and the shared allowance let it.
+    fn again(&mut self, reason: Reason, failure: Option<Answer>) -> Next {
+        let once = self.call.route.class == Class::Once;
+        let barred = once && self.ran;
+        let now = self.core.now();
+        let spent = self.trail.sent >= self.call.route.max_attempts;
+        let nodes = self.core.peers.nodes();
+        let mut retries = self.core.retries.borrow_mut();
+        let allowed = !barred
+            && !spent
+            && now < self.call.deadline
+            && retries.take(now, &self.service, nodes);
+        if failure.is_some() {
+            self.failure = failure;
+        }
+        if allowed {
+            return Next::Again(reason);
+        }
+        Next::Done(self.give_up(reason))
+    }
+
+    fn full(&mut self, full: Full) -> Reply {
+        match full {
+            Full::Declined => self.refuse(Reason::Overloaded),
+            Full::Nowhere if self.trail.declines > 0 => self.refuse(Reason::Overloaded),
+            Full::Nowhere => self.give_up(Reason::NoEndpoint),
+        }
+    }
+
+    fn give_up(&mut self, reason: Reason) -> Reply {
+        match self.failure.take() {
+            // That an earlier upstream may have run it makes a later one's "not run" untrue.
+            Some(answer) if !(answer.not_run && self.ran) => {
+                if answer.not_run {
+                    return self.refuse(reason);
+                }
+                Reply::Answer(answer)
+            }
+            _ => self.refuse(reason),
+        }
+    }
+
+    fn refuse(&self, reason: Reason) -> Reply {
+        if self.ran {
+            return Reply::Unknown(reason);
+        }
+        let left = self.call.deadline.since(self.core.now());
+        let room_in = self.room_in.unwrap_or(RETRY_AFTER_UNKNOWN);
+        // Spread, so that those who were refused together don't come back together.
+        let spread = rand::rng().random_range(1.0..1.6);
+        let after = room_in.max(RETRY_AFTER_MIN).mul_f64(spread);
+        Reply::Refused(reason, after.min(left / RETRY_AFTER_PART))
+    }
+}
+
+/// Counts an attempt as ended, also if its caller goes away in the middle.
+struct Attempt<'a> {
+    core: &'a Core,
+    over: bool,
+    place: &'a Place,
+}
+
+impl Attempt<'_> {
+    fn end(&mut self, outcome: &Outcome, load: Option<Load>) {
+        self.over = true;
+        let (now, end) = (self.core.now(), peers::end(outcome));
+        let mut placement = self.core.placement.borrow_mut();
+        placement.finish(now, &self.place.host, end, load);
+    }
+}
+
+impl Drop for Attempt<'_> {
+    fn drop(&mut self) {
+        if !self.over {
+            let now = self.core.now();
+            let mut placement = self.core.placement.borrow_mut();
+            placement.finish(now, &self.place.host, End::Silent, None);
+        }
+    }
+}
+
+/// Has the upstream on this host run a request. It goes on by itself if the caller goes away and it may not
+/// run again.
+async fn here(core: &Rc<Core>, request: Request) -> (Outcome, Option<Load>) {
+    let (_interest, cancelled) = oneshot::channel();
+    let (done, outcome) = oneshot::channel();
+    let serving = core.clone();
+    tokio::task::spawn_local(async move {
+        let outcome = egress::serve(&serving, request, cancelled).await;
+        // Nobody waits any more if the caller has gone.
+        let _ = done.send(outcome);
+    });
+    let outcome = outcome.await.unwrap_or(Outcome::Unknown(Reason::Lost));
+    (outcome, Some(core.egress.load()))
+}
+
+/// Gives a request's point between 0 and 1.
+#[expect(clippy::cast_precision_loss)]
+fn point(id: &str, seed: u64) -> f64 {
+    (xxh3_64_with_seed(id.as_bytes(), seed) >> 11) as f64 / (1_u64 << 53) as f64
+}
--- /dev/null
+++ b/src/sidecar/ramp.rs
@@ -0,0 +1,279 @@
+//! How a service's traffic moves to another version, and when the move is taken back.
+//!
+//! The load that it answers: a version that fails from the start, later, on one route only, or only once it
+//! carries load. The share stays small for half of the time, so that a version that is bad early is seen by
+//! few requests, then grows in steps that are as short as the evidence needs, so that one that is bad only
+//! under load meets few more. A version is judged by failures and by late runs, route by route, against the
+//! old version's in the same moments; see docs/design/rollouts.md for the test's error.
+
+use {
+    super::document::Order,
+    crate::{
+        rollout::detector::{Cell, Detector, Trials},
+        world::{Moment, Permille, Service, Version},
+    },
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// The steps of a move: from which part of its time on, in percent, which share the new version has.
+const STEPS: [(u32, Permille); 4] = [
+    (0, Permille(50)),
+    (50, Permille(250)),
+    (58, Permille(600)),
+    (66, Permille::WHOLE),
+];
+/// The part of a move's time, in percent, after which it may end well.
+const ENDS_AT: u32 = 82;
+/// How long the new version must have had all of the traffic, so that what runs on the old one ends.
+const DRAIN: Duration = Duration::from_millis(1500);
+/// The logarithm of the evidence that takes a version back: one good version in a thousand.
+const VERDICT: f64 = 6.9;
+/// The run time, as a multiple of the old version's average, from which a run counts as late: beyond what
+/// upstreams of one version differ by.
+const LATE_FACTOR: u32 = 4;
+/// The runs of the old version on a route that have to be seen before late ones are counted.
+const LATE_AFTER: u32 = 8;
+/// The prior chance that a version is bad from the start; the rest is spread over its time.
+const WEIGHT_AT_START: f64 = 0.5;
+
+/// How far a move has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Phase {
+    /// It is under way.
+    Running,
+    /// All traffic is on the new version for good.
+    Succeeded,
+    /// The new version is bad and gets no traffic for good.
+    RolledBack,
+}
+
+/// What every node routes a service's requests by while its traffic moves.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ramp {
+    /// How long the move has been under way, so that another node can go on with it.
+    pub elapsed: Duration,
+    /// From which run time on a run counts as late, by route.
+    pub late_after: BTreeMap<u64, Duration>,
+    /// The order's place in the store's history.
+    pub mark: u64,
+    /// How far it has come.
+    pub phase: Phase,
+    /// The service.
+    pub service: Service,
+    /// The new version's share.
+    pub share: Permille,
+    /// The new version.
+    pub to: Version,
+}
+
+impl Ramp {
+    /// Tells whether this is news after `held`.
+    #[must_use]
+    pub fn follows(&self, held: &Self) -> bool {
+        let order = |ramp: &Self| (ramp.mark, ramp.phase, ramp.elapsed);
+        order(self) > order(held)
+    }
+}
+
+/// What one upstream's runs on one route came to since the last report.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sums {
+    /// The runs that ended, or are late already.
+    pub done: u32,
+    /// Those that failed.
+    pub failed: u32,
+    /// Those that were late.
+    pub late: u32,
+    /// The time that the ended ones took.
+    pub time: Duration,
+}
+
+impl Sums {
+    fn add(&mut self, other: Self) {
+        self.done += other.done;
+        self.failed += other.failed;
+        self.late += other.late;
+        self.time += other.time;
+    }
+}
+
+/// A report of one upstream's runs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// The runs by route.
+    pub routes: BTreeMap<u64, Sums>,
+    /// The service.
+    pub service: Service,
+    /// The version that ran them.
+    pub version: Version,
+}
+
+#[derive(Debug, Default)]
+struct Window {
+    new: Sums,
+    old: Sums,
+}
+
+/// One move, at the node that conducts it.
+#[derive(Debug)]
+pub struct Move {
+    began: Moment,
+    judged: Moment,
+    old: BTreeMap<u64, Sums>,
+    order: Order,
+    phase: Phase,
+    /// The whole share has been given since then.
+    whole_since: Option<Moment>,
+    detectors: BTreeMap<u64, [Detector; 2]>,
+    window: BTreeMap<u64, Window>,
+}
+
+impl Move {
+    /// Takes up a move that has been under way for `elapsed`.
+    #[must_use]
+    pub fn new(now: Moment, order: Order, elapsed: Duration, phase: Phase) -> Self {
+        let micros = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
+        Self {
+            began: Moment(now.0.saturating_sub(micros)),
+            judged: now,
+            old: BTreeMap::new(),
+            order,
+            phase,
+            whole_since: None,
+            detectors: BTreeMap::new(),
+            window: BTreeMap::new(),
+        }
+    }
+
+    /// Gives the order.
+    #[must_use]
+    pub fn order(&self) -> &Order {
+        &self.order
+    }
+
+    /// Gives how far it has come.
+    #[must_use]
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// Takes over how it ended, as the store has it.
+    pub fn settle(&mut self, phase: Phase) {
+        self.phase = phase;
+    }
+
+    /// Takes evidence in.
+    pub fn add(&mut self, evidence: &Evidence) {
+        let new = evidence.version == self.order.to;
+        for (route, sums) in &evidence.routes {
+            let window = self.window.entry(*route).or_default();
+            if new {
+                window.new.add(*sums);
+            } else {
+                window.old.add(*sums);
+                self.old.entry(*route).or_default().add(*sums);
+            }
+        }
+    }
+
+    /// Judges what came in since the last call and gives what is to be in force. `serving` tells whether
+    /// the new version has upstreams.
+    pub fn step(&mut self, now: Moment, serving: bool) -> Ramp {
+        if self.phase == Phase::Running {
+            self.judge(now);
+            let share = self.share(now, serving);
+            if share == Permille::WHOLE {
+                let since = *self.whole_since.get_or_insert(now);
+                if now.since(since) >= DRAIN && self.percent(now) >= ENDS_AT {
+                    self.phase = Phase::Succeeded;
+                }
+            } else {
+                self.whole_since = None;
+            }
+        }
+        self.ramp(now, serving)
+    }
+
+    fn ramp(&self, now: Moment, serving: bool) -> Ramp {
+        Ramp {
+            elapsed: now.since(self.began),
+            late_after: self.late_after(),
+            mark: self.order.mark,
+            phase: self.phase,
+            service: self.order.service.clone(),
+            share: match self.phase {
+                Phase::Running => self.share(now, serving),
+                Phase::Succeeded => Permille::WHOLE,
+                Phase::RolledBack => Permille(0),
+            },
+            to: self.order.to.clone(),
+        }
+    }
+
+    fn percent(&self, now: Moment) -> u32 {
+        let part = now.since(self.began).as_millis() * 100 / self.order.duration.as_millis().max(1);
+        u32::try_from(part).unwrap_or(u32::MAX)
+    }
+
+    fn share(&self, now: Moment, serving: bool) -> Permille {
+        if !serving {
+            return Permille(0);
+        }
+        let percent = self.percent(now);
+        let steps = STEPS.iter().rev();
+        steps
+            .clone()
+            .find(|(from, _)| *from <= percent)
+            .map_or(STEPS[0].1, |(_, share)| *share)
+    }
+
+    fn late_after(&self) -> BTreeMap<u64, Duration> {
+        let known = self.old.iter().filter(|(_, sums)| sums.done >= LATE_AFTER);
+        known
+            .map(|(route, sums)| (*route, sums.time / sums.done * LATE_FACTOR))
+            .collect()
+    }
+
+    fn judge(&mut self, now: Moment) {
+        let span = self.order.duration.as_secs_f64().max(1.0);
+        let weight = (1.0 - WEIGHT_AT_START) * now.since(self.judged).as_secs_f64() / span;
+        self.judged = now;
+        let mut all = Window::default();
+        for (route, window) in std::mem::take(&mut self.window) {
+            all.new.add(window.new);
+            all.old.add(window.old);
+            let first = !self.detectors.contains_key(&route);
+            let weight = if first { WEIGHT_AT_START } else { weight };
+            let old = self.old.get(&route).copied().unwrap_or_default();
+            let detectors = self.detectors.entry(route).or_default();
+            for (detector, bad) in detectors
+                .iter_mut()
+                .zip([|sums: Sums| sums.failed, |sums: Sums| sums.late])
+            {
+                detector.update(weight, &[cell(&window, old, bad)]);
+                if detector.log() >= VERDICT {
+                    self.phase = Phase::RolledBack;
+                }
+            }
+        }
+    }
+}
+
+/// Sets a window's answers of the new version beside the old one's; beside all that the old one gave before
+/// if it gave none in the window.
+fn cell(window: &Window, before: Sums, bad: impl Fn(Sums) -> u32) -> Cell {
+    let old = if window.old.done > 0 {
+        window.old
+    } else {
+        before
+    };
+    let trials = |sums: Sums| Trials {
+        bad: f64::from(bad(sums)),
+        count: f64::from(sums.done),
+    };
+    Cell {
+        baseline: trials(old),
+        candidate: trials(window.new),
+    }
+}
