Place requests near while their target holds, and take none in late in a stop

Ruled out: the control traffic as the main part of the bytes (0.001 GB at the store, steps of 300 B).

--- a/src/sidecar/forward.rs
+++ b/src/sidecar/forward.rs
@@ -149,6 +149,7 @@
                     priority: self.call.route.priority,
                     service: &self.service,
                     version,
+                    worth_for: self.call.valued.since(now),
                 },
             )
         };
--- a/src/sidecar/ingress.rs
+++ b/src/sidecar/ingress.rs
@@ -376,6 +376,9 @@
     if !core.configured() {
         return rejected(Reason::NoRoute, 503);
     }
+    if core.is_closing() {
+        return rejected(Reason::Leaving, 503);
+    }
     let words = core.words;
     let Some(id) = http1::text(&request.fields, words.id).map(String::from) else {
         return rejected(Reason::BadRequest, 400);
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -42,7 +42,7 @@
 /// How long a stopping node goes on offering its upstream's slots: callers are still sent to it, and its
 /// place is taken over slowly.
 const OFFERS_WHILE_STOPPING: Duration = Duration::from_millis(1000);
-/// How long a stopping node takes new callers in: until whoever sends them here has noticed.
+/// How long a stopping node takes new requests in: until whoever sends callers here has noticed.
 const STOP_TAKES_CALLERS: Duration = Duration::from_millis(2500);
 /// The part of the grace period after which the node ends with whatever still runs.
 const STOP_RESERVE: Duration = Duration::from_millis(600);
@@ -124,6 +124,12 @@
         self.peers.broadcast(&Frame::Status(status));
     }
 
+    /// Tells whether the node stops and takes no new requests, so that what it has can end in time.
+    pub fn is_closing(&self) -> bool {
+        let since = self.stopping.get();
+        since.is_some_and(|since| self.now().since(since) >= STOP_TAKES_CALLERS)
+    }
+
     /// Gives this node's rank among those that may follow the store.
     pub fn rank(&self) -> usize {
         let own = Candidate {
--- a/src/sidecar/placement.rs
+++ b/src/sidecar/placement.rs
@@ -20,10 +20,17 @@
 
 /// The half-life of a report of other nodes' load: about one run.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
-/// What leaving the own failure domain counts as, beside the time it takes.
-const DOMAIN_COST: Duration = Duration::from_millis(60);
-/// What leaving the region counts as, beside the time it takes: the link is narrow and billed by volume.
-const REGION_COST: Duration = Duration::from_millis(350);
+/// What leaving the own failure domain counts as: traffic between domains is billed by volume.
+const DOMAIN_COST: Duration = Duration::from_millis(150);
+/// What leaving the region counts as: the link is narrow as well, and a round trip takes longer.
+const REGION_COST: Duration = Duration::from_millis(400);
+/// The part of a request's time to its target within which an average answer counts as in time: run times
+/// vary, and the target has to hold for most of them.
+const SAFE_PART: f64 = 0.6;
+/// What the time within the safe part counts as: a faster answer is no better, but leaves room for others.
+const EARLY_WEIGHT: f64 = 0.15;
+/// What the time beyond the safe part counts as.
+const LATE_WEIGHT: f64 = 2.0;
 /// By how much a just started upstream is slower than a warm one, until the time that it states.
 const COLD_FACTOR: f64 = 2.0;
 /// The weight of a new outcome in the average of failures.
@@ -95,8 +102,9 @@
         self.failure * (-age).exp2()
     }
 
-    /// The expected time to an answer, with distance and failures counted as time, in seconds.
-    fn cost(&self, now: Moment, typical: Duration) -> f64 {
+    /// What a request costs here: the expected time to its answer, most of all what lies beyond the time in
+    /// which it is worth most, with distance and failures counted as time, in seconds.
+    fn cost(&self, now: Moment, typical: Duration, worth_for: Duration) -> f64 {
         let run = self.run(now, typical);
         let slots = f64::from(self.offer.slots.max(1));
         let ahead = (self.occupied(now) + 1.0 - slots).max(0.0);
@@ -107,8 +115,10 @@
             Tier::Region => DOMAIN_COST,
             Tier::Remote => REGION_COST,
         };
-        run + run * ahead / slots
-            + crowding
+        let time = run + run * ahead / slots + crowding;
+        let beyond = (time - SAFE_PART * worth_for.as_secs_f64()).max(0.0);
+        EARLY_WEIGHT * time
+            + LATE_WEIGHT * beyond
             + distance.as_secs_f64()
             + FAILURE_COST.as_secs_f64() * self.failing(now)
     }
@@ -131,6 +141,8 @@
     pub service: &'a Service,
     /// The version that it must run on, or must not, if a move between versions is under way.
     pub version: Option<(&'a Version, bool)>,
+    /// For how long its answer has its full value.
+    pub worth_for: Duration,
 }
 
 /// Where a request is sent.
@@ -231,7 +243,7 @@
                 declined = true;
                 continue;
             }
-            let cost = endpoint.cost(now, typical);
+            let cost = endpoint.cost(now, typical, request.worth_for);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, host));
             }
