Continue a move step by step, from its own time

Ruled out: a lost verdict (no conductor had evidence yet), a crossed order (the marks are right). Now the record carries the move's own time, and each step needs its own time and runs under a conductor that saw them. Test: move_that_is_taken_over_late_goes_on_step_by_step.

--- a/src/sidecar/conductor.rs
+++ b/src/sidecar/conductor.rs
@@ -44,8 +44,8 @@
             None => core.conductor.borrow_mut().add(&evidence),
         }
     }
-    adopt(core);
     if first.is_some() {
+        adopt(core, now);
         return;
     }
     let mut news = Vec::new();
@@ -85,16 +85,14 @@
     record(core, store);
 }
 
-/// Takes over what another conductor has decided.
-fn adopt(core: &Core) {
+/// Takes over what another conductor has in force, so that this one can go on from there.
+fn adopt(core: &Core, now: Moment) {
     let ramps = core.ramps.borrow();
     let mut conductor = core.conductor.borrow_mut();
     for (service, held) in &mut conductor.moves {
-        let ended = ramps
-            .get(service)
-            .filter(|ramp| ramp.mark == held.order().mark && ramp.phase != Phase::Running);
-        if let Some(ramp) = ended {
-            held.settle(ramp.phase);
+        let ramp = ramps.get(service);
+        if let Some(ramp) = ramp.filter(|ramp| ramp.mark == held.order().mark) {
+            held.follow(now, ramp);
         }
     }
 }
@@ -166,10 +164,9 @@
     if held.order().mark != standing.mark {
         return;
     }
-    if standing.phase != Phase::Running {
+    if standing.phase == Phase::Running {
+        held.backdate(core.now(), standing.elapsed);
+    } else {
         held.settle(standing.phase);
-    } else if standing.elapsed > record.elapsed {
-        let order = held.order().clone();
-        *held = Move::new(core.now(), order, standing.elapsed, Phase::Running);
     }
 }
--- a/src/sidecar/follower.rs
+++ b/src/sidecar/follower.rs
@@ -4,16 +4,16 @@
     super::{
         document::Order,
         duty::{READERS, Reach},
-        frame::Frame,
         node::Core,
         ramp::Move,
         store::{Fault, Orders, Store},
     },
+    crate::world::Permille,
     std::{rc::Rc, time::Duration},
 };
 
 /// How long a read waits for news: also how long a silent store stays unnoticed.
-const WAIT: Duration = Duration::from_millis(2000);
+const WAIT: Duration = Duration::from_secs(2);
 /// How long one that does not read looks whether it should.
 const IDLE: Duration = Duration::from_millis(250);
 /// The pause after a failed call.
@@ -50,7 +50,7 @@
             Ok(orders) => {
                 reached(&core);
                 mark = Some(orders.mark);
-                take(&core, orders).await;
+                take(&core, orders);
             }
             Err(Fault::HistoryGone) => {
                 mark = None;
@@ -140,14 +140,13 @@
     );
 }
 
-async fn take(core: &Rc<Core>, orders: Orders) {
+fn take(core: &Rc<Core>, orders: Orders) {
     for order in orders.moves {
         take_move(core, order);
     }
     let Some(document) = orders.document else {
         return;
     };
-    let held = core.document.borrow().clone();
     if !core.install(document, "store") {
         return;
     }
@@ -159,7 +158,6 @@
         });
         return;
     }
-    drop(held);
     hand_out(core);
 }
 
@@ -194,17 +192,17 @@
         ),
     );
     let ramps = core.ramps.borrow();
-    let ramp = ramps
+    let held = ramps
         .get(&order.service)
         .filter(|ramp| ramp.mark == order.mark);
-    let (elapsed, phase) = ramp.map_or(Default::default(), |ramp| (ramp.elapsed, Some(ramp.phase)));
     let service = order.service.clone();
-    let begun = Move::new(
-        now,
-        order,
-        elapsed,
-        phase.unwrap_or(super::ramp::Phase::Running),
-    );
+    let begun = match held {
+        Some(ramp) => {
+            let mut begun = Move::new(now, order, ramp.elapsed, ramp.share);
+            begun.settle(ramp.phase);
+            begun
+        }
+        None => Move::new(now, order, Duration::ZERO, Permille(0)),
+    };
     conductor.moves.insert(service, begun);
-    core.peers.broadcast(&Frame::Status(core.status()));
 }
--- a/src/sidecar/ramp.rs
+++ b/src/sidecar/ramp.rs
@@ -23,6 +23,13 @@
     (58, Permille(600)),
     (66, Permille::WHOLE),
 ];
+/// How long each step lasts at least, whatever the time that is left: a step that nobody watched shows nothing,
+/// and a move that is late harms less than a bad version with all of the traffic.
+const STEP_MIN: Duration = Duration::from_millis(900);
+/// The runs of the new version that a step has to show, unless there is too little traffic for it.
+const STEP_RUNS: u32 = 10;
+/// After how long a step with little traffic is over.
+const STEP_QUIET: Duration = Duration::from_secs(3);
 /// The part of a move's time, in percent, after which it may end well.
 const ENDS_AT: u32 = 82;
 /// How long the new version must have had all of the traffic, so that what runs on the old one ends.
@@ -123,29 +130,58 @@
     old: BTreeMap<u64, Sums>,
     order: Order,
     phase: Phase,
-    /// The whole share has been given since then.
-    whole_since: Option<Moment>,
+    step: usize,
+    step_began: Moment,
+    step_runs: u32,
     detectors: BTreeMap<u64, [Detector; 2]>,
     window: BTreeMap<u64, Window>,
 }
 
 impl Move {
-    /// Takes up a move that has been under way for `elapsed`.
+    /// Takes up a move that has been under way for `elapsed` and gave the new version `share`.
     #[must_use]
-    pub fn new(now: Moment, order: Order, elapsed: Duration, phase: Phase) -> Self {
+    pub fn new(now: Moment, order: Order, elapsed: Duration, share: Permille) -> Self {
         let micros = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
+        let reached = STEPS.iter().rposition(|(_, step)| *step <= share);
         Self {
             began: Moment(now.0.saturating_sub(micros)),
             judged: now,
             old: BTreeMap::new(),
             order,
-            phase,
-            whole_since: None,
+            phase: Phase::Running,
+            step: reached.unwrap_or_default(),
+            step_began: now,
+            step_runs: 0,
             detectors: BTreeMap::new(),
             window: BTreeMap::new(),
         }
     }
 
+    /// Takes over what another node has in force.
+    pub fn follow(&mut self, now: Moment, ramp: &Ramp) {
+        self.phase = self.phase.max(ramp.phase);
+        self.backdate(now, ramp.elapsed);
+        let reached = STEPS.iter().rposition(|(_, step)| *step <= ramp.share);
+        let step = reached.unwrap_or_default();
+        if step != self.step {
+            self.step = step;
+            self.step_began = now;
+            self.step_runs = 0;
+        }
+    }
+
+    /// Gives how long it has been under way.
+    #[must_use]
+    pub fn elapsed(&self, now: Moment) -> Duration {
+        now.since(self.began)
+    }
+
+    /// Takes over from the store since when it has been under way, if that is longer than was known here.
+    pub fn backdate(&mut self, now: Moment, elapsed: Duration) {
+        let micros = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
+        self.began = self.began.min(Moment(now.0.saturating_sub(micros)));
+    }
+
     /// Gives the order.
     #[must_use]
     pub fn order(&self) -> &Order {
@@ -169,6 +205,7 @@
         for (route, sums) in &evidence.routes {
             let window = self.window.entry(*route).or_default();
             if new {
+                self.step_runs += sums.done;
                 window.new.add(*sums);
             } else {
                 window.old.add(*sums);
@@ -182,52 +219,56 @@
     pub fn step(&mut self, now: Moment, serving: bool) -> Ramp {
         if self.phase == Phase::Running {
             self.judge(now);
-            let share = self.share(now, serving);
-            if share == Permille::WHOLE {
-                let since = *self.whole_since.get_or_insert(now);
-                if now.since(since) >= DRAIN && self.percent(now) >= ENDS_AT {
-                    self.phase = Phase::Succeeded;
-                }
-            } else {
-                self.whole_since = None;
-            }
+        }
+        if self.phase == Phase::Running {
+            self.advance(now, serving);
         }
         self.ramp(now, serving)
     }
 
+    fn advance(&mut self, now: Moment, serving: bool) {
+        if !serving {
+            self.step = 0;
+            self.step_began = now;
+            self.step_runs = 0;
+            return;
+        }
+        let lasted = now.since(self.step_began);
+        let Some((from, _)) = STEPS.get(self.step + 1) else {
+            if lasted >= DRAIN && self.percent(now) >= ENDS_AT {
+                self.phase = Phase::Succeeded;
+            }
+            return;
+        };
+        let shown = self.step_runs >= STEP_RUNS && lasted >= STEP_MIN;
+        if self.percent(now) >= *from && (shown || lasted >= STEP_QUIET) {
+            self.step += 1;
+            self.step_began = now;
+            self.step_runs = 0;
+        }
+    }
+
     fn ramp(&self, now: Moment, serving: bool) -> Ramp {
         Ramp {
-            elapsed: now.since(self.began),
+            elapsed: self.elapsed(now),
             late_after: self.late_after(),
             mark: self.order.mark,
             phase: self.phase,
             service: self.order.service.clone(),
             share: match self.phase {
-                Phase::Running => self.share(now, serving),
+                Phase::Running if serving => STEPS[self.step].1,
+                Phase::Running | Phase::RolledBack => Permille(0),
                 Phase::Succeeded => Permille::WHOLE,
-                Phase::RolledBack => Permille(0),
             },
             to: self.order.to.clone(),
         }
     }
 
     fn percent(&self, now: Moment) -> u32 {
-        let part = now.since(self.began).as_millis() * 100 / self.order.duration.as_millis().max(1);
+        let part = self.elapsed(now).as_millis() * 100 / self.order.duration.as_millis().max(1);
         u32::try_from(part).unwrap_or(u32::MAX)
     }
 
-    fn share(&self, now: Moment, serving: bool) -> Permille {
-        if !serving {
-            return Permille(0);
-        }
-        let percent = self.percent(now);
-        let steps = STEPS.iter().rev();
-        steps
-            .clone()
-            .find(|(from, _)| *from <= percent)
-            .map_or(STEPS[0].1, |(_, share)| *share)
-    }
-
     fn late_after(&self) -> BTreeMap<u64, Duration> {
         let known = self.old.iter().filter(|(_, sums)| sums.done >= LATE_AFTER);
         known
--- /dev/null
+++ b/tests/sidecar/ramp.rs
@@ -0,0 +1,187 @@
+use {
+    mulberryshelf::{
+        sidecar::{
+            document::Order,
+            ramp::{Evidence, Move, Phase, Ramp, Sums},
+        },
+        world::{Moment, Permille, Service, Version},
+    },
+    rand::{Rng, SeedableRng, rngs::StdRng},
+    std::{collections::BTreeMap, time::Duration},
+};
+
+const DURATION: Duration = Duration::from_secs(16);
+const ROUTES: u64 = 2;
+const RATE: u32 = 50;
+
+fn at(millis: u64) -> Moment {
+    Moment(1_000_000_000) + Duration::from_millis(millis)
+}
+
+fn desk() -> Service {
+    "desk".parse().unwrap()
+}
+
+fn version(name: &str) -> Version {
+    name.parse().unwrap()
+}
+
+fn order() -> Order {
+    Order {
+        duration: DURATION,
+        mark: 7,
+        service: desk(),
+        to: version("v2"),
+    }
+}
+
+/// What a run of the new version comes to: whether it fails, and by which factor it is slower.
+type Behaviour = fn(now: u64, route: u64, share: Permille, rng: &mut StdRng) -> (bool, u32);
+
+struct Played {
+    /// The requests that the new version got until the end.
+    new: u32,
+    /// All requests until the end.
+    all: u32,
+    /// When the move ended.
+    ended: u64,
+    phase: Phase,
+}
+
+/// Plays a move: 50 requests a second on each of two routes, whose old version takes 100 ms.
+fn play(seed: u64, behaviour: Behaviour) -> Played {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut held = Move::new(at(0), order(), Duration::ZERO, Permille(0));
+    let mut ramp: Option<Ramp> = None;
+    let (mut new, mut all) = (0, 0);
+    for step in 0..80_u64 {
+        let now = step * 250;
+        let share = ramp.as_ref().map_or(Permille(0), |ramp| ramp.share);
+        for route in 0..ROUTES {
+            let mut sums = [Sums::default(), Sums::default()];
+            for _ in 0..RATE / 4 {
+                let moved = rng.random_range(0..1000) < share.0;
+                let (failed, factor) = if moved {
+                    behaviour(now, route, share, &mut rng)
+                } else {
+                    (rng.random_bool(0.002), 1)
+                };
+                let run = Duration::from_millis(rng.random_range(40..180)) * factor;
+                let late_after = ramp.as_ref().and_then(|ramp| ramp.late_after.get(&route));
+                let sums = &mut sums[usize::from(moved)];
+                sums.done += 1;
+                sums.failed += u32::from(failed);
+                sums.late += u32::from(late_after.is_some_and(|late| run > *late));
+                sums.time += run;
+                all += 1;
+                new += u32::from(moved);
+            }
+            for (sums, name) in sums.into_iter().zip(["v1", "v2"]) {
+                held.add(&Evidence {
+                    routes: BTreeMap::from([(route, sums)]),
+                    service: desk(),
+                    version: version(name),
+                });
+            }
+        }
+        let stepped = held.step(at(now), true);
+        if stepped.phase != Phase::Running {
+            return Played {
+                all,
+                ended: now,
+                new,
+                phase: stepped.phase,
+            };
+        }
+        ramp = Some(stepped);
+    }
+    panic!("the move did not end");
+}
+
+/// Plays twenty moves; each must be taken back, and no more than a tenth of the service's requests over the
+/// whole time, and 50, may reach the bad version.
+fn is_taken_back(behaviour: Behaviour) {
+    for seed in 0..20 {
+        let played = play(seed, behaviour);
+        assert_eq!(played.phase, Phase::RolledBack, "seed {seed}");
+        let whole = 16 * RATE * u32::try_from(ROUTES).unwrap();
+        let allowed = whole / 10 + 50;
+        assert!(
+            played.new <= allowed,
+            "seed {seed}: {} of {allowed}",
+            played.new
+        );
+    }
+}
+
+#[test]
+fn good_version_has_all_traffic_in_time() {
+    for seed in 0..40 {
+        let played = play(seed, |_, _, _, rng| (rng.random_bool(0.002), 1));
+        assert_eq!(played.phase, Phase::Succeeded, "seed {seed}");
+        assert!(played.ended < 15_000, "seed {seed}: {} ms", played.ended);
+        assert!(played.new < played.all);
+    }
+}
+
+#[test]
+fn version_that_fails_is_taken_back() {
+    is_taken_back(|_, _, _, rng| (rng.random_bool(0.5), 1));
+}
+
+#[test]
+fn version_that_is_slow_is_taken_back() {
+    is_taken_back(|_, _, _, _| (false, 8));
+}
+
+#[test]
+fn version_that_fails_later_is_taken_back() {
+    is_taken_back(|now, _, _, rng| (now > 9_000 && rng.random_bool(0.5), 1));
+}
+
+#[test]
+fn version_that_fails_under_load_is_taken_back() {
+    is_taken_back(|_, _, share, rng| (share > Permille(300) && rng.random_bool(0.5), 1));
+}
+
+#[test]
+fn version_that_fails_on_one_route_is_taken_back() {
+    is_taken_back(|_, route, _, rng| (route == 1 && rng.random_bool(0.5), 1));
+}
+
+/// A move whose conductors failed one after the other was continued by its elapsed time alone, and gave a bad
+/// version all of the traffic before anybody had watched it (`EXPOSURE` on a day with a store outage and
+/// rolling restarts).
+#[test]
+fn move_that_is_taken_over_late_goes_on_step_by_step() {
+    let mut held = Move::new(at(0), order(), Duration::ZERO, Permille(0));
+    held.backdate(at(0), Duration::from_secs(24));
+    let shares: Vec<Permille> = (0..12)
+        .map(|step| held.step(at(step * 250), true).share)
+        .collect();
+    assert!(
+        shares.iter().all(|share| *share == Permille(50)),
+        "{shares:?}"
+    );
+}
+
+#[test]
+fn second_conductor_goes_on_from_the_share_in_force() {
+    let mut first = Move::new(at(0), order(), Duration::ZERO, Permille(600));
+    let ramp = first.step(at(9_000), true);
+    let mut second = Move::new(at(0), order(), Duration::ZERO, Permille(0));
+    second.follow(at(9_000), &ramp);
+    assert_eq!(second.step(at(9_100), true).share, Permille(600));
+}
+
+#[test]
+fn end_stands_whatever_comes_later() {
+    let mut held = Move::new(at(0), order(), Duration::ZERO, Permille(0));
+    held.settle(Phase::RolledBack);
+    let ramp = held.step(at(20_000), true);
+    assert_eq!((ramp.phase, ramp.share), (Phase::RolledBack, Permille(0)));
+    let mut running = ramp.clone();
+    running.phase = Phase::Running;
+    running.elapsed += Duration::from_secs(9);
+    assert!(!running.follows(&ramp));
+}
