--- a/src/sidecar/forward.rs
+++ b/src/sidecar/forward.rs
@@ -235,7 +235,7 @@
             placement.decline(now, &place.host, priority, room_in);
         }
         if self.trail.declines >= DECLINES_MAX || reason == Reason::Quarantined {
-            return Next::Done(self.refuse(reason));
+            return Next::Done(self.give_up(reason));
         }
         Next::Again(reason)
     }
@@ -252,7 +252,8 @@
             && !spent
             && now < self.call.deadline
             && retries.take(now, &self.service, nodes);
-        if failure.is_some() {
+        // An answer that it has not run says less than an earlier failure.
+        if failure.is_some() && !(self.ran && self.failure.is_some()) {
             self.failure = failure;
         }
         if allowed {
@@ -263,29 +264,22 @@
 
     fn full(&mut self, full: Full) -> Reply {
         match full {
-            Full::Declined => self.refuse(Reason::Overloaded),
-            Full::Nowhere if self.trail.declines > 0 => self.refuse(Reason::Overloaded),
-            Full::Nowhere => self.give_up(Reason::NoEndpoint),
+            Full::Nowhere if self.trail.declines == 0 => self.give_up(Reason::NoEndpoint),
+            Full::Nowhere | Full::Declined => self.give_up(Reason::Overloaded),
         }
     }
 
+    /// Gives what the caller is told if there is no further attempt: an upstream's failure if one came, and
+    /// that the request has not run only if that is so at every upstream.
     fn give_up(&mut self, reason: Reason) -> Reply {
         match self.failure.take() {
-            // That an earlier upstream may have run it makes a later one's "not run" untrue.
-            Some(answer) if !(answer.not_run && self.ran) => {
-                if answer.not_run {
-                    return self.refuse(reason);
-                }
-                Reply::Answer(answer)
-            }
+            Some(answer) if !answer.not_run => Reply::Answer(answer),
+            _ if self.ran => Reply::Unknown(reason),
             _ => self.refuse(reason),
         }
     }
 
     fn refuse(&self, reason: Reason) -> Reply {
-        if self.ran {
-            return Reply::Unknown(reason);
-        }
         let left = self.call.deadline.since(self.core.now());
         let room_in = self.room_in.unwrap_or(RETRY_AFTER_UNKNOWN);
         // Spread, so that those who were refused together don't come back together.
--- a/src/sidecar/queue.rs
+++ b/src/sidecar/queue.rs
@@ -97,7 +97,7 @@
             actions.push(Action::Start(ticket));
             return actions;
         }
-        let wait = self.wait(demand.priority);
+        let wait = self.wait(now, &demand);
         let latest = if demand.returned {
             now + demand.deadline.since(now).mul_f64(RETURNED_PART)
         } else {
@@ -163,17 +163,20 @@
     }
 
     fn next(&self, now: Moment) -> Option<usize> {
-        let rank = |waiting: &Waiting| {
-            let run = self.run(Some(waiting.demand.route));
-            let late = now + run > waiting.demand.target;
-            (waiting.demand.priority, late, waiting.arrived)
-        };
         let places = self.waiting.iter().enumerate();
         places
-            .min_by_key(|(_, waiting)| rank(waiting))
+            .min_by_key(|(_, waiting)| (self.rank(now, &waiting.demand), waiting.arrived))
             .map(|(place, _)| place)
     }
 
+    /// Whoever has the lower rank goes first: the more urgent route, what can still meet its target, and
+    /// what has to meet it sooner.
+    fn rank(&self, now: Moment, demand: &Demand) -> (u32, bool, Moment) {
+        let run = self.run(Some(demand.route));
+        let late = now + run > demand.target;
+        (demand.priority, late, demand.target)
+    }
+
     fn expire(&mut self, now: Moment) -> Vec<Action> {
         let mut actions = Vec::new();
         let (runs, overall) = (&self.runs, self.overall);
@@ -188,10 +191,11 @@
         actions
     }
 
-    /// The time until a request of a rank would start, if nothing more urgent arrived.
-    fn wait(&self, priority: u32) -> Duration {
+    /// The time until a request would start, if nothing that goes before it arrived.
+    fn wait(&self, now: Moment, demand: &Demand) -> Duration {
+        let rank = self.rank(now, demand);
         let ahead = self.waiting.iter();
-        let ahead = ahead.filter(|waiting| waiting.demand.priority <= priority);
+        let ahead = ahead.filter(|waiting| self.rank(now, &waiting.demand) <= rank);
         let work: Duration = ahead
             .map(|waiting| self.run(Some(waiting.demand.route)))
             .sum();
