--- a/src/http1/reader.rs
+++ b/src/http1/reader.rs
@@ -121,6 +121,19 @@
         Err(Fault::Malformed("too many interim responses"))
     }
 
+    /// Drops what comes until the connection ends; tells whether it did within a time.
+    pub async fn ended(&mut self, patience: Duration) -> bool {
+        let ending = async {
+            loop {
+                self.buffer.clear();
+                if !matches!(self.fill().await, Ok(1..)) {
+                    return;
+                }
+            }
+        };
+        timeout(patience, ending).await.is_ok()
+    }
+
     async fn head<T>(
         &mut self,
         most: usize,
--- a/src/sidecar/egress.rs
+++ b/src/sidecar/egress.rs
@@ -46,6 +46,9 @@
     leaving: bool,
 }
 
+/// Whether a request may run, or why not and when there is likely room.
+type Decision = Result<(), (Reason, Duration)>;
+
 struct Running {
     began: Moment,
     late: bool,
@@ -63,7 +66,7 @@
     sums: RefCell<BTreeMap<u64, Sums>>,
     tickets: Cell<u64>,
     upstream: Upstream,
-    waiting: RefCell<HashMap<Ticket, oneshot::Sender<Result<(), (Reason, Duration)>>>>,
+    waiting: RefCell<HashMap<Ticket, oneshot::Sender<Decision>>>,
 }
 
 impl State {
@@ -118,9 +121,10 @@
     }
 
     /// Takes an announcement; tells whether what the upstream offers has changed.
-    pub fn announce(&self, core: &Core, announcement: Announcement) -> bool {
+    pub fn announce(&self, core: &Core, mut announcement: Announcement) -> bool {
         let now = core.now();
         let before = self.offer(now);
+        let mut cold_until = now + announcement.offer.cold;
         {
             let mut registered = self.registered.borrow_mut();
             if let Some(held) = registered.as_ref() {
@@ -130,6 +134,11 @@
                 if stale || (same && held.leaving && !announcement.draining) {
                     return false;
                 }
+                if same {
+                    // What is left of a start's cold time shrinks by itself and is no news.
+                    announcement.offer.cold = held.announced.offer.cold;
+                    cold_until = held.cold_until;
+                }
             }
             let restarted = registered
                 .as_ref()
@@ -152,7 +161,7 @@
             }
             self.queue.borrow_mut().resize(announcement.offer.slots);
             *registered = Some(Registered {
-                cold_until: now + announcement.offer.cold,
+                cold_until,
                 down_until: Moment::default(),
                 heard: now,
                 leaving: announcement.draining,
--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -208,9 +208,10 @@
             buffer.reserve(READ_BYTES);
         }
         if io.read_buf(buffer).await? == 0 {
-            return match buffer.is_empty() {
-                true => Ok(None),
-                false => Err(std::io::ErrorKind::UnexpectedEof.into()),
+            return if buffer.is_empty() {
+                Ok(None)
+            } else {
+                Err(std::io::ErrorKind::UnexpectedEof.into())
             };
         }
     }
--- a/src/sidecar/ingress.rs
+++ b/src/sidecar/ingress.rs
@@ -145,7 +145,7 @@
         let read = request(&mut reader, limits, answers).await;
         if connection.closing.get() {
             // It was sent behind an answer that closes the connection, and counts as not read.
-            return watch(&mut reader).await;
+            return reader.ended(limits.idle_timeout).await;
         }
         let seat = Seat::take(core);
         connection.taken.set(connection.taken.get() + 1);
@@ -163,7 +163,7 @@
                     let _ = done.send(encoded);
                 });
                 if last {
-                    return watch(&mut reader).await;
+                    return reader.ended(limits.idle_timeout).await;
                 }
             }
             Err(fault) => {
@@ -195,18 +195,6 @@
     reader.request(limits, proceed).await
 }
 
-/// Waits for the end of a connection on which no more requests are taken; tells that the caller has gone.
-async fn watch(reader: &mut Reader<OwnedReadHalf>) -> bool {
-    // Bytes that came already belong to no request that is taken.
-    while !reader.has_unclaimed() {
-        match reader.begun().await {
-            Ok(true) => break,
-            Ok(false) | Err(_) => return true,
-        }
-    }
-    false
-}
-
 async fn write(
     core: Rc<Core>,
     connection: Rc<Connection>,
@@ -282,55 +270,27 @@
     let close = request.close;
     let id = http1::text(&request.fields, core.words.id).map(String::from);
     let mut trail = Trail::default();
-    let (route, reply) = match admit(core, request, arrived) {
-        Ok(call) => {
-            let reply = forward::send(core, &call, &mut trail).await;
-            (call.route.name.clone(), Ok(reply))
-        }
-        Err(rejected) => (String::new(), Err(rejected)),
-    };
-    let (status, mut fields, body, outcome, reason) = match reply {
-        Ok(Reply::Answer(answer)) => {
-            let reason = answer.status.to_string();
-            (
-                answer.status,
-                answer.fields,
-                answer.body,
-                "answered",
-                reason,
-            )
-        }
-        Ok(Reply::Refused(reason, after)) => (
-            503,
-            vec![retry_after(after)],
-            Bytes::new(),
-            "refused",
-            reason.to_string(),
-        ),
-        Ok(Reply::Unknown(Reason::Deadline)) => {
-            let reason = Reason::Deadline.to_string();
-            (504, Vec::new(), Bytes::new(), "unknown", reason)
-        }
-        Ok(Reply::Unknown(reason)) => {
-            (502, Vec::new(), Bytes::new(), "unknown", reason.to_string())
-        }
-        Err(Rejected { reason, status }) => {
-            let fields = match status {
-                503 => vec![retry_after(CONFIGURED_IN)],
-                _ => Vec::new(),
-            };
-            (status, fields, Bytes::new(), "rejected", reason.to_string())
-        }
+    let admitted = admit(core, request, arrived);
+    let told = match &admitted {
+        Ok(call) => told(forward::send(core, call, &mut trail).await),
+        Err(rejected) => rejected.told(),
     };
     let took = core.now().since(arrived);
-    let text = id.as_deref().unwrap_or("-");
-    core.metrics.outcome(&route, outcome, &reason, took);
+    let call = admitted.as_ref().ok();
+    let route = call.map_or("", |call| call.route.name.as_str());
+    core.metrics
+        .outcome(route, told.outcome, &told.reason, took);
     core.log.line(
         core.now(),
         "request",
         format_args!(
-            "id={text} route={route} service={} outcome={outcome} reason={reason} status={status} took_ms={} document={} sent={} declines={} hosts={}",
+            "id={} {} service={} outcome={} reason={} status={} took_ms={} document={} sent={} declines={} hosts={}",
+            id.as_deref().unwrap_or("-"),
+            Ask { arrived, call },
             trail.service.as_ref().map_or("-", |service| service.as_str()),
+            told.outcome,
+            told.reason,
+            told.status,
             took.as_millis(),
             core.number(),
             trail.sent,
@@ -338,17 +298,73 @@
             Hosts(&trail),
         ),
     );
+    let mut fields = told.fields;
     if let Some(id) = id
         && http1::text(&fields, core.words.id).is_none()
     {
         fields.push(Field::new(core.words.id, id));
     }
     Encoded {
-        bytes: http1::response(status, &fields, &body, false),
+        bytes: http1::response(told.status, &fields, &told.body, false),
         close,
     }
 }
 
+/// What a caller is told, and why.
+struct Told {
+    body: Bytes,
+    fields: Vec<Field>,
+    outcome: &'static str,
+    reason: String,
+    status: u16,
+}
+
+fn told(reply: Reply) -> Told {
+    let empty = |status, outcome, reason: Reason, fields| Told {
+        body: Bytes::new(),
+        fields,
+        outcome,
+        reason: reason.to_string(),
+        status,
+    };
+    match reply {
+        Reply::Answer(answer) => Told {
+            body: answer.body,
+            fields: answer.fields,
+            outcome: "answered",
+            reason: answer.status.to_string(),
+            status: answer.status,
+        },
+        Reply::Refused(reason, after) => empty(503, "refused", reason, vec![retry_after(after)]),
+        Reply::Unknown(Reason::Deadline) => empty(504, "unknown", Reason::Deadline, Vec::new()),
+        Reply::Unknown(reason) => empty(502, "unknown", reason, Vec::new()),
+    }
+}
+
+/// What a request asked for, for the log.
+struct Ask<'a> {
+    arrived: Moment,
+    call: Option<&'a Call>,
+}
+
+impl std::fmt::Display for Ask<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        let Some(call) = self.call else {
+            return f.write_str("route=-");
+        };
+        write!(
+            f,
+            "route={} class={:?} priority={} left_ms={} worth_for_ms={} returned={}",
+            call.route.name,
+            call.route.class,
+            call.route.priority,
+            call.deadline.since(self.arrived).as_millis(),
+            call.valued.since(self.arrived).as_millis(),
+            call.returned
+        )
+    }
+}
+
 struct Hosts<'a>(&'a Trail);
 
 impl std::fmt::Display for Hosts<'_> {
@@ -365,11 +381,28 @@
     Field::new("Retry-After", format!("{:.2}", after.as_secs_f64()))
 }
 
+/// A request that never set out.
 struct Rejected {
     reason: Reason,
     status: u16,
 }
 
+impl Rejected {
+    fn told(&self) -> Told {
+        let fields = match self.status {
+            503 => vec![retry_after(CONFIGURED_IN)],
+            _ => Vec::new(),
+        };
+        Told {
+            body: Bytes::new(),
+            fields,
+            outcome: "rejected",
+            reason: self.reason.to_string(),
+            status: self.status,
+        }
+    }
+}
+
 /// Finds the route of a request and what it states about itself.
 fn admit(core: &Core, request: Request, arrived: Moment) -> Result<Call, Rejected> {
     let rejected = |reason, status| Err(Rejected { reason, status });
@@ -426,5 +459,5 @@
     let mut longest = core.longest.borrow_mut();
     let longest = longest.entry(route).or_default();
     *longest = left.max(*longest);
-    *longest - left
+    longest.saturating_sub(left)
 }
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -41,7 +41,7 @@
 const DIFFERENCES_KEPT: usize = 32;
 /// How long a stopping node goes on offering its upstream's slots: callers are still sent to it, and its
 /// place is taken over slowly.
-const OFFERS_WHILE_STOPPING: Duration = Duration::from_millis(1000);
+const OFFERS_WHILE_STOPPING: Duration = Duration::from_secs(1);
 /// How long a stopping node takes new requests in: until whoever sends callers here has noticed.
 const STOP_TAKES_CALLERS: Duration = Duration::from_millis(2500);
 /// The part of the grace period after which the node ends with whatever still runs.
--- a/src/sidecar/upstream.rs
+++ b/src/sidecar/upstream.rs
@@ -174,9 +174,8 @@
 
     async fn dial(&self) -> Result<Connection, Reason> {
         let connecting = TcpStream::connect(self.address.get());
-        let stream = match timeout(DIAL_TIMEOUT, connecting).await {
-            Ok(Ok(stream)) => stream,
-            _ => return Err(Reason::Dial),
+        let Ok(Ok(stream)) = timeout(DIAL_TIMEOUT, connecting).await else {
+            return Err(Reason::Dial);
         };
         stream.set_nodelay(true).map_err(|_| Reason::Dial)?;
         let (reader, writer) = stream.into_split();
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -24,6 +24,7 @@
 mod rollout_nodes;
 mod security;
 mod settings;
+mod sidecar;
 mod snapshot;
 mod source;
 #[path = "rollout/specimen.rs"]
--- /dev/null
+++ b/tests/sidecar.rs
@@ -0,0 +1,20 @@
+//! The decisions of the node on a platform, and its messages. Whole nodes are tested beside the adapter.
+
+#[path = "sidecar/document.rs"]
+mod document;
+#[path = "sidecar/duty.rs"]
+mod duty;
+#[path = "sidecar/frame.rs"]
+mod frame;
+#[path = "sidecar/http1.rs"]
+mod http1;
+#[path = "sidecar/placement.rs"]
+mod placement;
+#[path = "sidecar/queue.rs"]
+mod queue;
+#[path = "sidecar/ramp.rs"]
+mod ramp;
+#[path = "sidecar/retries.rs"]
+mod retries;
+#[path = "sidecar/settings.rs"]
+mod settings;
--- /dev/null
+++ b/tests/sidecar/http1.rs
@@ -0,0 +1,155 @@
+use {
+    mulberryshelf::http1::{self, Fault, Field, Limits, Reader, Request, Response},
+    proptest::prelude::*,
+    std::time::Duration,
+};
+
+const LIMITS: Limits = Limits {
+    body_bytes: 1000,
+    head_bytes: 500,
+    patience: Duration::from_secs(5),
+};
+
+fn block_on<T>(future: impl Future<Output = T>) -> T {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()
+        .unwrap()
+        .block_on(future)
+}
+
+fn requests(bytes: &[u8]) -> Result<Vec<Request>, Fault> {
+    block_on(async {
+        let mut reader = Reader::new(bytes);
+        let mut requests = Vec::new();
+        while reader.begun().await? {
+            requests.push(reader.request(LIMITS, async || Ok(())).await?);
+        }
+        Ok(requests)
+    })
+}
+
+fn response(bytes: &[u8]) -> Result<(Response, bool), Fault> {
+    block_on(async {
+        let mut reader = Reader::new(bytes);
+        let response = reader.response(LIMITS, false).await?;
+        Ok((response, reader.has_unclaimed()))
+    })
+}
+
+#[test]
+fn requests_behind_each_other_are_read_in_order() {
+    let bytes = b"GET /a/1 HTTP/1.1\r\nHost: x\r\n\r\n\
+        POST /b HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc\
+        PUT /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;x=y\r\nc\r\n0\r\nT: 1\r\n\r\n\
+        GET /d HTTP/1.1\r\nConnection: close\r\n\r\n";
+    insta::assert_debug_snapshot!(requests(bytes).unwrap());
+}
+
+#[test]
+fn what_could_be_read_in_two_ways_is_refused() {
+    let heads = [
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 3\r\nContent-Length: 3\r\n",
+        "Content-Length: +3\r\n",
+        "Content-Length: 3, 3\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length : 3\r\n",
+        "A: b\r\n Content-Length: 3\r\n",
+    ];
+    for head in heads {
+        let bytes = format!("POST /a HTTP/1.1\r\n{head}\r\nabc");
+        let refused = requests(bytes.as_bytes());
+        assert!(
+            matches!(refused, Err(Fault::Malformed(_))),
+            "{head}: {refused:?}"
+        );
+    }
+}
+
+#[test]
+fn bounds_hold() {
+    let long = format!("GET /{} HTTP/1.1\r\n\r\n", "a".repeat(600));
+    assert!(matches!(
+        requests(long.as_bytes()),
+        Err(Fault::HeadTooLarge)
+    ));
+    let stated = b"POST /a HTTP/1.1\r\nContent-Length: 1001\r\n\r\n";
+    assert!(matches!(requests(stated), Err(Fault::BodyTooLarge)));
+    let chunked = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\n";
+    assert!(matches!(requests(chunked), Err(Fault::BodyTooLarge)));
+}
+
+#[test]
+fn answer_that_breaks_off_is_not_whole() {
+    let cut = [
+        &b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc"[..],
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        b"HTTP/1.1 200 OK\r\nConte",
+    ];
+    for bytes in cut {
+        assert!(matches!(response(bytes), Err(Fault::Cut)), "{bytes:?}");
+    }
+}
+
+#[test]
+fn answer_without_a_length_ends_with_its_connection() {
+    let (whole, _) = response(b"HTTP/1.1 200 OK\r\nA: b\r\n\r\nabc").unwrap();
+    assert_eq!((&whole.body[..], whole.close), (&b"abc"[..], true));
+}
+
+#[test]
+fn bytes_behind_an_answer_are_seen() {
+    let (first, more) = response(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb",
+    )
+    .unwrap();
+    assert_eq!((&first.body[..], more), (&b"a"[..], true));
+}
+
+#[test]
+fn interim_answers_are_skipped() {
+    let (last, _) = response(b"HTTP/1.1 103 x\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n").unwrap();
+    assert_eq!(last.status, 204);
+}
+
+#[test]
+fn fields_of_one_connection_go_no_further() {
+    let mut fields = vec![
+        Field::new("Connection", "close, X-Own"),
+        Field::new("X-Own", "1"),
+        Field::new("Keep-Alive", "timeout=5"),
+        Field::new("X-Kept", "2"),
+        Field::new("Transfer-Encoding", "chunked"),
+    ];
+    http1::strip_hop_by_hop(&mut fields);
+    assert_eq!(fields, [Field::new("X-Kept", "2")]);
+}
+
+#[test]
+fn field_that_would_end_the_head_is_left_out() {
+    let fields = [Field::new("A", "b\r\nC: d"), Field::new("E", "f")];
+    let bytes = http1::response(200, &fields, b"", false);
+    let text = String::from_utf8(bytes.to_vec()).unwrap();
+    assert_eq!(text, "HTTP/1.1 200 OK\r\nE: f\r\nContent-Length: 0\r\n\r\n");
+}
+
+proptest! {
+    #[test]
+    fn garbage_is_refused_without_a_panic(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        // Either outcome is right, as long as there is one.
+        let _ = requests(&bytes);
+        let _ = response(&bytes);
+    }
+
+    #[test]
+    fn written_requests_are_read_back(body in prop::collection::vec(any::<u8>(), 0..300), name in "[a-z]{1,8}") {
+        let fields = [Field::new(&name, "value")];
+        let bytes = http1::request("POST", "/a?b=c", &fields, &body);
+        let read = requests(&bytes).unwrap();
+        prop_assert_eq!(read.len(), 1);
+        prop_assert_eq!(&read[0].body[..], &body[..]);
+        prop_assert!(read[0].fields.contains(&fields[0]));
+    }
+}
--- /dev/null
+++ b/tests/sidecar/placement.rs
@@ -0,0 +1,178 @@
+use {
+    mulberryshelf::{
+        sidecar::placement::{End, Full, Load, Offer, Placement, Request},
+        traffic::spill::Tier,
+        world::{Host, Moment, Service, Version},
+    },
+    std::{collections::BTreeMap, time::Duration},
+};
+
+const RUN: Duration = Duration::from_millis(200);
+
+fn host(name: &str) -> Host {
+    name.parse().unwrap()
+}
+
+fn desk() -> Service {
+    "desk".parse().unwrap()
+}
+
+fn version(name: &str) -> Version {
+    name.parse().unwrap()
+}
+
+fn offer(version: &str) -> Offer {
+    Offer {
+        cold: Duration::ZERO,
+        service: desk(),
+        slots: 4,
+        version: version.parse().unwrap(),
+    }
+}
+
+fn at(millis: u64) -> Moment {
+    Moment(1_000_000_000) + Duration::from_millis(millis)
+}
+
+fn load(running: u32, queued: u32) -> Load {
+    Load {
+        queued,
+        run: RUN,
+        running,
+        slots: 4,
+    }
+}
+
+/// Two hosts in each of the own domain, the region, and across the link; all have answered once.
+fn mesh() -> Placement {
+    let mut placement = Placement::default();
+    let tiers = [(Tier::Own, "a"), (Tier::Region, "b"), (Tier::Remote, "c")];
+    for (tier, domain) in tiers {
+        for number in 1..=2 {
+            let host = host(&format!("{domain}{number}"));
+            placement.offer(at(0), &host, tier, Some(offer("v1")));
+            placement.finish(at(0), &host, End::Answered, Some(load(0, 0)));
+        }
+    }
+    placement
+}
+
+fn request<'a>(service: &'a Service, avoid: &'a [Host]) -> Request<'a> {
+    Request {
+        avoid,
+        priority: 1,
+        service,
+        version: None,
+        worth_for: Duration::from_millis(600),
+    }
+}
+
+#[test]
+fn load_beyond_a_domain_spills_to_the_region_before_the_link() {
+    let (mut placement, service) = (mesh(), desk());
+    let mut placed: BTreeMap<String, u32> = BTreeMap::new();
+    let mut order = Vec::new();
+    for _ in 0..60 {
+        let place = placement.choose(at(1), request(&service, &[])).unwrap();
+        let domain = place.host.as_str()[..1].to_string();
+        if order.last() != Some(&domain) {
+            order.push(domain.clone());
+        }
+        *placed.entry(domain).or_default() += 1;
+    }
+    assert_eq!(order[..2], ["a", "b"]);
+    insta::assert_debug_snapshot!(placed);
+}
+
+#[test]
+fn domain_with_room_keeps_its_requests() {
+    let (mut placement, service) = (mesh(), desk());
+    for millis in 0..200 {
+        let place = placement
+            .choose(at(millis), request(&service, &[]))
+            .unwrap();
+        assert!(place.host.as_str().starts_with('a'), "{place:?}");
+        placement.finish(at(millis), &place.host, End::Answered, Some(load(2, 0)));
+    }
+}
+
+#[test]
+fn host_without_room_is_left_alone_for_a_moment() {
+    let (mut placement, service) = (mesh(), desk());
+    for name in ["a1", "a2", "b1", "b2", "c1", "c2"] {
+        placement.decline(at(1), &host(name), 1, Duration::from_secs(1));
+    }
+    let declined = placement.choose(at(2), request(&service, &[]));
+    assert_eq!(declined, Err(Full::Declined));
+    let mut urgent = request(&service, &[]);
+    urgent.priority = 0;
+    assert!(placement.choose(at(2), urgent).is_ok());
+    assert!(placement.choose(at(300), request(&service, &[])).is_ok());
+}
+
+#[test]
+fn failing_upstream_is_left_and_tried_again() {
+    let (mut placement, service) = (mesh(), desk());
+    for _ in 0..20 {
+        placement.finish(at(1), &host("a1"), End::Failed, None);
+    }
+    for _ in 0..3 {
+        let place = placement.choose(at(2), request(&service, &[])).unwrap();
+        assert_ne!(place.host, host("a1"));
+    }
+    let mut later = mesh();
+    for _ in 0..20 {
+        later.finish(at(1), &host("a1"), End::Failed, None);
+    }
+    let chosen: Vec<Host> = (0..4)
+        .map(|_| {
+            later
+                .choose(at(30_000), request(&service, &[]))
+                .unwrap()
+                .host
+        })
+        .collect();
+    assert!(chosen.contains(&host("a1")));
+}
+
+#[test]
+fn last_upstream_is_never_left_out() {
+    let (mut placement, service) = (Placement::default(), desk());
+    placement.offer(at(0), &host("a1"), Tier::Own, Some(offer("v1")));
+    for _ in 0..100 {
+        placement.finish(at(0), &host("a1"), End::Failed, None);
+    }
+    let place = placement.choose(at(1), request(&service, &[])).unwrap();
+    assert_eq!(place.host, host("a1"));
+    let tried = [host("a1")];
+    let nowhere = placement.choose(at(1), request(&service, &tried));
+    assert_eq!(nowhere, Err(Full::Nowhere));
+}
+
+#[test]
+fn version_that_is_barred_gets_nothing() {
+    let (mut placement, service) = (mesh(), desk());
+    placement.offer(at(0), &host("a3"), Tier::Own, Some(offer("v2")));
+    let bad = version("v2");
+    for _ in 0..40 {
+        let mut asked = request(&service, &[]);
+        asked.version = Some((&bad, false));
+        let place = placement.choose(at(1), asked).unwrap();
+        assert_eq!(place.version, version("v1"));
+    }
+}
+
+#[test]
+fn new_upstream_gets_work_at_once() {
+    let (mut placement, service) = (mesh(), desk());
+    placement.offer(at(0), &host("a3"), Tier::Own, Some(offer("v1")));
+    let chosen: Vec<Host> = (0..6)
+        .map(|_| {
+            placement
+                .choose(at(1), request(&service, &[]))
+                .unwrap()
+                .host
+        })
+        .collect();
+    assert!(chosen.contains(&host("a3")), "{chosen:?}");
+}
