Send one copy of news to each place, and contacts only to who asks

A count by frame at one node of 90 gave 1.28 MB of contacts, 2.47 MB of documents and 0.53 MB of differences, against 1.8 MB of requests and answers. Now one copy of a document crosses to each region and domain, who gets it hands it on and confirms, and the next node is asked otherwise; signs of life name the document, so that what was missed is fetched nearby. The cost of a place is counted in parts of an answer's value instead of time.

--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -13,6 +13,7 @@
 pub mod ramp;
 pub mod retries;
 pub mod settings;
+pub mod spread;
 pub mod store;
 pub mod words;
 
--- a/src/sidecar/conductor.rs
+++ b/src/sidecar/conductor.rs
@@ -5,7 +5,9 @@
     super::{
         frame::Frame,
         node::Core,
+        peers,
         ramp::{Evidence, Move, Phase, Ramp},
+        spread::Scope,
         store::{Record, Store},
     },
     crate::world::{Moment, Service},
@@ -79,7 +81,7 @@
         }
     }
     for ramp in news {
-        core.peers.broadcast(&Frame::Ramp(ramp.clone()));
+        peers::spread_ramp(core, Scope::Mesh, &ramp);
         core.follow(ramp);
     }
     record(core, store);
--- a/src/sidecar/follower.rs
+++ b/src/sidecar/follower.rs
@@ -5,7 +5,9 @@
         document::Order,
         duty::{READERS, Reach},
         node::Core,
+        peers,
         ramp::Move,
+        spread::Scope,
         store::{Fault, Orders, Store},
     },
     crate::world::Permille,
@@ -89,8 +91,9 @@
                         fastest.as_millis()
                     ),
                 );
+                core.registered.set(true);
                 core.peers.learn(contacts);
-                super::peers::dial(core, core.now());
+                peers::dial(core, core.now());
                 core.announce();
                 return;
             }
@@ -150,24 +153,17 @@
     if !core.install(document, "store") {
         return;
     }
-    if core.rank() > 0 {
-        let core = core.clone();
-        tokio::task::spawn_local(async move {
-            tokio::time::sleep(SECOND_READER).await;
-            hand_out(&core);
-        });
+    if core.rank() == 0 {
+        peers::push(core, Scope::Mesh);
         return;
     }
-    hand_out(core);
-}
-
-/// Sends every connected node what it lacks of the document in force.
-fn hand_out(core: &Core) {
-    let number = core.number();
-    for (host, held) in core.peers.behind(number) {
-        core.supply(&host, held);
-        core.peers.supplied(&host, number);
-    }
+    let (core, number) = (core.clone(), core.number());
+    tokio::task::spawn_local(async move {
+        tokio::time::sleep(SECOND_READER).await;
+        if !core.peers.is_ahead(&core, number) {
+            peers::push(&core, Scope::Mesh);
+        }
+    });
 }
 
 fn take_move(core: &Core, order: Order) {
--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -8,6 +8,7 @@
         placement::{Load, Offer},
         queue::Demand,
         ramp::{Evidence, Ramp},
+        spread::Scope,
     },
     crate::{
         http1::Field,
@@ -130,24 +131,26 @@
 pub enum Frame {
     /// The first frame on every connection, in both directions.
     Hello(Contact),
-    /// Asks for a sign of life.
-    Ping,
-    /// Answers it.
-    Pong,
+    /// Asks for a sign of life, and tells which document is in force at the sender.
+    Ping(Number),
+    /// Answers it alike.
+    Pong(Number),
+    /// Asks for the nodes that the receiver knows.
+    Introduce,
     /// What has changed at the sender.
     Status(Status),
     /// Nodes that the sender knows.
     Contacts(Vec<Contact>),
     /// Asks for what follows a document.
     Fetch(Number),
-    /// A whole document.
-    Document(Arc<Document>),
-    /// A step between documents.
-    Difference(Arc<Difference>),
+    /// A whole document, and whom the receiver hands it on to.
+    Document(Scope, Arc<Document>),
+    /// A step between documents, and whom the receiver hands it on to.
+    Difference(Scope, Arc<Difference>),
     /// Runs of the sender's upstream, for the node that conducts the move.
     Evidence(Evidence),
-    /// What is in force while traffic moves.
-    Ramp(Ramp),
+    /// What is in force while traffic moves, and whom the receiver hands it on to.
+    Ramp(Scope, Ramp),
     /// Requests that crash upstreams.
     Strikes(Vec<Strike>),
     /// A request.
@@ -164,7 +167,7 @@
 /// Fails if a value can't be encoded.
 pub fn encode(frame: &Frame) -> Result<Bytes, postcard::Error> {
     let plain = postcard::to_stdvec(frame)?;
-    let compress = matches!(frame, Frame::Document(_) | Frame::Difference(_));
+    let compress = matches!(frame, Frame::Document(..) | Frame::Difference(..));
     let body = if compress {
         lz4_flex::compress_prepend_size(&plain)
     } else {
--- a/src/sidecar/log.rs
+++ b/src/sidecar/log.rs
@@ -15,9 +15,10 @@
 /// The most lines in a second: several for each request that a small host takes.
 const LINES_PER_SECOND: u32 = 500;
 /// The batches that may wait for the writer: some seconds' worth.
-const BATCHES_MAX: usize = 64;
-/// The size at which a batch is handed to the writer before its time, in bytes.
-const BATCH_BYTES: usize = 32 * 1024;
+const BATCHES_MAX: usize = 256;
+/// The size at which a batch is handed to the writer before its time, in bytes: below what a pipe takes whole, so
+/// that lines of several processes on one pipe do not mix.
+const BATCH_BYTES: usize = 3500;
 
 struct State {
     batch: String,
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -17,6 +17,7 @@
         ramp::{Phase, Ramp},
         retries::{Allowance, Retries},
         settings::Settings,
+        spread::Scope,
         store::Store,
         upstream::Upstream,
         words::Words,
@@ -64,6 +65,8 @@
     pub placement: RefCell<Placement>,
     pub ramps: RefCell<HashMap<Service, Ramp>>,
     pub reach: Cell<Reach>,
+    /// Whether the other nodes were read from the store.
+    pub registered: Cell<bool>,
     pub retries: RefCell<Retries>,
     pub settings: RefCell<Settings>,
     pub stopping: Cell<Option<Moment>>,
@@ -189,24 +192,23 @@
         true
     }
 
-    /// Sends a node what it lacks of the document in force.
-    pub fn supply(&self, host: &Host, from: Number) {
+    /// Gives what leads from a document to the one in force, for a node that is to hand it on to `scope`.
+    pub fn news(&self, from: Number, scope: Scope) -> Vec<Frame> {
         let document = self.document.borrow().clone();
         if document.number <= from {
-            return;
+            return Vec::new();
         }
-        let steps: Vec<_> = {
-            let differences = self.differences.borrow();
-            let missing = differences.iter().filter(|step| step.from >= from);
-            missing.cloned().collect()
-        };
-        if from > Number::default() && steps.first().is_some_and(|step| step.from == from) {
-            for step in steps {
-                self.peers.send(host, &Frame::Difference(step));
-            }
-        } else {
-            self.peers.send(host, &Frame::Document(document));
+        let differences = self.differences.borrow();
+        let mut steps = differences
+            .iter()
+            .filter(|step| step.from >= from)
+            .peekable();
+        if from > Number::default() && steps.peek().is_some_and(|step| step.from == from) {
+            return steps
+                .map(|step| Frame::Difference(scope, step.clone()))
+                .collect();
         }
+        vec![Frame::Document(scope, document)]
     }
 
     /// Takes over what is in force while a service's traffic moves, if it is news.
@@ -331,6 +333,7 @@
             placement: RefCell::default(),
             ramps: RefCell::default(),
             reach: Cell::default(),
+            registered: Cell::new(false),
             retries: RefCell::new(Retries::new(Core::allowance(&settings))),
             settings: RefCell::new(settings),
             stopping: Cell::new(None),
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -1,19 +1,25 @@
 //! Kept TCP connections to the other nodes. One carries requests in both directions, many at a time, beside
 //! the control traffic. The newest connection to a node is used; older ones only finish what they carry.
 
+mod spreading;
+
+pub(super) use spreading::{push, ramp as spread_ramp};
+
 use {
     super::{
         document::{Difference, Number},
-        duty::{self, Candidate},
+        duty::Candidate,
         egress,
         frame::{self, Contact, Frame, Outcome, Request, Status, Stream},
         metrics::Metrics,
         node::Core,
         placement::{End, Load},
+        spread::Scope,
     },
     crate::{
         refusal::Reason,
         spread::Backoff,
+        traffic::spill::Tier,
         world::{Host, Moment},
     },
     bytes::{Bytes, BytesMut},
@@ -37,8 +43,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
 /// How long a connection with requests under way may be silent before a sign of life is asked for.
 const QUIET: Duration = Duration::from_millis(300);
-/// The same for a connection without requests.
+/// The same for a connection without requests to a node of the same failure domain.
 const IDLE_QUIET: Duration = Duration::from_secs(2);
+/// The same for one to another domain: signs of life cross domains and are paid for.
+const FAR_IDLE_QUIET: Duration = Duration::from_secs(8);
 /// How long a sign of life may take before no new requests are sent there: several round trips between
 /// regions at a host that is short of processor time.
 const SUSPECT_AFTER: Duration = Duration::from_millis(600);
@@ -105,6 +113,7 @@
     known: RefCell<BTreeMap<Host, Known>>,
     links: RefCell<HashMap<Host, Rc<Link>>>,
     rng: RefCell<StdRng>,
+    spreading: spreading::State,
     ticked: Cell<Moment>,
 }
 
@@ -115,6 +124,7 @@
             known: RefCell::default(),
             links: RefCell::default(),
             rng: RefCell::new(StdRng::seed_from_u64(rand::random())),
+            spreading: spreading::State::default(),
             ticked: Cell::default(),
         }
     }
@@ -141,32 +151,21 @@
             .collect()
     }
 
-    /// Lists the connected nodes that run an older document than `number`.
-    pub fn behind(&self, number: Number) -> Vec<(Host, Number)> {
+    /// Tells whether the node that hands documents out was seen to run one.
+    pub fn is_ahead(&self, core: &Core, number: Number) -> bool {
+        let first = core.conducting();
         let links = self.links.borrow();
-        links
-            .iter()
-            .map(|(host, link)| (host.clone(), link.status.borrow().document))
-            .filter(|(_, held)| *held < number)
-            .collect()
-    }
-
-    /// Notes that a node was sent a document, so that it isn't sent again.
-    pub fn supplied(&self, host: &Host, number: Number) {
-        if let Some(link) = self.links.borrow().get(host) {
-            link.status.borrow_mut().document = number;
-        }
+        let first = first.and_then(|host| links.get(&host));
+        first.is_some_and(|link| link.status.borrow().document >= number)
     }
 
-    /// Gives the nodes that follow the store.
-    pub fn readers(&self) -> Vec<Host> {
-        let mut candidates = self.candidates();
-        candidates.sort();
-        candidates.truncate(duty::READERS);
-        candidates
-            .into_iter()
-            .map(|candidate| candidate.host)
-            .collect()
+    /// Lists the connected nodes that answer, those with the lower names first.
+    fn sound(&self) -> Vec<Rc<Link>> {
+        let links = self.links.borrow();
+        let sound = links.values().filter(|link| !link.suspect.get());
+        let mut sound: Vec<Rc<Link>> = sound.cloned().collect();
+        sound.sort_by(|a, b| a.contact.host.cmp(&b.contact.host));
+        sound
     }
 
     /// Sends a frame to every connected node.
@@ -337,13 +336,18 @@
             continue;
         }
         let busy = !link.pending.borrow().is_empty();
-        let quiet = if busy { QUIET } else { IDLE_QUIET };
+        let quiet = match core.tier(&link.contact) {
+            _ if busy => QUIET,
+            Tier::Own => IDLE_QUIET,
+            Tier::Region | Tier::Remote => FAR_IDLE_QUIET,
+        };
         if now.since(link.heard.get()) >= quiet {
             link.pinged.set(Some(now));
-            link.send(&Frame::Ping, None);
+            link.send(&Frame::Ping(core.number()), None);
         }
     }
     dial(core, now);
+    spreading::tick(core, now);
 }
 
 /// Sends nothing new to a silent node, and tries elsewhere what may run twice.
@@ -416,7 +420,6 @@
         held.lost = None;
         held.backoff = Backoff::default();
     }
-    let others = core.peers.contacts();
     let before = core
         .peers
         .links
@@ -435,9 +438,11 @@
         ),
     );
     link.send(&Frame::Status(core.status()), None);
-    link.send(&Frame::Contacts(others), None);
+    if !core.registered.get() {
+        link.send(&Frame::Introduce, None);
+    }
     for ramp in core.ramps.borrow().values() {
-        link.send(&Frame::Ramp(ramp.clone()), None);
+        link.send(&Frame::Ramp(Scope::Host, ramp.clone()), None);
     }
     let strikes = core.egress.strikes();
     if !strikes.is_empty() {
@@ -533,32 +538,42 @@
         offer(core, link, now);
     }
     match frame {
-        Frame::Hello(_) | Frame::Pong => {}
-        Frame::Ping => {
-            link.send(&Frame::Pong, None);
+        Frame::Hello(_) => {}
+        Frame::Ping(number) => {
+            link.send(&Frame::Pong(core.number()), None);
+            runs(core, link, number);
         }
+        Frame::Pong(number) => runs(core, link, number),
         Frame::Status(status) => {
-            let newer = status.document;
+            let number = status.document;
             *link.status.borrow_mut() = status;
             offer(core, link, now);
-            if newer > core.number() {
-                core.peers.fetch(core, host);
-            }
+            runs(core, link, number);
+        }
+        Frame::Introduce => {
+            link.send(&Frame::Contacts(core.peers.contacts()), None);
         }
         Frame::Contacts(contacts) => {
             core.peers.learn(contacts);
             dial(core, now);
         }
-        Frame::Fetch(from) => core.supply(host, from),
-        Frame::Document(document) => {
+        Frame::Fetch(from) => {
+            for frame in core.news(from, Scope::Host) {
+                link.send(&frame, None);
+            }
+        }
+        Frame::Document(scope, document) => {
+            link.status.borrow_mut().document = document.number;
             if core.install(Arc::unwrap_or_clone(document), host.as_str()) {
-                confirm(core);
+                spreading::hand_on(core, link, scope);
             }
         }
-        Frame::Difference(difference) => step(core, host, &difference),
+        Frame::Difference(scope, difference) => step(core, link, scope, &difference),
         Frame::Evidence(evidence) => core.conductor.borrow_mut().add(&evidence),
-        Frame::Ramp(ramp) => {
-            core.follow(ramp);
+        Frame::Ramp(scope, ramp) => {
+            if core.follow(ramp.clone()) {
+                spreading::ramp(core, scope, &ramp);
+            }
         }
         Frame::Strikes(strikes) => core.egress.learn(now, strikes),
         Frame::Request(stream, request) => serve(core, link, stream, *request),
@@ -574,10 +589,12 @@
     }
 }
 
-impl Peers {
-    /// Asks a node for what follows the document in force, unless it was asked already.
-    fn fetch(&self, core: &Core, host: &Host) {
-        self.send(host, &Frame::Fetch(core.number()));
+/// Notes which document a node runs, and asks a near one at once for what is missing here.
+fn runs(core: &Core, link: &Link, number: Number) {
+    let mut status = link.status.borrow_mut();
+    status.document = status.document.max(number);
+    if number > core.number() && core.tier(&link.contact) == Tier::Own {
+        spreading::fetch(core, link);
     }
 }
 
@@ -591,7 +608,12 @@
     }
 }
 
-fn step(core: &Rc<Core>, host: &Host, difference: &Difference) {
+fn step(core: &Rc<Core>, link: &Rc<Link>, scope: Scope, difference: &Difference) {
+    let host = &link.contact.host;
+    {
+        let mut status = link.status.borrow_mut();
+        status.document = status.document.max(difference.to);
+    }
     if difference.to <= core.number() {
         return;
     }
@@ -599,7 +621,7 @@
     match held.apply(difference) {
         Ok(document) => {
             if core.install(document, host.as_str()) {
-                confirm(core);
+                spreading::hand_on(core, link, scope);
             }
         }
         Err(fault) => {
@@ -612,19 +634,11 @@
                     difference.to
                 ),
             );
-            core.peers.fetch(core, host);
+            spreading::fetch(core, link);
         }
     }
 }
 
-/// Tells those who follow the store that the document is in force here.
-fn confirm(core: &Core) {
-    let status = Frame::Status(core.status());
-    for reader in core.peers.readers() {
-        core.peers.send(&reader, &status);
-    }
-}
-
 fn serve(core: &Rc<Core>, link: &Rc<Link>, stream: Stream, request: Request) {
     let (cancel, cancelled) = oneshot::channel();
     link.serving.borrow_mut().insert(stream, cancel);
--- a/src/sidecar/placement.rs
+++ b/src/sidecar/placement.rs
@@ -20,23 +20,28 @@
 
 /// The half-life of a report of other nodes' load: about one run.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
-/// What leaving the own failure domain counts as: traffic between domains is billed by volume.
-const DOMAIN_COST: Duration = Duration::from_millis(150);
-/// What leaving the region counts as: the link is narrow as well, and a round trip takes longer.
-const REGION_COST: Duration = Duration::from_millis(400);
-/// The part of a request's time to its target within which an average answer counts as in time: run times
-/// vary, and the target has to hold for most of them.
-const SAFE_PART: f64 = 0.6;
-/// What the time within the safe part counts as: a faster answer is no better, but leaves room for others.
-const EARLY_WEIGHT: f64 = 0.15;
-/// What the time beyond the safe part counts as.
-const LATE_WEIGHT: f64 = 2.0;
+/// What leaving the own failure domain costs, in parts of an answer's value: traffic between domains is billed
+/// by volume.
+const DOMAIN_COST: f64 = 0.2;
+/// What leaving the region costs: the link is narrow as well.
+const REGION_COST: f64 = 0.45;
+/// The part of the time to its target up to which an average answer is in time for sure.
+const SAFE_PART: f64 = 0.5;
+/// The part of the time to its target beyond the safe one that loses all of the value: run times vary, so the
+/// chance to be late grows with the expected time.
+const LATE_PART: f64 = 0.7;
+/// What an answer just in time costs: a faster one is no better, but leaves room for others.
+const EARLY_COST: f64 = 0.1;
+/// The round trip between regions that is assumed: that of a continent's.
+const REGION_TRIP: Duration = Duration::from_millis(25);
+/// The least time to a target that is compared with, so that what is late already still goes where it is soonest.
+const TARGET_MIN: Duration = Duration::from_millis(100);
 /// By how much a just started upstream is slower than a warm one, until the time that it states.
 const COLD_FACTOR: f64 = 2.0;
 /// The weight of a new outcome in the average of failures.
 const FAILURE_GAIN: f64 = 0.1;
-/// What a certain failure counts as.
-const FAILURE_COST: Duration = Duration::from_secs(2);
+/// What a certain failure costs.
+const FAILURE_COST: f64 = 2.0;
 /// How fast a failing upstream is given another chance.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(3);
 /// How long a refusal for want of room keeps requests of the same or a lower rank away.
@@ -102,25 +107,23 @@
         self.failure * (-age).exp2()
     }
 
-    /// What a request costs here: the expected time to its answer, most of all what lies beyond the time in
-    /// which it is worth most, with distance and failures counted as time, in seconds.
+    /// What a request costs here, in parts of its value: the chance that its answer is late, the distance, and
+    /// the chance that it fails.
     fn cost(&self, now: Moment, typical: Duration, worth_for: Duration) -> f64 {
         let run = self.run(now, typical);
         let slots = f64::from(self.offer.slots.max(1));
         let ahead = (self.occupied(now) + 1.0 - slots).max(0.0);
         // A nearly full upstream is likely full by the time that the request arrives.
         let crowding = run * 0.25 * (self.occupied(now) / slots).min(1.0);
-        let distance = match self.tier {
-            Tier::Own => Duration::ZERO,
-            Tier::Region => DOMAIN_COST,
-            Tier::Remote => REGION_COST,
+        let (distance, trip) = match self.tier {
+            Tier::Own => (0.0, 0.0),
+            Tier::Region => (DOMAIN_COST, 0.0),
+            Tier::Remote => (REGION_COST, REGION_TRIP.as_secs_f64()),
         };
-        let time = run + run * ahead / slots + crowding;
-        let beyond = (time - SAFE_PART * worth_for.as_secs_f64()).max(0.0);
-        EARLY_WEIGHT * time
-            + LATE_WEIGHT * beyond
-            + distance.as_secs_f64()
-            + FAILURE_COST.as_secs_f64() * self.failing(now)
+        let time = run + run * ahead / slots + crowding + trip;
+        let part = time / worth_for.as_secs_f64().max(TARGET_MIN.as_secs_f64());
+        let late = ((part - SAFE_PART) / LATE_PART).max(0.0);
+        EARLY_COST * part.min(1.0) + late + distance + FAILURE_COST * self.failing(now)
     }
 
     fn declines(&self, now: Moment, priority: u32) -> bool {
