--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -12,6 +12,7 @@
 pub mod queue;
 pub mod ramp;
 pub mod retries;
+pub mod returns;
 pub mod settings;
 pub mod spread;
 pub mod store;
--- a/src/sidecar/forward.rs
+++ b/src/sidecar/forward.rs
@@ -14,6 +14,7 @@
     crate::{
         http1::Field,
         refusal::Reason,
+        traffic::quarantine::Fingerprint,
         world::{Host, Moment, Service, Version},
     },
     bytes::Bytes,
@@ -43,6 +44,7 @@
     pub body: Bytes,
     pub deadline: Moment,
     pub fields: Vec<Field>,
+    pub fingerprint: Fingerprint,
     pub id: String,
     pub method: String,
     pub returned: bool,
@@ -51,6 +53,8 @@
     pub target: String,
     /// Until when its answer has its full value.
     pub valued: Moment,
+    /// When its caller waits no more, which may be later than the deadline that its route sets.
+    pub waits_until: Moment,
 }
 
 /// What the caller is told.
--- a/src/sidecar/ingress.rs
+++ b/src/sidecar/ingress.rs
@@ -11,6 +11,7 @@
     crate::{
         http1::{self, Fault, Field, Reader, Request},
         refusal::Reason,
+        traffic::quarantine::Fingerprint,
         world::Moment,
     },
     bytes::Bytes,
@@ -30,8 +31,6 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// The time that a request may take if neither its sender nor its route says so.
 const TIMEOUT: Duration = Duration::from_secs(30);
-/// A caller that has used up this much of its time was refused and has waited before it came back.
-const RETURNED_AFTER: Duration = Duration::from_millis(100);
 /// When a caller without a configuration here may come back.
 const CONFIGURED_IN: Duration = Duration::from_millis(500);
 
@@ -272,7 +271,14 @@
     let mut trail = Trail::default();
     let admitted = admit(core, request, arrived);
     let told = match &admitted {
-        Ok(call) => told(forward::send(core, call, &mut trail).await),
+        Ok(call) => {
+            let reply = forward::send(core, call, &mut trail).await;
+            if let Reply::Refused(_, after) = reply {
+                let mut returns = core.returns.borrow_mut();
+                returns.refuse(core.now(), call.fingerprint, call.waits_until, after);
+            }
+            told(reply)
+        }
         Err(rejected) => rejected.told(),
     };
     let took = core.now().since(arrived);
@@ -432,32 +438,30 @@
     let route_id = xxh3_64(route.name.as_bytes());
     let stated: Option<u64> =
         http1::text(&request.fields, words.time_left).and_then(|text| text.trim().parse().ok());
-    let stated = stated.map(Duration::from_millis);
-    let elapsed = stated.map_or(Duration::ZERO, |left| elapsed(core, route_id, left));
-    let left = stated.unwrap_or(TIMEOUT).min(route.timeout);
+    let stated = stated.map_or(TIMEOUT, Duration::from_millis);
+    let waits_until = arrived + stated;
+    let fingerprint =
+        Fingerprint::new(&route.name, &request.method, &request.target, &request.body);
+    let refused = core
+        .returns
+        .borrow()
+        .returned(arrived, fingerprint, waits_until);
     let mut fields = request.fields;
     http1::strip_hop_by_hop(&mut fields);
     let own = [words.caller, words.expected, words.time_left];
     fields.retain(|field| !own.iter().any(|name| field.is(name)));
     Ok(Call {
         body: request.body,
-        deadline: arrived + left,
+        deadline: arrived + stated.min(route.timeout),
         fields,
+        fingerprint,
         id,
         method: request.method,
-        returned: elapsed >= RETURNED_AFTER,
+        returned: refused.is_some(),
         route_id,
         target: request.target,
-        valued: arrived + route.target.saturating_sub(elapsed),
+        valued: refused.unwrap_or(arrived) + route.target,
+        waits_until,
         route,
     })
 }
-
-/// Works out how much of its time a caller has used up already: callers of a route begin with the same time,
-/// so one that states less has tried before.
-fn elapsed(core: &Core, route: u64, left: Duration) -> Duration {
-    let mut longest = core.longest.borrow_mut();
-    let longest = longest.entry(route).or_default();
-    *longest = left.max(*longest);
-    longest.saturating_sub(left)
-}
--- a/src/sidecar/placement.rs
+++ b/src/sidecar/placement.rs
@@ -11,11 +11,9 @@
         traffic::spill::Tier,
         world::{Host, Moment, Service, Version},
     },
+    rand::{SeedableRng, rngs::StdRng, seq::IndexedRandom},
     serde::{Deserialize, Serialize},
-    std::{
-        collections::{BTreeMap, HashMap},
-        time::Duration,
-    },
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// The half-life of a report of other nodes' load: about one run.
@@ -44,6 +42,9 @@
 const FAILURE_COST: f64 = 2.0;
 /// How fast a failing upstream is given another chance.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(3);
+/// How many upstreams of each distance are compared: nodes that all went for the best one would meet there, as
+/// what they know of it is the same and a little old.
+const DRAWS: usize = 2;
 /// How long a refusal for want of room keeps requests of the same or a lower rank away.
 const DECLINE_MEMORY: Duration = Duration::from_millis(60);
 
@@ -178,12 +179,22 @@
 }
 
 /// The upstreams that this node can reach, and what it knows of their load.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Placement {
-    endpoints: HashMap<Host, Endpoint>,
+    endpoints: BTreeMap<Host, Endpoint>,
+    rng: StdRng,
 }
 
 impl Placement {
+    /// Begins without upstreams.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self {
+            endpoints: BTreeMap::new(),
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
     /// Takes over what a host's upstream offers; nothing if it takes no new work.
     pub fn offer(&mut self, now: Moment, host: &Host, tier: Tier, offer: Option<Offer>) {
         let Some(offer) = offer else {
@@ -237,18 +248,24 @@
                     .is_none_or(|(version, wanted)| (endpoint.offer.version == *version) == wanted)
         };
         let mut declined = false;
-        let mut best: Option<(f64, &Host)> = None;
+        let mut tiers: [Vec<(&Host, &Endpoint)>; 3] = Default::default();
         for (host, endpoint) in &self.endpoints {
             if !fits(host, endpoint) {
                 continue;
             }
             if endpoint.declines(now, request.priority) {
                 declined = true;
-                continue;
+            } else {
+                tiers[endpoint.tier as usize].push((host, endpoint));
             }
-            let cost = endpoint.cost(now, typical, request.worth_for);
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, host));
+        }
+        let mut best: Option<(f64, &Host)> = None;
+        for tier in &tiers {
+            for (host, endpoint) in tier.choose_multiple(&mut self.rng, DRAWS) {
+                let cost = endpoint.cost(now, typical, request.worth_for);
+                if best.is_none_or(|(least, _)| cost < least) {
+                    best = Some((cost, host));
+                }
             }
         }
         let Some((_, host)) = best else {
--- a/tests/sidecar/placement.rs
+++ b/tests/sidecar/placement.rs
@@ -45,7 +45,7 @@
 
 /// Two hosts in each of the own domain, the region, and across the link; all have answered once.
 fn mesh() -> Placement {
-    let mut placement = Placement::default();
+    let mut placement = Placement::new(7);
     let tiers = [(Tier::Own, "a"), (Tier::Region, "b"), (Tier::Remote, "c")];
     for (tier, domain) in tiers {
         for number in 1..=2 {
@@ -137,7 +137,7 @@
 
 #[test]
 fn last_upstream_is_never_left_out() {
-    let (mut placement, service) = (Placement::default(), desk());
+    let (mut placement, service) = (Placement::new(7), desk());
     placement.offer(at(0), &host("a1"), Tier::Own, Some(offer("v1")));
     for _ in 0..100 {
         placement.finish(at(0), &host("a1"), End::Failed, None);
