--- a/src/sidecar/log.rs
+++ b/src/sidecar/log.rs
@@ -36,13 +36,12 @@
 }
 
 impl Log {
-    /// Opens the log of a host's node.
-    #[must_use]
-    pub fn open(host: Host) -> Self {
+    /// Opens the log of a host's node, which writes to `output`.
+    pub fn open(host: Host, output: impl std::io::Write + Send + 'static) -> Self {
         let (writer, guard) = NonBlockingBuilder::default()
             .lossy(true)
             .buffered_lines_limit(BATCHES_MAX)
-            .finish(std::io::stdout());
+            .finish(output);
         Self {
             _guard: guard,
             host,
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -32,6 +32,7 @@
     std::{
         cell::{Cell, RefCell},
         collections::{HashMap, VecDeque},
+        net::SocketAddr,
         rc::Rc,
         sync::Arc,
         time::Duration,
@@ -277,6 +278,7 @@
 
 /// A running node.
 pub struct Node {
+    callers: SocketAddr,
     core: Rc<Core>,
 }
 
@@ -286,18 +288,22 @@
     ///
     /// # Errors
     /// Fails if a port is taken.
-    pub async fn spawn<S: Store>(settings: Settings, words: Words, store: S) -> Result<Self> {
-        let callers = bind(settings.callers).await?;
-        let link = bind(settings.link).await?;
+    pub async fn spawn<S: Store>(
+        settings: Settings,
+        words: Words,
+        store: S,
+        log: Log,
+    ) -> Result<Self> {
+        let (callers, callers_address) = bind(settings.callers).await?;
+        let (link, link_address) = bind(settings.link).await?;
         let clock = Clock::open();
         let contact = Contact {
-            address: settings.link,
+            address: link_address,
             domain: settings.domain.clone(),
             host: settings.host.clone(),
             incarnation: clock.now().0,
             region: settings.region.clone(),
         };
-        let log = Log::open(settings.host.clone());
         let metrics = Metrics::new()
             .map_err(|error| Error::Telemetry(std::io::Error::other(error.to_string())))?;
         log.line(
@@ -346,7 +352,16 @@
         tokio::task::spawn_local(super::peers::accept(core.clone(), link));
         tokio::task::spawn_local(follower::run(core.clone(), store.clone()));
         tokio::task::spawn_local(tick(core.clone(), store));
-        Ok(Self { core })
+        Ok(Self {
+            callers: callers_address,
+            core,
+        })
+    }
+
+    /// Gives where callers send requests.
+    #[must_use]
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
     }
 
     /// Gives what the platform's adapter reaches the node by.
@@ -384,10 +399,11 @@
     }
 }
 
-async fn bind(address: std::net::SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| Error::Bind { address, source })
+async fn bind(address: SocketAddr) -> Result<(TcpListener, SocketAddr)> {
+    let fail = |source| Error::Bind { address, source };
+    let listener = TcpListener::bind(address).await.map_err(fail)?;
+    let bound = listener.local_addr().map_err(fail)?;
+    Ok((listener, bound))
 }
 
 /// Drives what is due, all at one period so that an idle node wakes up rarely.
