--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -280,6 +280,7 @@
 pub struct Node {
     callers: SocketAddr,
     core: Rc<Core>,
+    link: SocketAddr,
 }
 
 impl Node {
@@ -355,6 +356,7 @@
         Ok(Self {
             callers: callers_address,
             core,
+            link: link_address,
         })
     }
 
@@ -364,6 +366,12 @@
         self.callers
     }
 
+    /// Gives where other nodes connect to this one.
+    #[must_use]
+    pub fn link(&self) -> SocketAddr {
+        self.link
+    }
+
     /// Gives what the platform's adapter reaches the node by.
     #[must_use]
     pub fn control(&self) -> Control {
