--- a/src/sidecar/queue.rs
+++ b/src/sidecar/queue.rs
@@ -169,12 +169,10 @@
             .map(|(place, _)| place)
     }
 
-    /// Whoever has the lower rank goes first: the more urgent route, what can still meet its target, and
-    /// what has to meet it sooner.
-    fn rank(&self, now: Moment, demand: &Demand) -> (u32, bool, Moment) {
+    /// Whoever has the lower rank goes first: the more urgent route, and what can still meet its target.
+    fn rank(&self, now: Moment, demand: &Demand) -> (u32, bool) {
         let run = self.run(Some(demand.route));
-        let late = now + run > demand.target;
-        (demand.priority, late, demand.target)
+        (demand.priority, now + run > demand.target)
     }
 
     fn expire(&mut self, now: Moment) -> Vec<Action> {
