--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -11,6 +11,7 @@
 mod client;
 mod delete;
 mod drain;
+mod explain;
 mod get;
 mod list;
 mod status;
@@ -33,6 +34,7 @@
   authority          make a development authority and nodes' certificates
   delete KIND NAME   delete a resource
   drain              have the upstream beside a node take no new work
+  explain ID         show what became of one request, from nodes' logs
   get KIND NAME      show one resource
   list KIND          show every resource of a kind
   status             show which revision each failure domain runs
@@ -75,6 +77,7 @@
         "authority" => authority::run(rest, out),
         "delete" => delete::run(rest, out),
         "drain" => drain::run(rest, out),
+        "explain" => explain::run(rest, out),
         "get" => get::run(rest, out),
         "list" => list::run(rest, out),
         "status" => status::run(rest, out),
--- /dev/null
+++ b/src/ctl/explain.rs
@@ -0,0 +1,54 @@
+//! `mulberryctl explain`: what became of one request, from the logs of the nodes.
+
+use {
+    super::{parse, show, usage},
+    crate::{
+        error::{Error, Result},
+        sidecar::explain::{Line, Timeline},
+    },
+    getopts::Options,
+    std::io::{Read, Write},
+};
+
+pub(super) fn run(arguments: &[String], out: &mut dyn Write) -> Result {
+    let brief = "Usage: mulberryctl explain ID [FILE]...
+
+Shows the lines of nodes' logs that tell what became of a request, and what the nodes that it met came to
+believe shortly before. Reads standard input if no file is named.";
+    let Some(matches) = parse(&mut Options::new(), brief, arguments, out)? else {
+        return Ok(());
+    };
+    let Some((id, files)) = matches.free.split_first() else {
+        return Err(usage("the id of a request is needed".into()));
+    };
+    let mut lines = Vec::new();
+    if files.is_empty() {
+        let mut text = Vec::new();
+        let read = std::io::stdin().read_to_end(&mut text);
+        read.map_err(|source| failed("standard input", source))?;
+        lines.extend(parsed(&text));
+    }
+    for file in files {
+        let text = std::fs::read(file).map_err(|source| failed(file, source))?;
+        lines.extend(parsed(&text));
+    }
+    match Timeline::new(id, &lines) {
+        Some(timeline) => show(out, timeline.to_string().trim_end()),
+        None => Err(usage(format!(
+            "no line names `{id}`: look at other nodes' logs, and for `event=omitted`"
+        ))),
+    }
+}
+
+fn parsed(text: &[u8]) -> Vec<Line> {
+    let text = String::from_utf8_lossy(text);
+    text.lines().filter_map(Line::parse).collect()
+}
+
+fn failed(path: &str, source: std::io::Error) -> Error {
+    Error::File {
+        step: "read",
+        path: path.into(),
+        source,
+    }
+}
--- a/src/sidecar/returns.rs
+++ b/src/sidecar/returns.rs
@@ -58,6 +58,7 @@
         }
     }
 
+    #[must_use]
     /// Gives when a request that has come back as it was told was refused; nothing for any other one.
     pub fn returned(
         &self,
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -16,5 +16,9 @@
 mod ramp;
 #[path = "sidecar/retries.rs"]
 mod retries;
+#[path = "sidecar/returns.rs"]
+mod returns;
 #[path = "sidecar/settings.rs"]
 mod settings;
+#[path = "sidecar/spread.rs"]
+mod spread;
--- a/tests/sidecar/frame.rs
+++ b/tests/sidecar/frame.rs
@@ -4,6 +4,7 @@
         http1::Field,
         refusal::Reason,
         sidecar::{
+            document::Number,
             frame::{self, Answer, Frame, Outcome, Stream},
             placement::Load,
         },
@@ -35,7 +36,7 @@
         status: 200,
     };
     let frames = vec![
-        Frame::Ping,
+        Frame::Ping(Number(12)),
         Frame::Outcome(Stream(7), Outcome::Answered(answer), Load::default()),
         Frame::Outcome(
             Stream(8),
--- /dev/null
+++ b/tests/sidecar/spread.rs
@@ -0,0 +1,61 @@
+use {
+    mulberryshelf::sidecar::{
+        frame::Contact,
+        spread::{Scope, hops},
+    },
+    std::collections::{BTreeMap, BTreeSet, VecDeque},
+};
+
+fn contact(region: usize, domain: usize, host: usize) -> Contact {
+    Contact {
+        address: "127.0.0.1:1".parse().unwrap(),
+        domain: format!("r{region}-d{domain}").parse().unwrap(),
+        host: format!("r{region}-d{domain}-h{host}").parse().unwrap(),
+        incarnation: 1,
+        region: format!("r{region}").parse().unwrap(),
+    }
+}
+
+fn mesh() -> Vec<Contact> {
+    let places = (0..2).flat_map(|region| (0..3).map(move |domain| (region, domain)));
+    places
+        .flat_map(|(region, domain)| (0..5).map(move |host| contact(region, domain, host)))
+        .collect()
+}
+
+/// Plays the spread of one piece of news from every node; all get it once, and one copy crosses to each other
+/// region and domain.
+#[test]
+fn news_reach_everybody_once_and_cross_each_border_once() {
+    let all = mesh();
+    for origin in &all {
+        let mut reached = BTreeSet::from([origin.host.clone()]);
+        let mut crossings: BTreeMap<&str, usize> = BTreeMap::new();
+        let mut queue = VecDeque::from([(origin, Scope::Mesh)]);
+        while let Some((own, scope)) = queue.pop_front() {
+            let others: Vec<Contact> = all
+                .iter()
+                .filter(|peer| peer.host != own.host)
+                .cloned()
+                .collect();
+            for hop in hops(own, scope, &others) {
+                let to = all.iter().find(|peer| peer.host == hop.host).unwrap();
+                assert!(reached.insert(hop.host), "{to:?} twice from {origin:?}");
+                if to.region != own.region {
+                    *crossings.entry("region").or_default() += 1;
+                } else if to.domain != own.domain {
+                    *crossings.entry("domain").or_default() += 1;
+                }
+                queue.push_back((to, hop.scope));
+            }
+        }
+        assert_eq!(reached.len(), all.len());
+        assert_eq!(crossings, BTreeMap::from([("region", 1), ("domain", 4)]));
+    }
+}
+
+#[test]
+fn news_for_one_host_go_no_further() {
+    let all = mesh();
+    assert_eq!(hops(&all[0], Scope::Host, &all[1..]), []);
+}
