--- a/src/sidecar/queue.rs
+++ b/src/sidecar/queue.rs
@@ -4,8 +4,9 @@
 //! than the upstream has slots, so an upstream that hangs when it is full never is. A request waits only if
 //! by the measured run times its answer comes within its route's target, or within its deadline if its
 //! caller has come back after a refusal; whatever else is turned away on arrival, with the time after
-//! which there is likely room. More urgent routes go first, and among equals those that can still meet
-//! their target, in the order of arrival.
+//! which there is likely room. One that waits and can no longer be in time, as more urgent ones went before it, is
+//! turned away then: its caller may come back, and the slot serves who can still be in time. More urgent routes
+//! go first, and among equals those that can still meet their target, in the order of arrival.
 
 use {
     super::placement::Load,
@@ -180,7 +181,13 @@
         let (runs, overall) = (&self.runs, self.overall);
         self.waiting.retain(|waiting| {
             let run = average(runs, overall, Some(waiting.demand.route));
-            let hopeless = now + run > waiting.demand.deadline;
+            let demand = &waiting.demand;
+            let latest = if demand.returned {
+                demand.deadline
+            } else {
+                demand.target.min(demand.deadline)
+            };
+            let hopeless = now + run > latest;
             if hopeless {
                 actions.push(Action::Decline(waiting.ticket, Reason::Deadline, RETRY_MIN));
             }
--- a/tests/sidecar/queue.rs
+++ b/tests/sidecar/queue.rs
@@ -99,6 +99,25 @@
     ));
 }
 
+/// Served late, it would keep a slot from one that can still be in time; turned away, it may come back.
+#[test]
+fn request_that_was_overtaken_until_it_missed_its_target_is_turned_away() {
+    let mut queue = full(1);
+    queue.finish(at(100), Ticket(1000), ROUTE, true);
+    queue.arrive(at(100), Ticket(1), demand(100, 0, 900, 1000));
+    queue.arrive(at(100), Ticket(2), demand(100, 1, 500, 2000));
+    let returned = Demand {
+        returned: true,
+        ..demand(100, 1, 500, 2000)
+    };
+    queue.arrive(at(100), Ticket(3), returned);
+    let actions = queue.tick(at(520));
+    assert!(matches!(
+        actions[..],
+        [Action::Decline(Ticket(2), Reason::Deadline, _)]
+    ));
+}
+
 #[test]
 fn closed_queue_turns_everything_away_as_not_run() {
     let mut queue = full(1);
