--- a/src/sidecar/follower.rs
+++ b/src/sidecar/follower.rs
@@ -41,7 +41,7 @@
             duty && (core.reach.get() != Reach::Far || core.now().since(began) > SUPPLIED_IN);
         if !reads && !alone {
             mark = None;
-            probe(&core, &*store).await;
+            probe(&core, &store).await;
             continue;
         }
         let read = match mark {
@@ -50,9 +50,10 @@
         };
         match read {
             Ok(orders) => {
-                reached(&core);
+                reached(&core, &store);
                 mark = Some(orders.mark);
                 take(&core, orders);
+                clear(&core, &*store).await;
             }
             Err(Fault::HistoryGone) => {
                 mark = None;
@@ -106,23 +107,48 @@
 }
 
 /// Waits a while; a node that does not reach the store looks whether it does again.
-async fn probe<S: Store>(core: &Core, store: &S) {
+async fn probe<S: Store>(core: &Rc<Core>, store: &Rc<S>) {
     if core.reach.get() != Reach::Unknown {
         tokio::time::sleep(IDLE).await;
         return;
     }
     tokio::time::sleep(PROBE).await;
     if store.records().await.is_ok() {
-        reached(core);
+        reached(core, store);
     }
 }
 
-fn reached(core: &Core) {
-    if core.reach.get() == Reach::Unknown {
-        core.reach.set(Reach::Far);
-        core.log
-            .line(core.now(), "store", format_args!("outcome=regained"));
-        core.announce();
+/// Notes that the store answers. After a loss this node writes its row anew: it may have been removed.
+fn reached<S: Store>(core: &Rc<Core>, store: &Rc<S>) {
+    if core.reach.get() != Reach::Unknown {
+        return;
+    }
+    core.reach.set(Reach::Far);
+    core.log
+        .line(core.now(), "store", format_args!("outcome=regained"));
+    core.announce();
+    let (core, store) = (core.clone(), store.clone());
+    tokio::task::spawn_local(async move {
+        if let Err(fault) = store.register(&core.contact).await {
+            note(&core, "unregistered", &fault);
+        }
+    });
+}
+
+/// Removes the rows of nodes that are gone for good, if that is this node's duty.
+async fn clear<S: Store>(core: &Core, store: &S) {
+    for host in core.peers.take_forgotten() {
+        if core.rank() > 0 {
+            continue;
+        }
+        match store.remove(&host).await {
+            Ok(()) => core.log.line(
+                core.now(),
+                "store",
+                format_args!("outcome=removed peer={host}"),
+            ),
+            Err(fault) => note(core, "not-removed", &fault),
+        }
     }
 }
 
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -58,8 +58,8 @@
 const WAITING_BYTES: usize = 8 * 1024 * 1024;
 /// How many frames are written at once.
 const WRITE_FRAMES: usize = 64;
-/// How long a node that can't be reached is remembered.
-const FORGET_AFTER: Duration = Duration::from_secs(120);
+/// How long a node that can't be reached is remembered: longer than a restart of its host takes.
+const FORGET_AFTER: Duration = Duration::from_secs(600);
 
 struct Outgoing {
     bytes: Bytes,
@@ -110,6 +110,7 @@
 /// The other nodes.
 pub(super) struct Peers {
     contact: Contact,
+    forgotten: RefCell<Vec<Host>>,
     known: RefCell<BTreeMap<Host, Known>>,
     links: RefCell<HashMap<Host, Rc<Link>>>,
     rng: RefCell<StdRng>,
@@ -121,6 +122,7 @@
     pub fn new(contact: Contact) -> Self {
         Self {
             contact,
+            forgotten: RefCell::default(),
             known: RefCell::default(),
             links: RefCell::default(),
             rng: RefCell::new(StdRng::seed_from_u64(rand::random())),
@@ -168,6 +170,11 @@
         sound
     }
 
+    /// Takes out the nodes that were lost for so long that they are gone for good.
+    pub fn take_forgotten(&self) -> Vec<Host> {
+        std::mem::take(&mut self.forgotten.borrow_mut())
+    }
+
     /// Sends a frame to every connected node.
     pub fn broadcast(&self, frame: &Frame) {
         for link in self.links.borrow().values() {
@@ -290,7 +297,13 @@
 /// Connects to nodes that are known and not connected.
 pub(super) fn dial(core: &Rc<Core>, now: Moment) {
     let mut known = core.peers.known.borrow_mut();
-    known.retain(|_, held| held.lost.is_none_or(|lost| now.since(lost) < FORGET_AFTER));
+    known.retain(|host, held| {
+        let gone = held.lost.is_some_and(|lost| now.since(lost) >= FORGET_AFTER);
+        if gone {
+            core.peers.forgotten.borrow_mut().push(host.clone());
+        }
+        !gone
+    });
     for (host, held) in known.iter_mut() {
         if held.dialing || core.peers.links.borrow().contains_key(host) {
             continue;
