--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -298,7 +298,9 @@
 pub(super) fn dial(core: &Rc<Core>, now: Moment) {
     let mut known = core.peers.known.borrow_mut();
     known.retain(|host, held| {
-        let gone = held.lost.is_some_and(|lost| now.since(lost) >= FORGET_AFTER);
+        let gone = held
+            .lost
+            .is_some_and(|lost| now.since(lost) >= FORGET_AFTER);
         if gone {
             core.peers.forgotten.borrow_mut().push(host.clone());
         }
