--- a/src/sidecar/follower.rs
+++ b/src/sidecar/follower.rs
@@ -20,6 +20,8 @@
 const IDLE: Duration = Duration::from_millis(250);
 /// The pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(250);
+/// The pause after a failed registration: the other nodes are asked meanwhile.
+const REGISTER_PAUSE: Duration = Duration::from_millis(500);
 /// How long a node without a document waits for one from the others before it reads the store itself.
 const SUPPLIED_IN: Duration = Duration::from_millis(1500);
 /// How often a node that does not reach the store tries to, if it is not its duty.
@@ -92,7 +94,6 @@
                         fastest.as_millis()
                     ),
                 );
-                core.registered.set(true);
                 core.peers.learn(contacts);
                 peers::dial(core, core.now());
                 core.announce();
@@ -100,7 +101,8 @@
             }
             Err(fault) => {
                 note(core, "unregistered", &fault);
-                tokio::time::sleep(PAUSE).await;
+                peers::introduce(core);
+                tokio::time::sleep(REGISTER_PAUSE).await;
             }
         }
     }
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -66,8 +66,6 @@
     pub placement: RefCell<Placement>,
     pub ramps: RefCell<HashMap<Service, Ramp>>,
     pub reach: Cell<Reach>,
-    /// Whether the other nodes were read from the store.
-    pub registered: Cell<bool>,
     pub retries: RefCell<Retries>,
     pub returns: RefCell<Returns>,
     pub settings: RefCell<Settings>,
@@ -340,7 +338,6 @@
             placement: RefCell::new(Placement::new(rand::random())),
             ramps: RefCell::default(),
             reach: Cell::default(),
-            registered: Cell::new(false),
             retries: RefCell::new(Retries::new(Core::allowance(&settings))),
             returns: RefCell::default(),
             settings: RefCell::new(settings),
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -3,7 +3,7 @@
 
 mod spreading;
 
-pub(super) use spreading::{push, ramp as spread_ramp};
+pub(super) use spreading::{introduce, push, ramp as spread_ramp};
 
 use {
     super::{
@@ -453,9 +453,6 @@
         ),
     );
     link.send(&Frame::Status(core.status()), None);
-    if !core.registered.get() {
-        link.send(&Frame::Introduce, None);
-    }
     for ramp in core.ramps.borrow().values() {
         link.send(&Frame::Ramp(Scope::Host, ramp.clone()), None);
     }
--- a/src/sidecar/peers/spreading.rs
+++ b/src/sidecar/peers/spreading.rs
@@ -10,6 +10,7 @@
             ramp::{Phase, Ramp},
             spread::{self, Scope},
         },
+        traffic::spill::Tier,
         world::{Host, Moment},
     },
     std::{cell::RefCell, rc::Rc, time::Duration},
@@ -20,6 +21,10 @@
 const CONFIRMED_IN: Duration = Duration::from_millis(300);
 /// How often news are handed to another node of the same place.
 const RELAYS_MAX: usize = 3;
+/// How long a node that is behind waits before it asks another domain of its region.
+const REGION_PATIENCE: Duration = Duration::from_millis(400);
+/// How long it waits before it asks another region.
+const REMOTE_PATIENCE: Duration = Duration::from_millis(900);
 /// How long an answer to a fetch may take.
 const FETCHED_IN: Duration = Duration::from_millis(400);
 
@@ -35,6 +40,7 @@
 #[derive(Default)]
 pub(super) struct State {
     awaited: RefCell<Vec<Awaited>>,
+    behind: RefCell<Option<Moment>>,
     fetched: RefCell<Option<Moment>>,
 }
 
@@ -117,6 +123,17 @@
     link.send(&Frame::Fetch(core.number()), None);
 }
 
+/// Asks the nearest node for the nodes that it knows, as the store does not tell.
+pub(in crate::sidecar) fn introduce(core: &Core) {
+    let links = core.peers.sound();
+    let nearest = links
+        .iter()
+        .min_by_key(|link| core.tier(&link.contact) as usize);
+    if let Some(link) = nearest {
+        link.send(&Frame::Introduce, None);
+    }
+}
+
 /// Asks the next node where news were not confirmed, and fetches what was missed.
 pub(super) fn tick(core: &Core, now: Moment) {
     let mut late = Vec::new();
@@ -130,12 +147,32 @@
     for (scope, asked) in late {
         ask_next(core, scope, &asked);
     }
+    catch_up(core, now);
+}
+
+/// Fetches what was missed from the nearest node that has it. Distant ones are left time to bring it first: one copy
+/// may be on its way to a node nearby.
+fn catch_up(core: &Core, now: Moment) {
     let own = core.number();
     let links = core.peers.sound();
     let ahead = links
         .iter()
         .filter(|link| link.status.borrow().document > own);
-    if let Some(nearest) = ahead.min_by_key(|link| core.tier(&link.contact) as usize) {
+    let nearest = ahead.min_by_key(|link| core.tier(&link.contact) as usize);
+    let mut behind = core.peers.spreading.behind.borrow_mut();
+    let Some(nearest) = nearest else {
+        *behind = None;
+        return;
+    };
+    let since = *behind.get_or_insert(now);
+    let patience = match core.tier(&nearest.contact) {
+        // Nothing can be served without a document.
+        _ if !core.configured() => Duration::ZERO,
+        Tier::Own => Duration::ZERO,
+        Tier::Region => REGION_PATIENCE,
+        Tier::Remote => REMOTE_PATIENCE,
+    };
+    if now.since(since) >= patience {
         fetch(core, nearest);
     }
 }
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -30,9 +30,6 @@
     pub control: SocketAddr,
     /// The failure domain.
     pub domain: Domain,
-    /// The time within which a change must be in force, in seconds.
-    #[serde(rename = "apply_s", deserialize_with = "seconds")]
-    pub apply: Duration,
     /// How long a stop may take, in seconds.
     #[serde(rename = "grace_s", deserialize_with = "seconds")]
     pub grace: Duration,
@@ -43,8 +40,6 @@
     pub host: Host,
     /// Where other nodes connect to this one.
     pub link: SocketAddr,
-    /// The memory that the process may take, in megabytes.
-    pub memory_mb: u64,
     /// Where metrics are served.
     pub metrics: SocketAddr,
     /// Where readiness is asked for.
@@ -101,7 +96,6 @@
                 !(0.0..=1e9).contains(&settings.retries.extra),
                 "retries.extra is not within 0 and 1e9",
             ),
-            (settings.memory_mb < 32, "memory_mb is below 32"),
         ];
         let faults: Vec<String> = checks
             .into_iter()
--- a/src/sidecar/words.rs
+++ b/src/sidecar/words.rs
@@ -10,8 +10,6 @@
     pub expected: &'static str,
     /// On both: identifies the request.
     pub id: &'static str,
-    /// On an answer: running requests, waiting requests and slots.
-    pub load: &'static str,
     /// On an answer: the upstream did not run the request.
     pub not_run: &'static str,
     /// On an answer: that it is the upstream's own.
--- a/tests/sidecar/settings.rs
+++ b/tests/sidecar/settings.rs
@@ -5,8 +5,8 @@
         "host": "a1", "domain": "luzon-a", "region": "luzon", "service": "desk",
         "callers": "127.0.0.1:1", "link": "127.0.0.1:2", "control": "127.0.0.1:3",
         "ready": "127.0.0.1:4", "metrics": "127.0.0.1:5", "upstream": "127.0.0.1:6",
-        "store": "127.0.0.1:7", "heartbeat_s": 1.5, "apply_s": 2, "grace_s": 6,
-        "memory_mb": 260, "retries": { "ratio": 0.2, "extra": 60, "window_s": 10 },
+        "store": "127.0.0.1:7", "heartbeat_s": 1.5, "grace_s": 6,
+        "retries": { "ratio": 0.2, "extra": 60, "window_s": 10 },
     });
     change(&mut value);
     value.to_string()
@@ -23,7 +23,7 @@
     let faulty = text(|value| {
         value["heartbeat_s"] = 0.into();
         value["retries"]["ratio"] = 11.into();
-        value["memory_mb"] = 1.into();
+        value["grace_s"] = 0.into();
     });
     let fault = Settings::parse(&faulty).unwrap_err();
     insta::assert_snapshot!(fault.to_string());
