Log what the store holds and nobody can read

A document, order or contact that can't be read was left out without a word; each has a line now. The whole table of moves is read no more to find out whether the store answers: the contacts are, which may be news.

--- a/src/sidecar/follower.rs
+++ b/src/sidecar/follower.rs
@@ -8,7 +8,7 @@
         peers,
         ramp::Move,
         spread::Scope,
-        store::{Fault, Orders, Store},
+        store::{Contacts, Fault, Orders, Store},
     },
     crate::world::Permille,
     std::{rc::Rc, time::Duration},
@@ -90,11 +90,11 @@
                     "store",
                     format_args!(
                         "outcome=registered nodes={} answer_ms={} near={near}",
-                        contacts.len(),
+                        contacts.found.len(),
                         fastest.as_millis()
                     ),
                 );
-                core.peers.learn(contacts);
+                learn(core, contacts);
                 peers::dial(core, core.now());
                 core.announce();
                 return;
@@ -115,11 +115,19 @@
         return;
     }
     tokio::time::sleep(PROBE).await;
-    if store.records().await.is_ok() {
+    if let Ok(contacts) = store.contacts().await {
+        learn(core, contacts);
         reached(core, store);
     }
 }
 
+fn learn(core: &Core, contacts: Contacts) {
+    for fault in &contacts.faults {
+        note(core, "left-out", fault);
+    }
+    core.peers.learn(contacts.found);
+}
+
 /// Notes that the store answers. After a loss this node writes its row anew: it may have been removed.
 fn reached<S: Store>(core: &Rc<Core>, store: &Rc<S>) {
     if core.reach.get() != Reach::Unknown {
@@ -172,6 +180,9 @@
 }
 
 fn take(core: &Rc<Core>, orders: Orders) {
+    for fault in &orders.faults {
+        note(core, "left-out", fault);
+    }
     for order in orders.moves {
         take_move(core, order);
     }
--- a/src/sidecar/node/core.rs
+++ b/src/sidecar/node/core.rs
@@ -43,24 +43,43 @@
 
 /// What the edges of a node share.
 pub(in crate::sidecar) struct Core {
+    /// The callers' requests that are under way.
     pub callers: Cell<usize>,
+    /// The time.
     pub clock: Clock,
+    /// The moves between versions.
     pub conductor: RefCell<Conductor>,
+    /// Where this node is.
     pub contact: Contact,
+    /// The last steps between documents, oldest first.
     pub differences: RefCell<VecDeque<Arc<Difference>>>,
+    /// The document in force.
     pub document: RefCell<Arc<Document>>,
+    /// The upstream on this host.
     pub egress: egress::State,
+    /// The routes of the document in force.
     pub index: RefCell<Index>,
+    /// The log.
     pub log: Log,
+    /// The metrics.
     pub metrics: Metrics,
+    /// The other nodes.
     pub peers: Peers,
+    /// The upstreams that requests are sent to.
     pub placement: RefCell<Placement>,
+    /// What is in force while a service's traffic moves.
     pub ramps: RefCell<HashMap<Service, Ramp>>,
+    /// How this node stands to the store.
     pub reach: Cell<Reach>,
+    /// This node's part of the retries.
     pub retries: RefCell<Retries>,
+    /// The refused requests that may come back.
     pub returns: RefCell<Returns>,
+    /// The settings in force.
     pub settings: RefCell<Settings>,
+    /// When the stop of this node began.
     pub stopping: Cell<Option<Moment>>,
+    /// The names of header fields.
     pub words: Words,
 }
 
--- a/src/sidecar/store.rs
+++ b/src/sidecar/store.rs
@@ -32,12 +32,23 @@
 pub struct Orders {
     /// The newest document, if it was written since.
     pub document: Option<Document>,
+    /// What was written and can't be read; it is left out.
+    pub faults: Vec<Fault>,
     /// From where to go on reading.
     pub mark: u64,
     /// Moves between versions.
     pub moves: Vec<Order>,
 }
 
+/// Where nodes can be found.
+#[derive(Debug, Clone, Default)]
+pub struct Contacts {
+    /// Rows that can't be read; they name no node.
+    pub faults: Vec<Fault>,
+    /// The nodes.
+    pub found: Vec<Contact>,
+}
+
 /// What the mesh has recorded of a move.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Record {
@@ -65,9 +76,6 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Orders, Fault>>;
 
-    /// Reads what the mesh has recorded of moves.
-    fn records(&self) -> impl Future<Output = Result<Vec<Record>, Fault>>;
-
     /// Records how far a move has come, unless its end is recorded already; gives what stands then.
     fn record(&self, record: &Record) -> impl Future<Output = Result<Record, Fault>>;
 
@@ -75,7 +83,7 @@
     fn register(&self, contact: &Contact) -> impl Future<Output = Result<(), Fault>>;
 
     /// Reads where nodes can be found.
-    fn contacts(&self) -> impl Future<Output = Result<Vec<Contact>, Fault>>;
+    fn contacts(&self) -> impl Future<Output = Result<Contacts, Fault>>;
 
     /// Removes a node that is gone for good.
     fn remove(&self, host: &Host) -> impl Future<Output = Result<(), Fault>>;
