Let the next conductor judge a move also while the store is away

Cause (found by reading): a conductor stepped only moves that it had recorded itself, so that after a take-over in an outage of the store a bad version kept its share, unjudged, until the store was back. What another node has in force is known to be under way. Test: move_is_judged_by_the_next_conductor_also_without_the_store. The condition on which news are sent is a function of its own.

--- a/src/sidecar/conductor.rs
+++ b/src/sidecar/conductor.rs
@@ -50,43 +50,51 @@
         adopt(core, now);
         return;
     }
-    let mut news = Vec::new();
-    {
-        let mut conductor = core.conductor.borrow_mut();
-        let Conductor {
-            moves,
-            recorded,
-            sent,
-            ..
-        } = &mut *conductor;
-        for (service, held) in moves.iter_mut() {
-            // Before the store was asked, an end that was recorded earlier may not be known here.
-            if recorded.get(service).map(|(mark, _)| *mark) != Some(held.order().mark) {
-                continue;
-            }
-            let serving = core.placement.borrow().has(service, &held.order().to);
-            let ramp = held.step(now, serving);
-            let changed = sent.get(service).is_none_or(|(at, before)| {
-                (before.mark, before.phase, before.share, &before.late_after)
-                    != (ramp.mark, ramp.phase, ramp.share, &ramp.late_after)
-                    && (now.since(*at) >= REPEAT / 4
-                        || (before.mark, before.phase, before.share)
-                            != (ramp.mark, ramp.phase, ramp.share))
-                    || (ramp.phase == Phase::Running && now.since(*at) >= REPEAT)
-            });
-            if changed {
-                sent.insert(service.clone(), (now, ramp.clone()));
-                news.push(ramp);
-            }
-        }
-    }
-    for ramp in news {
+    for ramp in step(core, now) {
         peers::spread_ramp(core, Scope::Mesh, &ramp);
         core.follow(ramp);
     }
     record(core, store);
 }
 
+/// Takes the moves a step further, and gives what the other nodes have to know of it.
+fn step(core: &Core, now: Moment) -> Vec<Ramp> {
+    let mut news = Vec::new();
+    let mut conductor = core.conductor.borrow_mut();
+    let Conductor {
+        moves,
+        recorded,
+        sent,
+        ..
+    } = &mut *conductor;
+    for (service, held) in moves.iter_mut() {
+        let mark = Some(held.order().mark);
+        let known = recorded.get(service).map(|(mark, _)| *mark) == mark;
+        let in_force = core.ramps.borrow().get(service).map(|ramp| ramp.mark) == mark;
+        // A move that nobody here has seen may have ended before; only the store knows.
+        if !known && !in_force {
+            continue;
+        }
+        let serving = core.placement.borrow().has(service, &held.order().to);
+        let ramp = held.step(now, serving);
+        let told = sent.get(service);
+        if told.is_none_or(|(at, before)| is_news(before, &ramp, now.since(*at))) {
+            sent.insert(service.clone(), (now, ramp.clone()));
+            news.push(ramp);
+        }
+    }
+    news
+}
+
+/// Tells whether the other nodes have to hear of what is in force: at once if it changed, less often if only the
+/// bounds of late runs did, and now and then in any case.
+fn is_news(before: &Ramp, ramp: &Ramp, told: Duration) -> bool {
+    let state = |ramp: &Ramp| (ramp.mark, ramp.phase, ramp.share);
+    let bounds_moved = before.late_after != ramp.late_after && told >= REPEAT / 4;
+    let due = ramp.phase == Phase::Running && told >= REPEAT;
+    state(before) != state(ramp) || bounds_moved || due
+}
+
 /// Takes over what another conductor has in force, so that this one can go on from there.
 fn adopt(core: &Core, now: Moment) {
     let ramps = core.ramps.borrow();
