--- a/src/sidecar/conductor.rs
+++ b/src/sidecar/conductor.rs
@@ -118,12 +118,8 @@
             let order = held.order();
             let state = (order.mark, held.phase());
             let known = conductor.recorded.get(&order.service) == Some(&state);
-            let ramps = core.ramps.borrow();
-            let elapsed = ramps
-                .get(&order.service)
-                .map_or(Duration::ZERO, |ramp| ramp.elapsed);
             (!known).then(|| Record {
-                elapsed,
+                elapsed: held.elapsed(core.now()),
                 mark: order.mark,
                 phase: held.phase(),
                 service: order.service.clone(),
