Notice the death of an upstream whose last caller has gone

A request that its caller cancelled was struck only when a later request met the dead upstream.

Ruled out: strikes that were late or undelivered (both counters stayed at zero).

Change: while a request that nobody waits for may still run, its node keeps one connection to the upstream open, and looks at once when that is closed.

A new test without other callers fails on the old code (three dead) and passes now.

--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -31,6 +31,8 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long an answer may wait for its reader to take the next piece.
 const STALL_TIMEOUT: Duration = Duration::from_secs(30);
+/// How long one look at an upstream lasts that may still run a request which nobody waits for.
+const WATCH_SPAN: Duration = Duration::from_secs(1);
 
 /// Serves one request that another node passed on.
 pub async fn serve(proxy: Proxy, mut send: SendStream, mut recv: RecvStream) {
@@ -49,11 +51,15 @@
     let stopped = send.stopped();
     let ended = tokio::select! {
         ended = run(&proxy, head, &mut send, recv) => ended,
-        _ = stopped => return proxy.telemetry.count("egress.cancelled"),
+        _ = stopped => {
+            watch(&proxy);
+            return proxy.telemetry.count("egress.cancelled");
+        }
     };
     let Err(failure) = ended else {
         return delivered(&send).await;
     };
+    watch(&proxy);
     proxy
         .telemetry
         .count(&format!("egress.{}", failure.counter()));
@@ -68,6 +74,24 @@
     delivered(&send).await;
 }
 
+/// Watches the upstream while a request that nobody waits for any more may still run there: its death has
+/// to be put down to that request before the caller sends it to another one.
+fn watch(proxy: &Proxy) {
+    if !proxy.gate.begin_watch() {
+        return;
+    }
+    let proxy = proxy.clone();
+    tokio::spawn(async move {
+        while let Some(offer) = proxy.gate.watched() {
+            pool::closed(offer.address, WATCH_SPAN).await;
+            let dead = pool::is_gone(offer.address).await;
+            if dead && proxy.gate.watched().as_ref() == Some(&offer) {
+                proxy.strike(&offer.service, proxy.gate.gone()).await;
+            }
+        }
+    });
+}
+
 /// Waits until the other node has the whole answer, so that a planned stop cuts nothing off.
 async fn delivered(send: &SendStream) {
     // A node that has gone, or takes too long, is not waited for.
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -39,6 +39,7 @@
     offer: Option<Offer>,
     quarantine: Quarantine,
     waiting: HashMap<Ticket, oneshot::Sender<Result<(), Reason>>>,
+    watched: bool,
 }
 
 impl State {
@@ -77,6 +78,7 @@
             offer: None,
             quarantine: Quarantine::default(),
             waiting: HashMap::new(),
+            watched: false,
         };
         Self {
             clock,
@@ -195,6 +197,26 @@
         state.quarantine.gone(now, Crash(rand::random()))
     }
 
+    /// Claims the watch over the upstream; nobody else gets it until [`Gate::watched`] gives nothing.
+    #[must_use]
+    pub fn begin_watch(&self) -> bool {
+        !std::mem::replace(&mut self.state().watched, true)
+    }
+
+    /// Gives the upstream while a request that ended without an answer may still run there; ends the
+    /// watch otherwise.
+    #[must_use]
+    pub fn watched(&self) -> Option<Offer> {
+        let now = self.clock.now();
+        let mut state = self.state();
+        let offer = state
+            .offer
+            .clone()
+            .filter(|_| state.quarantine.lingers(now));
+        state.watched = offer.is_some();
+        offer
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -122,6 +122,22 @@
     false
 }
 
+/// Waits until an upstream closes a connection on which nothing is sent, for a while at most.
+pub async fn closed(address: SocketAddr, span: Duration) {
+    let closing = async {
+        match TcpStream::connect(address).await {
+            Ok(mut stream) => {
+                // Whether it is closed or reset, the caller looks at why.
+                let _ = stream.read_u8().await;
+            }
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => (),
+            Err(_) => std::future::pending().await,
+        }
+    };
+    // An upstream that is still there after the span is looked at anew by the caller.
+    let _ = tokio::time::timeout(span, closing).await;
+}
+
 async fn dial(address: SocketAddr, open: Open) -> io::Result<Connection> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
--- a/src/traffic/quarantine.rs
+++ b/src/traffic/quarantine.rs
@@ -160,6 +160,13 @@
         (!clearing.cleared.is_empty()).then_some(clearing)
     }
 
+    /// Tells whether a request that ended without an answer may still run at the upstream.
+    #[must_use]
+    pub fn lingers(&self, now: Moment) -> bool {
+        let newest = self.lingering.back();
+        newest.is_some_and(|lingering| now.since(lingering.ended) < LINGERS)
+    }
+
     fn linger(&mut self, now: Moment, fingerprint: Fingerprint) {
         if self.lingering.len() >= LINGERING_MAX {
             self.lingering.pop_front();
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -115,8 +115,10 @@
     quarantine.end(NOW, Ticket(1), false);
     quarantine.end(NOW, Ticket(2), true);
     let later = NOW + Duration::from_secs(5);
+    assert!(quarantine.lingers(later));
     let strikes = quarantine.gone(later, Crash(1));
     assert_eq!(strikes, [strike(POISON, &[1])]);
+    assert!(!quarantine.lingers(later));
     assert_eq!(quarantine.gone(later, Crash(2)), []);
 }
 
@@ -180,6 +182,27 @@
     assert_eq!(dead(&test), 2);
 }
 
+/// Nobody but the poison's caller calls, so no other request finds out that an upstream has died.
+#[tokio::test(flavor = "multi_thread")]
+async fn death_of_an_idle_upstream_is_put_down_to_what_was_cancelled_there() {
+    let test = mesh(5).await;
+    for host in &test.hosts {
+        host.upstream.fail(Faults {
+            die_of: Some("poison".into()),
+            die_after_ms: 100,
+            ..Faults::default()
+        });
+    }
+    let proxy = test.hosts[0].node.proxy();
+    for round in 0..10 {
+        let poison = Caller::post(proxy, &format!("poison-{round}"), "poison");
+        // The caller gives up before the upstream dies.
+        let _ = tokio::time::timeout(Duration::from_millis(50), poison.send()).await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+    assert_eq!(dead(&test), 2);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn upstream_that_dies_of_something_else_quarantines_nothing() {
     let test = mesh(4).await;
