Let a move stay with its conductor while the store is away

Each node that came to follow the store first also took the move over, found the store silent and passed it on, a second later. The runs were reported to whichever node each host thought was first, so no conductor saw many; one that had never seen the old version had nothing to compare with, and at all traffic it recorded the bad version as succeeded (the logs show seven conductors in nine seconds, and 60% of the runs failing for seven).

Ruled out: late evidence (reported four times a second all along), the test itself (it takes the version back within half a second where it gets both versions' runs).

Change: what is in force names its conductor, with the start of its node; it stays as long as it answers, whether it reaches the store or not, and all evidence goes there. It also carries the order and the old version's runs, so that any node can go on without the store. A new conductor has the step in force shown anew before it goes on or ends. The first reader of the store records, whoever conducts.

Two tests of the takeover; second_conductor_takes_a_bad_version_back is the case above.

--- a/src/sidecar/conductor.rs
+++ b/src/sidecar/conductor.rs
@@ -39,25 +39,34 @@
 
 /// Hands evidence in, and paces the moves if that is this node's duty.
 pub(super) fn tick<S: Store>(core: &Rc<Core>, store: &Rc<S>, now: Moment) {
-    let first = core.conducting();
-    if let Some(evidence) = core.egress.evidence() {
-        match &first {
-            Some(host) => core.peers.send(host, &Frame::Evidence(evidence)),
-            None => core.conductor.borrow_mut().add(&evidence),
-        }
-    }
-    if first.is_some() {
-        adopt(core, now);
-        return;
-    }
+    report(core);
+    adopt(core, now);
     for ramp in step(core, now) {
         peers::spread_ramp(core, Scope::Mesh, &ramp);
         core.follow(ramp);
     }
-    record(core, store);
+    if core.first_reader().is_none() {
+        record(core, store);
+    }
 }
 
-/// Takes the moves a step further, and gives what the other nodes have to know of it.
+/// Sends what the upstream's runs came to to the node that judges them.
+fn report(core: &Core) {
+    let Some(evidence) = core.egress.evidence() else {
+        return;
+    };
+    let mark = {
+        let conductor = core.conductor.borrow();
+        let held = conductor.moves.get(&evidence.service);
+        held.map_or(0, |held| held.order().mark)
+    };
+    match core.conducting(&evidence.service, mark) {
+        Some(host) => core.peers.send(&host, &Frame::Evidence(evidence)),
+        None => core.conductor.borrow_mut().add(&evidence),
+    }
+}
+
+/// Takes the moves that this node conducts a step further, and gives what the other nodes have to know of it.
 fn step(core: &Core, now: Moment) -> Vec<Ramp> {
     let mut news = Vec::new();
     let mut conductor = core.conductor.borrow_mut();
@@ -67,16 +76,23 @@
         sent,
         ..
     } = &mut *conductor;
+    let leader = core.leader();
     for (service, held) in moves.iter_mut() {
+        if core.conducting(service, held.order().mark).is_some() {
+            continue;
+        }
         let mark = Some(held.order().mark);
         let known = recorded.get(service).map(|(mark, _)| *mark) == mark;
-        let in_force = core.ramps.borrow().get(service).map(|ramp| ramp.mark) == mark;
+        let in_force = in_force(core, held);
         // A move that nobody here has seen may have ended before; only the store knows.
-        if !known && !in_force {
+        let unknown = !known && in_force.is_none();
+        // Nodes that connect are told of an end by those that know it.
+        let over = held.phase() != Phase::Running && in_force == Some(held.phase());
+        if unknown || over {
             continue;
         }
         let serving = core.placement.borrow().has(service, &held.order().to);
-        let ramp = held.step(now, serving);
+        let ramp = held.step(now, &leader, serving);
         let told = sent.get(service);
         if told.is_none_or(|(at, before)| is_news(before, &ramp, now.since(*at))) {
             sent.insert(service.clone(), (now, ramp.clone()));
@@ -86,23 +102,41 @@
     news
 }
 
+/// Gives how far a move has come by what this node routes by; nothing if that is of another order.
+fn in_force(core: &Core, held: &Move) -> Option<Phase> {
+    let ramps = core.ramps.borrow();
+    let ramp = ramps.get(&held.order().service);
+    let ramp = ramp.filter(|ramp| ramp.order.mark == held.order().mark)?;
+    Some(ramp.phase)
+}
+
 /// Tells whether the other nodes have to hear of what is in force: at once if it changed, less often if only the
 /// bounds of late runs did, and now and then in any case.
 fn is_news(before: &Ramp, ramp: &Ramp, told: Duration) -> bool {
-    let state = |ramp: &Ramp| (ramp.mark, ramp.phase, ramp.share);
-    let bounds_moved = before.late_after != ramp.late_after && told >= REPEAT / 4;
+    let state = |ramp: &Ramp| (ramp.order.mark, ramp.phase, ramp.share);
+    let bounds_moved = before.baseline != ramp.baseline && told >= REPEAT / 4;
     let due = ramp.phase == Phase::Running && told >= REPEAT;
     state(before) != state(ramp) || bounds_moved || due
 }
 
-/// Takes over what another conductor has in force, so that this one can go on from there.
+/// Takes over what other nodes conduct, so that this one can go on from there, also without the store.
 fn adopt(core: &Core, now: Moment) {
     let ramps = core.ramps.borrow();
     let mut conductor = core.conductor.borrow_mut();
-    for (service, held) in &mut conductor.moves {
-        let ramp = ramps.get(service);
-        if let Some(ramp) = ramp.filter(|ramp| ramp.mark == held.order().mark) {
-            held.follow(now, ramp);
+    let Conductor { moves, sent, .. } = &mut *conductor;
+    for (service, ramp) in ramps.iter() {
+        let order = |held: &Move| held.order().mark;
+        match moves.get_mut(service) {
+            Some(held) if order(held) > ramp.order.mark => (),
+            Some(held) if order(held) == ramp.order.mark => {
+                if ramp.leader != core.leader() {
+                    held.follow(now, ramp);
+                    sent.remove(service);
+                }
+            }
+            _ => {
+                moves.insert(service.clone(), Move::adopt(now, ramp));
+            }
         }
     }
 }
--- a/src/sidecar/egress.rs
+++ b/src/sidecar/egress.rs
@@ -210,7 +210,7 @@
     /// Counts late runs of a service whose traffic moves.
     pub fn watch(&self, ramp: &Ramp) {
         let mut late_after = self.late_after.borrow_mut();
-        late_after.insert(ramp.service.clone(), ramp.late_after.clone());
+        late_after.insert(ramp.order.service.clone(), ramp.late_after());
     }
 
     /// Takes out what the upstream's runs came to.
--- a/src/sidecar/follower.rs
+++ b/src/sidecar/follower.rs
@@ -10,7 +10,6 @@
         spread::Scope,
         store::{Contacts, Fault, Orders, Store},
     },
-    crate::world::Permille,
     std::{rc::Rc, time::Duration},
 };
 
@@ -227,17 +226,10 @@
         ),
     );
     let ramps = core.ramps.borrow();
-    let held = ramps
-        .get(&order.service)
-        .filter(|ramp| ramp.mark == order.mark);
     let service = order.service.clone();
-    let begun = match held {
-        Some(ramp) => {
-            let mut begun = Move::new(now, order, ramp.elapsed, ramp.share);
-            begun.settle(ramp.phase);
-            begun
-        }
-        None => Move::new(now, order, Duration::ZERO, Permille(0)),
+    let begun = match ramps.get(&service) {
+        Some(ramp) if ramp.order.mark == order.mark => Move::adopt(now, ramp),
+        _ => Move::new(now, order),
     };
     conductor.moves.insert(service, begun);
 }
--- a/src/sidecar/forward.rs
+++ b/src/sidecar/forward.rs
@@ -180,7 +180,7 @@
             Phase::Succeeded => true,
             Phase::RolledBack => false,
         };
-        Some((ramp.to.clone(), wanted.then_some(ramp.share)))
+        Some((ramp.order.to.clone(), wanted.then_some(ramp.share)))
     }
 
     async fn attempt(&mut self, place: &Place) -> (Outcome, Option<Load>) {
--- a/src/sidecar/node/core.rs
+++ b/src/sidecar/node/core.rs
@@ -13,7 +13,7 @@
             metrics::Metrics,
             peers::Peers,
             placement::Placement,
-            ramp::{Phase, Ramp},
+            ramp::{Leader, Phase, Ramp},
             retries::{Allowance, Retries},
             returns::Returns,
             settings::Settings,
@@ -152,8 +152,29 @@
         duty::rank(&own, self.peers.candidates().into_iter())
     }
 
-    /// Gives the node that conducts moves between versions; nothing if it is this one.
-    pub fn conducting(&self) -> Option<Host> {
+    /// Gives this node as one that conducts moves.
+    pub fn leader(&self) -> Leader {
+        Leader {
+            host: self.host().clone(),
+            incarnation: self.contact.incarnation,
+        }
+    }
+
+    /// Gives the node that conducts a service's move of an order; nothing if it is this one. A move stays with
+    /// its conductor as long as that one answers, also without the store, as it alone has the evidence.
+    pub fn conducting(&self, service: &Service, mark: u64) -> Option<Host> {
+        let ramps = self.ramps.borrow();
+        let running = |ramp: &&Ramp| ramp.phase == Phase::Running && ramp.order.mark >= mark;
+        let ramp = ramps.get(service).filter(running);
+        match ramp.map(|ramp| &ramp.leader) {
+            Some(leader) if *leader == self.leader() => None,
+            Some(leader) if self.peers.is_sound(leader) => Some(leader.host.clone()),
+            _ => self.first_reader(),
+        }
+    }
+
+    /// Gives the node that follows the store first; nothing if it is this one.
+    pub fn first_reader(&self) -> Option<Host> {
         let own = Candidate {
             reach: self.reach.get(),
             host: self.host().clone(),
@@ -225,34 +246,36 @@
     pub fn follow(&self, ramp: Ramp) -> bool {
         let mut ramps = self.ramps.borrow_mut();
         if ramps
-            .get(&ramp.service)
+            .get(&ramp.order.service)
             .is_some_and(|held| !ramp.follows(held))
         {
             return false;
         }
-        let before = ramps.get(&ramp.service);
+        let before = ramps.get(&ramp.order.service);
         let changed = before.is_none_or(|before| {
-            (before.mark, before.phase, before.share) != (ramp.mark, ramp.phase, ramp.share)
+            let state = |ramp: &Ramp| (ramp.order.mark, ramp.phase, ramp.share);
+            state(before) != state(&ramp) || before.leader != ramp.leader
         });
         if changed {
             self.log.line(
                 self.now(),
                 "move",
                 format_args!(
-                    "service={} to={} share={} phase={:?} order={} elapsed_ms={}",
-                    ramp.service,
-                    ramp.to,
+                    "service={} to={} share={} phase={:?} order={} elapsed_ms={} conductor={}",
+                    ramp.order.service,
+                    ramp.order.to,
                     ramp.share,
                     ramp.phase,
-                    ramp.mark,
-                    ramp.elapsed.as_millis()
+                    ramp.order.mark,
+                    ramp.elapsed.as_millis(),
+                    ramp.leader.host
                 ),
             );
         }
         if ramp.phase == Phase::Running {
             self.egress.watch(&ramp);
         }
-        ramps.insert(ramp.service.clone(), ramp);
+        ramps.insert(ramp.order.service.clone(), ramp);
         true
     }
 
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -16,6 +16,7 @@
         frame::{Contact, Frame, Outcome, Stream},
         metrics::Metrics,
         node::Core,
+        ramp::Leader,
     },
     crate::{
         refusal::Reason,
@@ -115,9 +116,18 @@
             .collect()
     }
 
+    /// Tells whether the node that conducts a move is connected and answers, and has not restarted since.
+    pub fn is_sound(&self, leader: &Leader) -> bool {
+        let links = self.links.borrow();
+        let link = links.get(&leader.host);
+        link.is_some_and(|link| {
+            !link.suspect.get() && link.contact.incarnation == leader.incarnation
+        })
+    }
+
     /// Tells whether the node that hands documents out was seen to run one.
     pub fn is_ahead(&self, core: &Core, number: Number) -> bool {
-        let first = core.conducting();
+        let first = core.first_reader();
         let links = self.links.borrow();
         let first = first.and_then(|host| links.get(&host));
         first.is_some_and(|link| link.status.borrow().document >= number)
--- a/src/sidecar/ramp.rs
+++ b/src/sidecar/ramp.rs
@@ -10,7 +10,7 @@
     super::document::Order,
     crate::{
         rollout::detector::{Cell, Detector, Trials},
-        world::{Moment, Permille, Service, Version},
+        world::{Host, Moment, Permille, Service, Version},
     },
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, time::Duration},
@@ -55,32 +55,52 @@
     RolledBack,
 }
 
-/// What every node routes a service's requests by while its traffic moves.
+/// The node that conducts a move: the one that gets the evidence, judges it and paces the move.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Leader {
+    /// Its host.
+    pub host: Host,
+    /// Which start of the node it is; one that has restarted knows nothing of the move.
+    pub incarnation: u64,
+}
+
+/// What every node routes a service's requests by while its traffic moves. It holds all that another node
+/// needs to go on with the move, as the store may be away when its conductor is lost.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ramp {
-    /// How long the move has been under way, so that another node can go on with it.
+    /// What the old version's runs came to, by route.
+    pub baseline: BTreeMap<u64, Sums>,
+    /// How long the move has been under way.
     pub elapsed: Duration,
-    /// From which run time on a run counts as late, by route.
-    pub late_after: BTreeMap<u64, Duration>,
-    /// The order's place in the store's history.
-    pub mark: u64,
+    /// The node that conducts it.
+    pub leader: Leader,
+    /// What the operator ordered.
+    pub order: Order,
     /// How far it has come.
     pub phase: Phase,
-    /// The service.
-    pub service: Service,
     /// The new version's share.
     pub share: Permille,
-    /// The new version.
-    pub to: Version,
 }
 
 impl Ramp {
     /// Tells whether this is news after `held`.
     #[must_use]
     pub fn follows(&self, held: &Self) -> bool {
-        let order = |ramp: &Self| (ramp.mark, ramp.phase, ramp.elapsed);
+        let order = |ramp: &Self| (ramp.order.mark, ramp.phase, ramp.elapsed);
         order(self) > order(held)
     }
+
+    /// Gives the run time from which on a run counts as late, by route.
+    #[must_use]
+    pub fn late_after(&self) -> BTreeMap<u64, Duration> {
+        let known = self
+            .baseline
+            .iter()
+            .filter(|(_, sums)| sums.done >= LATE_AFTER);
+        known
+            .map(|(route, sums)| (*route, sums.time / sums.done * LATE_FACTOR))
+            .collect()
+    }
 }
 
 /// What one upstream's runs on one route came to since the last report.
@@ -126,6 +146,8 @@
 #[derive(Debug)]
 pub struct Move {
     began: Moment,
+    /// Whether another node conducts it.
+    followed: bool,
     judged: Moment,
     old: BTreeMap<u64, Sums>,
     order: Order,
@@ -138,18 +160,17 @@
 }
 
 impl Move {
-    /// Takes up a move that has been under way for `elapsed` and gave the new version `share`.
+    /// Begins a move.
     #[must_use]
-    pub fn new(now: Moment, order: Order, elapsed: Duration, share: Permille) -> Self {
-        let micros = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
-        let reached = STEPS.iter().rposition(|(_, step)| *step <= share);
+    pub fn new(now: Moment, order: Order) -> Self {
         Self {
-            began: Moment(now.0.saturating_sub(micros)),
+            began: now,
+            followed: false,
             judged: now,
             old: BTreeMap::new(),
             order,
             phase: Phase::Running,
-            step: reached.unwrap_or_default(),
+            step: 0,
             step_began: now,
             step_runs: 0,
             detectors: BTreeMap::new(),
@@ -157,8 +178,18 @@
         }
     }
 
+    /// Takes up a move that another node conducts.
+    #[must_use]
+    pub fn adopt(now: Moment, ramp: &Ramp) -> Self {
+        let mut held = Self::new(now, ramp.order.clone());
+        held.follow(now, ramp);
+        held
+    }
+
     /// Takes over what another node has in force.
     pub fn follow(&mut self, now: Moment, ramp: &Ramp) {
+        self.followed = true;
+        self.old.clone_from(&ramp.baseline);
         self.phase = self.phase.max(ramp.phase);
         self.backdate(now, ramp.elapsed);
         let reached = STEPS.iter().rposition(|(_, step)| *step <= ramp.share);
@@ -216,14 +247,20 @@
 
     /// Judges what came in since the last call and gives what is to be in force. `serving` tells whether
     /// the new version has upstreams.
-    pub fn step(&mut self, now: Moment, serving: bool) -> Ramp {
+    pub fn step(&mut self, now: Moment, leader: &Leader, serving: bool) -> Ramp {
+        if std::mem::take(&mut self.followed) {
+            // What the node before has seen is lost: the step in force has to be shown anew.
+            self.judged = now;
+            self.step_began = now;
+            self.step_runs = 0;
+        }
         if self.phase == Phase::Running {
             self.judge(now);
         }
         if self.phase == Phase::Running {
             self.advance(now, serving);
         }
-        self.ramp(now, serving)
+        self.ramp(now, leader, serving)
     }
 
     fn advance(&mut self, now: Moment, serving: bool) {
@@ -234,33 +271,32 @@
             return;
         }
         let lasted = now.since(self.step_began);
+        let shown = (self.step_runs >= STEP_RUNS && lasted >= STEP_MIN) || lasted >= STEP_QUIET;
         let Some((from, _)) = STEPS.get(self.step + 1) else {
-            if lasted >= DRAIN && self.percent(now) >= ENDS_AT {
+            if shown && lasted >= DRAIN && self.percent(now) >= ENDS_AT {
                 self.phase = Phase::Succeeded;
             }
             return;
         };
-        let shown = self.step_runs >= STEP_RUNS && lasted >= STEP_MIN;
-        if self.percent(now) >= *from && (shown || lasted >= STEP_QUIET) {
+        if shown && self.percent(now) >= *from {
             self.step += 1;
             self.step_began = now;
             self.step_runs = 0;
         }
     }
 
-    fn ramp(&self, now: Moment, serving: bool) -> Ramp {
+    fn ramp(&self, now: Moment, leader: &Leader, serving: bool) -> Ramp {
         Ramp {
+            baseline: self.old.clone(),
             elapsed: self.elapsed(now),
-            late_after: self.late_after(),
-            mark: self.order.mark,
+            leader: leader.clone(),
+            order: self.order.clone(),
             phase: self.phase,
-            service: self.order.service.clone(),
             share: match self.phase {
                 Phase::Running if serving => STEPS[self.step].1,
                 Phase::Running | Phase::RolledBack => Permille(0),
                 Phase::Succeeded => Permille::WHOLE,
             },
-            to: self.order.to.clone(),
         }
     }
 
@@ -269,13 +305,6 @@
         u32::try_from(part).unwrap_or(u32::MAX)
     }
 
-    fn late_after(&self) -> BTreeMap<u64, Duration> {
-        let known = self.old.iter().filter(|(_, sums)| sums.done >= LATE_AFTER);
-        known
-            .map(|(route, sums)| (*route, sums.time / sums.done * LATE_FACTOR))
-            .collect()
-    }
-
     fn judge(&mut self, now: Moment) {
         let span = self.order.duration.as_secs_f64().max(1.0);
         let weight = (1.0 - WEIGHT_AT_START) * now.since(self.judged).as_secs_f64() / span;
--- a/tests/sidecar/moves.rs
+++ b/tests/sidecar/moves.rs
@@ -6,7 +6,7 @@
         sidecar::{
             document::Order,
             placement::{End, Load, Offer, Placement, Request, Side},
-            ramp::{Evidence, Move, Phase, Ramp, Sums},
+            ramp::{Evidence, Leader, Move, Phase, Ramp, Sums},
         },
         traffic::spill::Tier,
         world::{Host, Moment, Permille, Service, Version},
@@ -147,7 +147,11 @@
             service: desk(),
             to: version("v2"),
         };
-        let mut held = Move::new(at(0), order, Duration::ZERO, Permille(0));
+        let mut held = Move::new(at(0), order);
+        let leader = Leader {
+            host: "a1".parse().unwrap(),
+            incarnation: 1,
+        };
         let mut ramp: Option<Ramp> = None;
         for now in 0..20_000 {
             self.finish(now);
@@ -164,7 +168,7 @@
                     version,
                 });
             }
-            let stepped = held.step(at(now), true);
+            let stepped = held.step(at(now), &leader, true);
             if stepped.phase != Phase::Running {
                 return (stepped.phase, self.new);
             }
--- a/tests/sidecar/ramp.rs
+++ b/tests/sidecar/ramp.rs
@@ -2,7 +2,7 @@
     mulberryshelf::{
         sidecar::{
             document::Order,
-            ramp::{Evidence, Move, Phase, Ramp, Sums},
+            ramp::{Evidence, Leader, Move, Phase, Ramp, Sums},
         },
         world::{Moment, Permille, Service, Version},
     },
@@ -26,6 +26,13 @@
     name.parse().unwrap()
 }
 
+fn leader(name: &str) -> Leader {
+    Leader {
+        host: name.parse().unwrap(),
+        incarnation: 1,
+    }
+}
+
 fn order() -> Order {
     Order {
         duration: DURATION,
@@ -51,7 +58,7 @@
 /// Plays a move: 50 requests a second on each of two routes, whose old version takes 100 ms.
 fn play(seed: u64, behaviour: Behaviour) -> Played {
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut held = Move::new(at(0), order(), Duration::ZERO, Permille(0));
+    let mut held = Move::new(at(0), order());
     let mut ramp: Option<Ramp> = None;
     let (mut new, mut all) = (0, 0);
     for step in 0..80_u64 {
@@ -67,11 +74,13 @@
                     (rng.random_bool(0.002), 1)
                 };
                 let run = Duration::from_millis(rng.random_range(40..180)) * factor;
-                let late_after = ramp.as_ref().and_then(|ramp| ramp.late_after.get(&route));
+                let late_after = ramp
+                    .as_ref()
+                    .and_then(|ramp| ramp.late_after().remove(&route));
                 let sums = &mut sums[usize::from(moved)];
                 sums.done += 1;
                 sums.failed += u32::from(failed);
-                sums.late += u32::from(late_after.is_some_and(|late| run > *late));
+                sums.late += u32::from(late_after.is_some_and(|late| run > late));
                 sums.time += run;
                 all += 1;
                 new += u32::from(moved);
@@ -84,7 +93,7 @@
                 });
             }
         }
-        let stepped = held.step(at(now), true);
+        let stepped = held.step(at(now), &leader("a1"), true);
         if stepped.phase != Phase::Running {
             return Played {
                 all,
@@ -154,10 +163,10 @@
 /// rolling restarts).
 #[test]
 fn move_that_is_taken_over_late_goes_on_step_by_step() {
-    let mut held = Move::new(at(0), order(), Duration::ZERO, Permille(0));
+    let mut held = Move::new(at(0), order());
     held.backdate(at(0), Duration::from_secs(24));
     let shares: Vec<Permille> = (0..12)
-        .map(|step| held.step(at(step * 250), true).share)
+        .map(|step| held.step(at(step * 250), &leader("a1"), true).share)
         .collect();
     assert!(
         shares.iter().all(|share| *share == Permille(50)),
@@ -165,20 +174,80 @@
     );
 }
 
+/// What a conductor had in force when it was lost: all traffic is on the new version.
+fn left_behind() -> Ramp {
+    let sums = Sums {
+        done: 400,
+        failed: 1,
+        late: 0,
+        time: Duration::from_secs(40),
+    };
+    Ramp {
+        baseline: BTreeMap::from([(0, sums)]),
+        elapsed: Duration::from_secs(13),
+        leader: leader("a1"),
+        order: order(),
+        phase: Phase::Running,
+        share: Permille::WHOLE,
+    }
+}
+
+/// Evidence of one route's runs on the new version in a quarter of a second.
+fn runs(done: u32, failed: u32) -> Evidence {
+    let sums = Sums {
+        done,
+        failed,
+        late: 0,
+        time: Duration::from_millis(100) * done,
+    };
+    Evidence {
+        routes: BTreeMap::from([(0, sums)]),
+        service: desk(),
+        version: version("v2"),
+    }
+}
+
 #[test]
 fn second_conductor_goes_on_from_the_share_in_force() {
-    let mut first = Move::new(at(0), order(), Duration::ZERO, Permille(600));
-    let ramp = first.step(at(9_000), true);
-    let mut second = Move::new(at(0), order(), Duration::ZERO, Permille(0));
-    second.follow(at(9_000), &ramp);
-    assert_eq!(second.step(at(9_100), true).share, Permille(600));
+    let mut second = Move::adopt(at(9_000), &left_behind());
+    let ramp = second.step(at(9_100), &leader("b1"), true);
+    assert_eq!(ramp.share, Permille::WHOLE);
+    assert_eq!(ramp.leader, leader("b1"));
+    assert!(ramp.follows(&left_behind()));
+}
+
+/// Conductors were restarted one after the other while the store was away. The last one had never seen the old
+/// version's runs, had nothing to compare with, and recorded a bad version as a success.
+#[test]
+fn second_conductor_takes_a_bad_version_back_that_has_all_traffic() {
+    let mut second = Move::adopt(at(0), &left_behind());
+    let phases: Vec<Phase> = (0..8)
+        .map(|step| {
+            second.add(&runs(20, 10));
+            second.step(at(step * 250), &leader("b1"), true).phase
+        })
+        .collect();
+    assert_eq!(phases[1], Phase::RolledBack, "{phases:?}");
+}
+
+#[test]
+fn second_conductor_ends_a_move_only_after_it_has_seen_runs() {
+    let mut second = Move::adopt(at(0), &left_behind());
+    let ended = (0..40)
+        .find(|step| {
+            second.add(&runs(2, 0));
+            let ramp = second.step(at(step * 250), &leader("b1"), true);
+            ramp.phase == Phase::Succeeded
+        })
+        .unwrap();
+    assert!((6..=12).contains(&ended), "{ended}");
 }
 
 #[test]
 fn end_stands_whatever_comes_later() {
-    let mut held = Move::new(at(0), order(), Duration::ZERO, Permille(0));
+    let mut held = Move::new(at(0), order());
     held.settle(Phase::RolledBack);
-    let ramp = held.step(at(20_000), true);
+    let ramp = held.step(at(20_000), &leader("a1"), true);
     assert_eq!((ramp.phase, ramp.share), (Phase::RolledBack, Permille(0)));
     let mut running = ramp.clone();
     running.phase = Phase::Running;
