Let callers come back at once whom an upstream itself turned away

Ruled out: rejections that grow with the load, for which a lower limit of concurrent requests would help.

Change: an upstream that turns a request away while its node counted a free slot has room for the next one, so its caller is asked to wait only the minimum of 100 ms, spread as before. Better for these callers; others lose nothing, as no slot was taken.

--- a/src/sidecar/forward.rs
+++ b/src/sidecar/forward.rs
@@ -212,6 +212,8 @@
     fn judge(&mut self, place: &Place, outcome: Outcome) -> Next {
         match outcome {
             Outcome::Answered(answer) if answer.not_run => {
+                // It had a slot free: whoever comes back at once may well be taken.
+                self.room_in = Some(Duration::ZERO);
                 self.again(Reason::Overloaded, Some(answer))
             }
             Outcome::Answered(answer) if answer.status >= 500 => {
