Forget a node whose address answers as another one

Each node still dialed the host that was gone, reached the one that has its address now, and took the new connection into use.

Ruled out: lost links (no line outcome=lost between them).

Change: a node that is dialed and names itself as another host shows that the one dialed is gone; it is forgotten, and the first reader removes its row.

--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -189,6 +189,13 @@
         }
     }
 
+    /// Takes in that another node has the address of one that was dialed, which is gone for good.
+    fn replaced(&self, host: &Host) {
+        if self.known.borrow_mut().remove(host).is_some() {
+            self.forgotten.borrow_mut().push(host.clone());
+        }
+    }
+
     fn contacts(&self) -> Vec<Contact> {
         let known = self.known.borrow();
         let alive = known.values().filter(|held| held.lost.is_none());
@@ -201,7 +208,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(run(core.clone(), stream));
+                tokio::task::spawn_local(run(core.clone(), stream, None));
             }
             Err(error) => {
                 let now = core.now();
@@ -248,7 +255,7 @@
                 }
             }
             if let Ok(Ok(stream)) = connected {
-                run(core, stream).await;
+                run(core, stream, Some(host)).await;
             }
         });
     }
--- a/src/sidecar/peers/link.rs
+++ b/src/sidecar/peers/link.rs
@@ -123,7 +123,8 @@
     }
 }
 
-pub(super) async fn run(core: Rc<Core>, stream: TcpStream) {
+/// Keeps a connection to another node until it ends. `dialed` is the node that was expected at its address.
+pub(super) async fn run(core: Rc<Core>, stream: TcpStream, dialed: Option<Host>) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
@@ -140,6 +141,14 @@
     let Ok(Some(contact)) = timeout(CONNECT_TIMEOUT, greeting).await else {
         return;
     };
+    if let Some(dialed) = dialed.filter(|dialed| *dialed != contact.host) {
+        core.log.line(
+            core.now(),
+            "peer",
+            format_args!("outcome=replaced peer={dialed} by={}", contact.host),
+        );
+        core.peers.replaced(&dialed);
+    }
     let (outgoing, queue) = mpsc::unbounded_channel();
     let link = Rc::new(Link {
         contact: contact.clone(),
