Hand the first document of a cold start on at once

The first document came from the store 0.09 s later, but a node that was not sure to be the first reader waited 0.25 s to hand it on, and others noticed it with the next tick; most had it after 0.27 to 0.43 s. Every caller who came before was sent away for the same 500 ms, so 760 came back within one moment.

Change: a first document is handed on at once; a node without one fetches it as soon as a node of its region is heard to have it; callers of a starting node may come back after 300 ms, spread as all others.

--- a/src/sidecar/follower.rs
+++ b/src/sidecar/follower.rs
@@ -188,10 +188,12 @@
     let Some(document) = orders.document else {
         return;
     };
+    // Nodes that start together have nothing to serve by until the first of them hands it on.
+    let cold = !core.configured();
     if !core.install(document, "store") {
         return;
     }
-    if core.rank() == 0 {
+    if cold || core.rank() == 0 {
         peers::push(core, Scope::Mesh);
         return;
     }
--- a/src/sidecar/forward.rs
+++ b/src/sidecar/forward.rs
@@ -35,6 +35,8 @@
 const RETRY_AFTER_UNKNOWN: Duration = Duration::from_millis(400);
 /// The part of its remaining time that a caller spends on waiting for a refusal to pass.
 const RETRY_AFTER_PART: u32 = 3;
+/// By how much the time after which a caller may come back is stretched at most.
+const RETRY_AFTER_SPREAD: f64 = 1.6;
 /// The seeds of the hashes by which requests are divided, so that the divisions don't depend on each other.
 const SHARE_SEED: u64 = 1;
 const MOVE_SEED: u64 = 2;
@@ -289,13 +291,16 @@
     fn refuse(&self, reason: Reason) -> Reply {
         let left = self.call.deadline.since(self.core.now());
         let room_in = self.room_in.unwrap_or(RETRY_AFTER_UNKNOWN);
-        // Spread, so that those who were refused together don't come back together.
-        let spread = rand::rng().random_range(1.0..1.6);
-        let after = room_in.max(RETRY_AFTER_MIN).mul_f64(spread);
+        let after = spread(room_in.max(RETRY_AFTER_MIN));
         Reply::Refused(reason, after.min(left / RETRY_AFTER_PART))
     }
 }
 
+/// Spreads a time over which callers stay away, so that those who were refused together don't come back together.
+pub(super) fn spread(after: Duration) -> Duration {
+    after.mul_f64(rand::rng().random_range(1.0..RETRY_AFTER_SPREAD))
+}
+
 /// Counts an attempt as ended, also if its caller goes away in the middle.
 struct Attempt<'a> {
     core: &'a Core,
--- a/src/sidecar/ingress/answer.rs
+++ b/src/sidecar/ingress/answer.rs
@@ -20,8 +20,10 @@
 /// The time that a request may take if neither its sender nor its route says so.
 const TIMEOUT: Duration = Duration::from_secs(30);
 
-/// When a caller without a configuration here may come back.
-const CONFIGURED_IN: Duration = Duration::from_millis(500);
+/// When a caller may come back to a node that has just started: it has the document by then, if any node has.
+const CONFIGURED_IN: Duration = Duration::from_millis(300);
+/// When a caller may come back to a node that stops: a restart takes that long at least.
+const RESTARTED_IN: Duration = Duration::from_millis(500);
 
 pub(super) fn rejection(core: &Core, fault: &Fault) -> Option<Encoded> {
     let status = match fault {
@@ -147,8 +149,12 @@
 
 impl Rejected {
     fn told(&self) -> Told {
+        let after = match self.reason {
+            Reason::Leaving => RESTARTED_IN,
+            _ => CONFIGURED_IN,
+        };
         let fields = match self.status {
-            503 => vec![retry_after(CONFIGURED_IN)],
+            503 => vec![retry_after(forward::spread(after))],
             _ => Vec::new(),
         };
         Told {
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -89,7 +89,13 @@
 fn runs(core: &Core, link: &Link, number: Number) {
     let mut status = link.status.borrow_mut();
     status.document = status.document.max(number);
-    if number > core.number() && core.tier(&link.contact) == Tier::Own {
+    let near = match core.tier(&link.contact) {
+        Tier::Own => true,
+        // Nothing can be served without a document; otherwise one is on its way to this domain.
+        Tier::Region => !core.configured(),
+        Tier::Remote => false,
+    };
+    if near && number > core.number() {
         spreading::fetch(core, link);
     }
 }
