Hand a first document on again to nodes that have connected since

Change: a first document is handed on four times, 80 ms apart, each time only to places that are not known to have it; nodes without one leave another region the time of a push before they ask it.

--- a/src/sidecar/follower.rs
+++ b/src/sidecar/follower.rs
@@ -27,6 +27,10 @@
 const PROBE: Duration = Duration::from_secs(2);
 /// How long the second reader leaves it to the first one to hand a document on.
 const SECOND_READER: Duration = Duration::from_millis(250);
+/// How often the first document of a cold start is handed on again, to nodes that have connected since.
+const COLD_PUSHES: usize = 3;
+/// How long one waits in between: two round trips between regions, which a connection and its greeting take.
+const COLD_PERIOD: Duration = Duration::from_millis(80);
 /// The longest answer time of a store in the same region, processing included.
 const NEAR: Duration = Duration::from_millis(14);
 
@@ -193,12 +197,23 @@
     if !core.install(document, "store") {
         return;
     }
-    if cold || core.rank() == 0 {
+    let first = core.rank() == 0;
+    if cold || first {
         peers::push(core, Scope::Mesh);
+    }
+    if first && !cold {
         return;
     }
     let (core, number) = (core.clone(), core.number());
     tokio::task::spawn_local(async move {
+        if cold {
+            // Most nodes were not connected yet, and the first reader may be one of them.
+            for _ in 0..COLD_PUSHES {
+                tokio::time::sleep(COLD_PERIOD).await;
+                peers::push(&core, Scope::Mesh);
+            }
+            return;
+        }
         tokio::time::sleep(SECOND_READER).await;
         if !core.peers.is_ahead(&core, number) {
             peers::push(&core, Scope::Mesh);
--- a/src/sidecar/peers/spreading.rs
+++ b/src/sidecar/peers/spreading.rs
@@ -50,10 +50,11 @@
     }
 }
 
-/// Hands the document in force on to all nodes of a scope.
+/// Hands the document in force on to all nodes of a scope that are not known to have it.
 pub(in crate::sidecar) fn push(core: &Core, scope: Scope) {
-    let links = core.peers.sound();
     let number = core.number();
+    let mut links = core.peers.sound();
+    links.retain(|link| link.status.borrow().document < number);
     for hop in spread::hops(&core.contact, scope, &Peers::contacts_of(&links)) {
         let link = links.iter().find(|link| link.contact.host == hop.host);
         if let Some(link) = link {
@@ -166,9 +167,10 @@
     };
     let since = *behind.get_or_insert(now);
     let patience = match core.tier(&nearest.contact) {
-        // Nothing can be served without a document.
-        _ if !core.configured() => Duration::ZERO,
         Tier::Own => Duration::ZERO,
+        // Nothing can be served without a document.
+        Tier::Region if !core.configured() => Duration::ZERO,
+        Tier::Remote if !core.configured() => REGION_PATIENCE,
         Tier::Region => REGION_PATIENCE,
         Tier::Remote => REMOTE_PATIENCE,
     };
