--- a/src/sidecar/egress.rs
+++ b/src/sidecar/egress.rs
@@ -100,8 +100,8 @@
         Some(held.announced.offer.clone())
     }
 
-    pub fn load(&self, now: Moment) -> Load {
-        self.queue.borrow().load(now)
+    pub fn load(&self) -> Load {
+        self.queue.borrow().load()
     }
 
     /// Tells whether no request runs or waits.
--- a/src/sidecar/egress/serve.rs
+++ b/src/sidecar/egress/serve.rs
@@ -161,7 +161,7 @@
     reason: Reason,
     room_in: Duration,
 ) -> Outcome {
-    let load = core.egress.load(core.now());
+    let load = core.egress.load();
     core.log.line(
         core.now(),
         "decline",
--- a/src/sidecar/forward.rs
+++ b/src/sidecar/forward.rs
@@ -339,7 +339,7 @@
         let _ = done.send(outcome);
     });
     let outcome = outcome.await.unwrap_or(Outcome::Unknown(Reason::Lost));
-    (outcome, Some(core.egress.load(core.now())))
+    (outcome, Some(core.egress.load()))
 }
 
 /// Gives a request's point between 0 and 1.
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -146,7 +146,7 @@
     tokio::task::spawn_local(async move {
         let outcome = egress::serve(&core, request, cancelled).await;
         link.serving.borrow_mut().remove(&stream);
-        let load = core.egress.load(core.now());
+        let load = core.egress.load();
         link.send(&Frame::Outcome(stream, outcome, load), None);
     });
 }
--- a/src/sidecar/queue.rs
+++ b/src/sidecar/queue.rs
@@ -7,11 +7,6 @@
 //! which there is likely room. One that waits and can no longer be in time, as more urgent ones went before it, is
 //! turned away then: its caller may come back, and the slot serves who can still be in time. More urgent routes
 //! go first, and among equals those that can still meet their target, in the order of arrival.
-//!
-//! An upstream that turns slow shows it by the age of what runs there, long before its answers do. While most of its
-//! runs have taken several times as long as usual, run times are taken to be that much longer, and a request that
-//! would be late by that is turned away though a slot is free: it has not run, and another upstream can take it.
-//! One at a time still shows when the upstream is well again.
 
 use {
     super::placement::Load,
@@ -28,15 +23,6 @@
 /// The part of its remaining time within which a returned request must be expected to be answered, so that
 /// a wrong estimate still leaves it served.
 const RETURNED_PART: f64 = 0.7;
-/// By how much the usual run time is exceeded, in the middle of what runs, from which on an upstream counts as slow:
-/// run times vary by less between requests.
-const SLOW_FACTOR: f64 = 2.0;
-/// The most that an upstream is taken to be slower than usual.
-const SLOWNESS_MAX: f64 = 100.0;
-/// The shortest run time that others are compared with, in seconds: a clock's and a timer's grain.
-const RUN_MIN: f64 = 0.001;
-/// The runs that have to be under way to tell a slow upstream from a long run.
-const SLOW_RUNS: usize = 2;
 /// The least time after which a refused caller is asked to come back.
 const RETRY_MIN: Duration = Duration::from_millis(100);
 
@@ -64,12 +50,6 @@
     Start(Ticket),
 }
 
-#[derive(Debug)]
-struct Run {
-    began: Moment,
-    route: u64,
-}
-
 #[derive(Debug)]
 struct Waiting {
     arrived: Moment,
@@ -81,7 +61,7 @@
 #[derive(Debug, Default)]
 pub struct Queue {
     overall: Option<f64>,
-    running: BTreeMap<Ticket, Run>,
+    running: BTreeMap<Ticket, Moment>,
     runs: BTreeMap<u64, f64>,
     slots: u32,
     waiting: Vec<Waiting>,
@@ -95,10 +75,10 @@
 
     /// Gives what runs and waits, and how long a run takes.
     #[must_use]
-    pub fn load(&self, now: Moment) -> Load {
+    pub fn load(&self) -> Load {
         Load {
             queued: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
-            run: self.run(None).mul_f64(self.slowness(now)),
+            run: self.run(None),
             running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
             slots: self.slots,
         }
@@ -107,27 +87,23 @@
     /// Takes a request in.
     pub fn arrive(&mut self, now: Moment, ticket: Ticket, demand: Demand) -> Vec<Action> {
         let mut actions = self.expire(now);
-        let slowness = self.slowness(now);
-        let run = self.run(Some(demand.route)).mul_f64(slowness);
+        let run = self.run(Some(demand.route));
         if self.slots == 0 {
             actions.push(Action::Decline(ticket, Reason::NoEndpoint, RETRY_MIN));
             return actions;
         }
+        let room = self.running.len() < self.slots as usize && self.waiting.is_empty();
+        if room {
+            self.running.insert(ticket, now);
+            actions.push(Action::Start(ticket));
+            return actions;
+        }
+        let wait = self.wait(now, &demand);
         let latest = if demand.returned {
             now + demand.deadline.since(now).mul_f64(RETURNED_PART)
         } else {
             demand.target.min(demand.deadline)
         };
-        let room = self.running.len() < self.slots as usize && self.waiting.is_empty();
-        if room {
-            actions.push(if slowness >= SLOW_FACTOR && now + run > latest {
-                Action::Decline(ticket, Reason::Overloaded, RETRY_MIN)
-            } else {
-                self.begin(now, ticket, demand.route)
-            });
-            return actions;
-        }
-        let wait = self.wait(now, &demand).mul_f64(slowness);
         let full = self.waiting.len() >= self.slots as usize * WAITING_PER_SLOT;
         if full || now + wait + run > latest {
             let retry = wait.max(RETRY_MIN);
@@ -150,10 +126,10 @@
         route: u64,
         answered: bool,
     ) -> Vec<Action> {
-        if let Some(run) = self.running.remove(&ticket)
+        if let Some(began) = self.running.remove(&ticket)
             && answered
         {
-            self.observe(route, now.since(run.began));
+            self.observe(route, now.since(began));
         }
         self.fill(now)
     }
@@ -181,33 +157,12 @@
         while self.running.len() < self.slots as usize {
             let Some(next) = self.next(now) else { break };
             let waiting = self.waiting.remove(next);
-            actions.push(self.begin(now, waiting.ticket, waiting.demand.route));
+            self.running.insert(waiting.ticket, now);
+            actions.push(Action::Start(waiting.ticket));
         }
         actions
     }
 
-    fn begin(&mut self, now: Moment, ticket: Ticket, route: u64) -> Action {
-        self.running.insert(ticket, Run { began: now, route });
-        Action::Start(ticket)
-    }
-
-    /// Tells by how much what runs has exceeded the usual run times, in the middle; 1 if it has not.
-    fn slowness(&self, now: Moment) -> f64 {
-        if self.running.len() < SLOW_RUNS {
-            return 1.0;
-        }
-        let excess = |run: &Run| {
-            let usual = self.runs.get(&run.route).copied();
-            // Nothing is known to be unusual on a route that has not been measured.
-            usual.map_or(0.0, |usual| {
-                now.since(run.began).as_secs_f64() / usual.max(RUN_MIN)
-            })
-        };
-        let mut excesses: Vec<f64> = self.running.values().map(excess).collect();
-        excesses.sort_by(f64::total_cmp);
-        excesses[(excesses.len() - 1) / 2].clamp(1.0, SLOWNESS_MAX)
-    }
-
     fn next(&self, now: Moment) -> Option<usize> {
         let places = self.waiting.iter().enumerate();
         places
@@ -223,10 +178,9 @@
 
     fn expire(&mut self, now: Moment) -> Vec<Action> {
         let mut actions = Vec::new();
-        let slowness = self.slowness(now);
         let (runs, overall) = (&self.runs, self.overall);
         self.waiting.retain(|waiting| {
-            let run = average(runs, overall, Some(waiting.demand.route)).mul_f64(slowness);
+            let run = average(runs, overall, Some(waiting.demand.route));
             let demand = &waiting.demand;
             let latest = if demand.returned {
                 demand.deadline
