Put the death of an upstream down to requests whose callers had gone, also on the platform

Cause: a request that crashes upstreams and whose caller leaves first was never struck on the platform's nodes: they struck only what still ran when a connection broke.

Change: an upstream that starts anew without having left, and one that can't be connected to, have died: what ran there and what had ended without an answer shortly before is blamed.

--- a/src/sidecar/egress.rs
+++ b/src/sidecar/egress.rs
@@ -8,7 +8,7 @@
 use {
     super::{
         control::Announcement,
-        frame::Request,
+        frame::{Frame, Request},
         node::Core,
         placement::{Load, Offer},
         queue::{Action, Queue},
@@ -19,7 +19,7 @@
         refusal::Reason,
         traffic::{
             admit::Ticket,
-            quarantine::{Quarantine, Strike},
+            quarantine::{Crash, Quarantine, Strike},
         },
         world::{Moment, Service},
     },
@@ -142,6 +142,11 @@
             let restarted = registered
                 .as_ref()
                 .is_none_or(|held| held.announced.incarnation != announcement.incarnation);
+            // One that starts anew without having left has died.
+            let died = registered.as_ref().is_some_and(|held| !held.leaving);
+            if restarted && died {
+                self.blame(core);
+            }
             if restarted {
                 self.upstream.reset();
                 self.sums.borrow_mut().clear();
@@ -189,6 +194,15 @@
         true
     }
 
+    /// Puts the upstream's death down to what ran there, also if its caller had gone.
+    fn blame(&self, core: &Core) {
+        let crash = Crash(rand::random());
+        let strikes = self.quarantine.borrow_mut().gone(core.now(), crash);
+        if !strikes.is_empty() {
+            core.peers.broadcast(&Frame::Strikes(strikes));
+        }
+    }
+
     fn close(&self, core: &Core, cause: &str) {
         core.log
             .line(core.now(), "upstream", format_args!("outcome={cause}"));
--- a/src/sidecar/egress/serve.rs
+++ b/src/sidecar/egress/serve.rs
@@ -10,10 +10,7 @@
             node::Core,
             upstream::{Failure, Outgoing},
         },
-        traffic::{
-            admit::Ticket,
-            quarantine::{Crash, Fingerprint},
-        },
+        traffic::{admit::Ticket, quarantine::Fingerprint},
         world::Moment,
     },
     std::{rc::Rc, time::Duration},
@@ -135,6 +132,17 @@
         Outcome::Declined(..) => false,
     };
     state.count(now, ticket, failed);
+    let not_run = match &ended {
+        Outcome::Answered(answer) => answer.not_run,
+        Outcome::Declined(..) => true,
+        Outcome::Unknown(_) => false,
+    };
+    if not_run {
+        state.quarantine.borrow_mut().withdraw(ticket);
+    }
+    if let Outcome::Declined(reason, _) = ended {
+        unreachable(core, reason).await;
+    }
     if ended == Outcome::Unknown(Reason::Lost) {
         crashed(core, ticket).await;
     }
@@ -209,10 +217,7 @@
                 status: response.status,
             })
         }
-        Err(Failure::Unsent(reason)) => {
-            core.egress.down(core, reason);
-            Outcome::Declined(reason, Duration::ZERO)
-        }
+        Err(Failure::Unsent(reason)) => Outcome::Declined(reason, Duration::ZERO),
         Err(Failure::Sent(reason)) => Outcome::Unknown(reason),
     }
 }
@@ -220,22 +225,26 @@
 /// The status by which an upstream says that a request is for another start.
 const MISDIRECTED: u16 = 421;
 
+/// Takes in that the upstream could not be sent a request: it may have died of what ran there before.
+async fn unreachable(core: &Core, reason: Reason) {
+    if !core.egress.upstream.takes_connections().await {
+        core.egress.blame(core);
+    }
+    core.egress.down(core, reason);
+}
+
 /// Finds out whether the upstream has died of what ran there, and tells the other nodes if so. A connection
 /// that broke while the upstream takes new ones proves nothing against a request.
 async fn crashed(core: &Rc<Core>, ticket: Ticket) {
     if core.egress.upstream.takes_connections().await {
         return;
     }
-    let crash = Crash(rand::random());
     let state = &core.egress;
-    let strikes = state
-        .quarantine
-        .borrow_mut()
-        .crash(core.now(), crash, ticket);
-    state.down(core, Reason::Crashed);
-    if !strikes.is_empty() {
-        core.peers.broadcast(&Frame::Strikes(strikes));
+    let blamed = state.quarantine.borrow().is_blamed(ticket);
+    if !blamed {
+        state.blame(core);
     }
+    state.down(core, Reason::Crashed);
 }
 
 impl std::fmt::Display for Summary<'_> {
--- a/src/traffic/quarantine.rs
+++ b/src/traffic/quarantine.rs
@@ -177,10 +177,21 @@
         });
     }
 
+    /// Takes out a request that has not run after all.
+    pub fn withdraw(&mut self, ticket: Ticket) {
+        self.running.remove(&ticket);
+    }
+
+    /// Tells whether a death of the upstream was put down to a request, or the request runs no more.
+    #[must_use]
+    pub fn is_blamed(&self, ticket: Ticket) -> bool {
+        let running = self.running.get(&ticket);
+        running.is_none_or(|running| running.blamed)
+    }
+
     /// Takes in that the upstream died while a request ran, and gives the strikes that follow.
     pub fn crash(&mut self, now: Moment, crash: Crash, ticket: Ticket) -> Vec<Strike> {
-        let running = self.running.get(&ticket);
-        if running.is_none_or(|running| running.blamed) {
+        if self.is_blamed(ticket) {
             return Vec::new();
         }
         self.gone(now, crash)
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -122,6 +122,15 @@
     assert_eq!(quarantine.gone(later, Crash(2)), []);
 }
 
+#[test]
+fn request_that_was_not_run_is_not_blamed() {
+    let mut quarantine = Quarantine::default();
+    quarantine.begin(Ticket(1), POISON);
+    quarantine.begin(Ticket(2), OTHER);
+    quarantine.withdraw(Ticket(2));
+    assert_eq!(quarantine.gone(NOW, Crash(1)), [strike(POISON, &[1])]);
+}
+
 fn dead(test: &Test) -> usize {
     let hosts = test.hosts[1..].iter();
     hosts.filter(|host| host.upstream.is_dead()).count()
