Log by what a move is judged whenever its share or phase changes

A judge line has both versions' runs, failures and late runs, the evidence and from which on the version is taken back.

--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -5,6 +5,7 @@
 
 pub mod document;
 pub mod duty;
+pub mod evidence;
 pub mod explain;
 pub mod frame;
 pub mod log;
--- a/src/sidecar/conductor.rs
+++ b/src/sidecar/conductor.rs
@@ -3,14 +3,15 @@
 
 use {
     super::{
+        evidence::{Evidence, Grounds},
         frame::Frame,
         node::Core,
         peers,
-        ramp::{Evidence, Move, Phase, Ramp},
+        ramp::{Move, Phase, Ramp},
         spread::Scope,
         store::{Record, Store},
     },
-    crate::world::{Moment, Service},
+    crate::world::{Moment, Permille, Service},
     std::{collections::HashMap, rc::Rc, time::Duration},
 };
 
@@ -92,8 +93,23 @@
             continue;
         }
         let serving = core.placement.borrow().has(service, &held.order().to);
+        let grounds = held.grounds();
         let ramp = held.step(now, &leader, serving);
         let told = sent.get(service);
+        if told.is_none_or(|(_, before)| state(before) != state(&ramp)) {
+            core.log.line(
+                now,
+                "judge",
+                format_args!(
+                    "service={service} to={} share={} phase={:?} elapsed_ms={} serving={serving} {}",
+                    ramp.order.to,
+                    ramp.share,
+                    ramp.phase,
+                    ramp.elapsed.as_millis(),
+                    Grounds { evidence: held.grounds().evidence, ..grounds }
+                ),
+            );
+        }
         if told.is_none_or(|(at, before)| is_news(before, &ramp, now.since(*at))) {
             sent.insert(service.clone(), (now, ramp.clone()));
             news.push(ramp);
@@ -110,10 +126,14 @@
     Some(ramp.phase)
 }
 
+/// What all nodes have to know of a move at once.
+fn state(ramp: &Ramp) -> (u64, Phase, Permille) {
+    (ramp.order.mark, ramp.phase, ramp.share)
+}
+
 /// Tells whether the other nodes have to hear of what is in force: at once if it changed, less often if only the
 /// bounds of late runs did, and now and then in any case.
 fn is_news(before: &Ramp, ramp: &Ramp, told: Duration) -> bool {
-    let state = |ramp: &Ramp| (ramp.order.mark, ramp.phase, ramp.share);
     let bounds_moved = before.baseline != ramp.baseline && told >= REPEAT / 4;
     let due = ramp.phase == Phase::Running && told >= REPEAT;
     state(before) != state(ramp) || bounds_moved || due
--- a/src/sidecar/egress.rs
+++ b/src/sidecar/egress.rs
@@ -8,11 +8,12 @@
 use {
     super::{
         control::Announcement,
+        evidence::{Evidence, Sums},
         frame::{Frame, Request},
         node::Core,
         placement::{Load, Offer},
         queue::{Action, Queue},
-        ramp::{Evidence, Ramp, Sums},
+        ramp::Ramp,
         upstream::Upstream,
     },
     crate::{
--- a/src/sidecar/egress/serve.rs
+++ b/src/sidecar/egress/serve.rs
@@ -126,26 +126,8 @@
     let now = core.now();
     core.metrics.stage("running", now.since(began));
     slot.answered = matches!(&ended, Outcome::Answered(answer) if !answer.not_run);
-    let failed = match &ended {
-        Outcome::Answered(answer) => answer.status >= 500 && !answer.not_run,
-        Outcome::Unknown(_) => true,
-        Outcome::Declined(..) => false,
-    };
-    state.count(now, ticket, failed);
-    let not_run = match &ended {
-        Outcome::Answered(answer) => answer.not_run,
-        Outcome::Declined(..) => true,
-        Outcome::Unknown(_) => false,
-    };
-    if not_run {
-        state.quarantine.borrow_mut().withdraw(ticket);
-    }
-    if let Outcome::Declined(reason, _) = ended {
-        unreachable(core, reason).await;
-    }
-    if ended == Outcome::Unknown(Reason::Lost) {
-        crashed(core, ticket).await;
-    }
+    state.count(now, ticket, has_failed(&ended));
+    learn(core, ticket, &ended).await;
     core.log.line(
         now,
         "run",
@@ -160,6 +142,29 @@
     ended
 }
 
+/// Tells whether an end of a run speaks against the upstream's version.
+fn has_failed(ended: &Outcome) -> bool {
+    match ended {
+        Outcome::Answered(answer) => answer.status >= 500 && !answer.not_run,
+        Outcome::Unknown(_) => true,
+        Outcome::Declined(..) => false,
+    }
+}
+
+/// Takes in what an end of a run tells of the upstream, and of requests that crash it.
+async fn learn(core: &Core, ticket: Ticket, ended: &Outcome) {
+    let withdraw = || core.egress.quarantine.borrow_mut().withdraw(ticket);
+    match ended {
+        Outcome::Answered(answer) if answer.not_run => withdraw(),
+        Outcome::Declined(reason, _) => {
+            withdraw();
+            unreachable(core, *reason).await;
+        }
+        Outcome::Unknown(Reason::Lost) => crashed(core, ticket).await,
+        Outcome::Answered(_) | Outcome::Unknown(_) => {}
+    }
+}
+
 struct Summary<'a>(&'a Outcome);
 
 fn decline(
@@ -235,7 +240,7 @@
 
 /// Finds out whether the upstream has died of what ran there, and tells the other nodes if so. A connection
 /// that broke while the upstream takes new ones proves nothing against a request.
-async fn crashed(core: &Rc<Core>, ticket: Ticket) {
+async fn crashed(core: &Core, ticket: Ticket) {
     if core.egress.upstream.takes_connections().await {
         return;
     }
--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -5,9 +5,10 @@
     super::{
         document::{Difference, Document, Number},
         duty::Reach,
+        evidence::Evidence,
         placement::{Load, Offer},
         queue::Demand,
-        ramp::{Evidence, Ramp},
+        ramp::Ramp,
         spread::Scope,
     },
     crate::{
--- a/src/sidecar/ramp.rs
+++ b/src/sidecar/ramp.rs
@@ -7,10 +7,13 @@
 //! old version's in the same moments; see docs/design/rollouts.md for the test's error.
 
 use {
-    super::document::Order,
+    super::{
+        document::Order,
+        evidence::{Evidence, Grounds, Sums},
+    },
     crate::{
         rollout::detector::{Cell, Detector, Trials},
-        world::{Host, Moment, Permille, Service, Version},
+        world::{Host, Moment, Permille},
     },
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, time::Duration},
@@ -103,39 +106,6 @@
     }
 }
 
-/// What one upstream's runs on one route came to since the last report.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Sums {
-    /// The runs that ended, or are late already.
-    pub done: u32,
-    /// Those that failed.
-    pub failed: u32,
-    /// Those that were late.
-    pub late: u32,
-    /// The time that the ended ones took.
-    pub time: Duration,
-}
-
-impl Sums {
-    fn add(&mut self, other: Self) {
-        self.done += other.done;
-        self.failed += other.failed;
-        self.late += other.late;
-        self.time += other.time;
-    }
-}
-
-/// A report of one upstream's runs.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Evidence {
-    /// The runs by route.
-    pub routes: BTreeMap<u64, Sums>,
-    /// The service.
-    pub service: Service,
-    /// The version that ran them.
-    pub version: Version,
-}
-
 #[derive(Debug, Default)]
 struct Window {
     new: Sums,
@@ -149,6 +119,7 @@
     /// Whether another node conducts it.
     followed: bool,
     judged: Moment,
+    new: Sums,
     old: BTreeMap<u64, Sums>,
     order: Order,
     phase: Phase,
@@ -167,6 +138,7 @@
             began: now,
             followed: false,
             judged: now,
+            new: Sums::default(),
             old: BTreeMap::new(),
             order,
             phase: Phase::Running,
@@ -237,6 +209,7 @@
             let window = self.window.entry(*route).or_default();
             if new {
                 self.step_runs += sums.done;
+                self.new.add(*sums);
                 window.new.add(*sums);
             } else {
                 window.old.add(*sums);
@@ -245,6 +218,21 @@
         }
     }
 
+    /// Gives what it is judged by, for the log.
+    #[must_use]
+    pub fn grounds(&self) -> Grounds {
+        let mut old = Sums::default();
+        self.old.values().for_each(|sums| old.add(*sums));
+        let detectors = self.detectors.values().flatten();
+        Grounds {
+            evidence: detectors.map(Detector::log).fold(0.0, f64::max),
+            new: self.new,
+            old,
+            step_runs: self.step_runs,
+            verdict: VERDICT,
+        }
+    }
+
     /// Judges what came in since the last call and gives what is to be in force. `serving` tells whether
     /// the new version has upstreams.
     pub fn step(&mut self, now: Moment, leader: &Leader, serving: bool) -> Ramp {
--- a/tests/sidecar/moves.rs
+++ b/tests/sidecar/moves.rs
@@ -5,8 +5,9 @@
     mulberryshelf::{
         sidecar::{
             document::Order,
+            evidence::{Evidence, Sums},
             placement::{End, Load, Offer, Placement, Request, Side},
-            ramp::{Evidence, Leader, Move, Phase, Ramp, Sums},
+            ramp::{Leader, Move, Phase, Ramp},
         },
         traffic::spill::Tier,
         world::{Host, Moment, Permille, Service, Version},
--- a/tests/sidecar/ramp.rs
+++ b/tests/sidecar/ramp.rs
@@ -2,7 +2,8 @@
     mulberryshelf::{
         sidecar::{
             document::Order,
-            ramp::{Evidence, Leader, Move, Phase, Ramp, Sums},
+            evidence::{Evidence, Sums},
+            ramp::{Leader, Move, Phase, Ramp},
         },
         world::{Moment, Permille, Service, Version},
     },
@@ -228,6 +229,10 @@
         })
         .collect();
     assert_eq!(phases[1], Phase::RolledBack, "{phases:?}");
+    assert_eq!(
+        second.grounds().to_string(),
+        "evidence=18.0 verdict_at=6.9 step_runs=140 new_runs=160 new_failed=80 new_late=0 old_runs=400 old_failed=1 old_late=0"
+    );
 }
 
 #[test]
