--- a/src/sidecar/conductor.rs
+++ b/src/sidecar/conductor.rs
@@ -11,7 +11,7 @@
         spread::Scope,
         store::{Record, Store},
     },
-    crate::world::{Moment, Permille, Service},
+    crate::world::{Moment, Service},
     std::{collections::HashMap, rc::Rc, time::Duration},
 };
 
@@ -96,7 +96,7 @@
         let grounds = held.grounds();
         let ramp = held.step(now, &leader, serving);
         let told = sent.get(service);
-        if told.is_none_or(|(_, before)| state(before) != state(&ramp)) {
+        if told.is_none_or(|(_, before)| before.state() != ramp.state()) {
             core.log.line(
                 now,
                 "judge",
@@ -126,17 +126,12 @@
     Some(ramp.phase)
 }
 
-/// What all nodes have to know of a move at once.
-fn state(ramp: &Ramp) -> (u64, Phase, Permille) {
-    (ramp.order.mark, ramp.phase, ramp.share)
-}
-
 /// Tells whether the other nodes have to hear of what is in force: at once if it changed, less often if only the
 /// bounds of late runs did, and now and then in any case.
 fn is_news(before: &Ramp, ramp: &Ramp, told: Duration) -> bool {
     let bounds_moved = before.baseline != ramp.baseline && told >= REPEAT / 4;
     let due = ramp.phase == Phase::Running && told >= REPEAT;
-    state(before) != state(ramp) || bounds_moved || due
+    before.state() != ramp.state() || bounds_moved || due
 }
 
 /// Takes over what other nodes conduct, so that this one can go on from there, also without the store.
--- a/src/sidecar/node/core.rs
+++ b/src/sidecar/node/core.rs
@@ -252,10 +252,8 @@
             return false;
         }
         let before = ramps.get(&ramp.order.service);
-        let changed = before.is_none_or(|before| {
-            let state = |ramp: &Ramp| (ramp.order.mark, ramp.phase, ramp.share);
-            state(before) != state(&ramp) || before.leader != ramp.leader
-        });
+        let changed = before
+            .is_none_or(|before| before.state() != ramp.state() || before.leader != ramp.leader);
         if changed {
             self.log.line(
                 self.now(),
--- a/src/sidecar/ramp.rs
+++ b/src/sidecar/ramp.rs
@@ -93,6 +93,12 @@
         order(self) > order(held)
     }
 
+    /// Gives what all nodes have to know at once when it changes.
+    #[must_use]
+    pub fn state(&self) -> (u64, Phase, Permille) {
+        (self.order.mark, self.phase, self.share)
+    }
+
     /// Gives the run time from which on a run counts as late, by route.
     #[must_use]
     pub fn late_after(&self) -> BTreeMap<u64, Duration> {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -137,9 +137,15 @@
 }
 
 fn poison(test: &Test) {
+    poison_after(test, 0);
+}
+
+/// Has every upstream die of the poison some time after it began to run it.
+fn poison_after(test: &Test, die_after_ms: u64) {
     for host in &test.hosts {
         host.upstream.fail(Faults {
             die_of: Some("poison".into()),
+            die_after_ms,
             ..Faults::default()
         });
     }
@@ -171,13 +177,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn poison_whose_caller_goes_away_takes_two_upstreams_at_most() {
     let test = mesh(5).await;
-    for host in &test.hosts {
-        host.upstream.fail(Faults {
-            die_of: Some("poison".into()),
-            die_after_ms: 100,
-            ..Faults::default()
-        });
-    }
+    poison_after(&test, 100);
     let proxy = test.hosts[0].node.proxy();
     for round in 0..20 {
         let poison = Caller::post(proxy, &format!("poison-{round}"), "poison");
@@ -195,13 +195,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn death_of_an_idle_upstream_is_put_down_to_what_was_cancelled_there() {
     let test = mesh(5).await;
-    for host in &test.hosts {
-        host.upstream.fail(Faults {
-            die_of: Some("poison".into()),
-            die_after_ms: 100,
-            ..Faults::default()
-        });
-    }
+    poison_after(&test, 100);
     let proxy = test.hosts[0].node.proxy();
     for round in 0..10 {
         let poison = Caller::post(proxy, &format!("poison-{round}"), "poison");
