Remember an upstream that left before its node knew it

The logs of sidecar-visayas-b-3: start at 24.09 s, the leaving of i-a1bca63856 acknowledged at 24.20 s though no announcement of it had come yet, and outcome=announced for the same start at 26.36 s: a report that had been under way for seconds. Requests followed.

Ruled out: a later start under the same name (same incarnation), a leaving that was lost (acknowledged by this node).

Change: a node remembers for 15 s that a start which it did not know has left; what such a start said before that, by its incarnation, names no upstream. A later start under the same name is used.

The new test on a whole node fails on the code before.

--- a/src/sidecar/egress.rs
+++ b/src/sidecar/egress.rs
@@ -35,6 +35,8 @@
 /// How many announcements may be missed before the upstream is taken for gone: they may come seconds late.
 const LEASE_HEARTBEATS: u32 = 6;
 
+/// How long an announcement may be under way: the platform's may arrive seconds late.
+const LATE_FOR: Duration = Duration::from_secs(15);
 /// How long an upstream that takes no connection is left alone, unless it announces itself.
 const DOWN_FOR: Duration = Duration::from_secs(2);
 
@@ -55,10 +57,28 @@
     route: u64,
 }
 
+/// A start of the upstream that has left, and was not known here: this node has just started itself.
+struct Left {
+    at: Moment,
+    instance: String,
+}
+
+impl Left {
+    /// Tells whether an announcement was made before the upstream left, and has arrived late.
+    fn precedes(&self, now: Moment, announcement: &Announcement) -> bool {
+        // An incarnation is the Unix millisecond of a start, on the clock of this host.
+        let unix_ms = self.at.0 / 1000;
+        self.instance == announcement.instance
+            && announcement.incarnation <= unix_ms
+            && now.since(self.at) < LATE_FOR
+    }
+}
+
 /// The state of the upstream's side.
 pub(super) struct State {
     heartbeat: Duration,
     late_after: RefCell<HashMap<Service, BTreeMap<u64, Duration>>>,
+    left: RefCell<Option<Left>>,
     quarantine: RefCell<Quarantine>,
     queue: RefCell<Queue>,
     registered: RefCell<Option<Registered>>,
@@ -79,6 +99,7 @@
         Self {
             heartbeat,
             late_after: RefCell::default(),
+            left: RefCell::default(),
             quarantine: RefCell::new(quarantine),
             queue: RefCell::new(queue),
             registered: RefCell::default(),
@@ -123,6 +144,12 @@
     /// Takes an announcement; tells whether what the upstream offers has changed.
     pub fn announce(&self, core: &Core, mut announcement: Announcement) -> bool {
         let now = core.now();
+        let late = |left: &Left| left.precedes(now, &announcement);
+        if self.left.borrow().as_ref().is_some_and(late) {
+            core.log
+                .line(now, "upstream", format_args!("outcome=announced-late"));
+            return false;
+        }
         let before = self.offer(now);
         let mut cold_until = now + announcement.offer.cold;
         {
@@ -185,16 +212,34 @@
         {
             let mut registered = self.registered.borrow_mut();
             match registered.as_mut() {
-                Some(held) if held.announced.instance == instance && !held.leaving => {
-                    held.leaving = true;
+                Some(held) if held.announced.instance == instance => {
+                    if std::mem::replace(&mut held.leaving, true) {
+                        return false;
+                    }
+                }
+                _ => {
+                    self.remember_left(core, instance);
+                    return false;
                 }
-                _ => return false,
             }
         }
         self.close(core, "leaving");
         true
     }
 
+    fn remember_left(&self, core: &Core, instance: &str) {
+        let at = core.now();
+        core.log.line(
+            at,
+            "upstream",
+            format_args!("outcome=left-unknown instance={instance}"),
+        );
+        *self.left.borrow_mut() = Some(Left {
+            at,
+            instance: instance.into(),
+        });
+    }
+
     /// Puts the upstream's death down to what ran there, also if its caller had gone.
     fn blame(&self, core: &Core) {
         let crash = Crash(rand::random());
