Keep a write without an answer in doubt until its receipt was looked for

Cause: a node that writes revision n+1 took back that an earlier write of its own as revision n might stand. Pending::passed_by cleared every sent revision up to the one written, though only the written one is known to hold something else. At the end of the wait the client was told that nothing had been accepted. Ruled out: Source::expire and the refusal's fence, which go by the same field and are right once it is kept.

--- a/src/source/batch.rs
+++ b/src/source/batch.rs
@@ -96,7 +96,8 @@
         if self.absent.is_some_and(|head| head.next() == revision) {
             self.absent = Some(revision);
         }
-        self.sent = self.sent.filter(|sent| *sent > revision);
+        // An earlier revision may hold it: only its receipt tells.
+        self.sent = self.sent.filter(|sent| *sent != revision);
     }
 }
 
--- a/tests/source.rs
+++ b/tests/source.rs
@@ -407,6 +407,23 @@
     assert_eq!(mesh.times("b"), 0);
 }
 
+#[test]
+fn one_whose_answer_was_lost_stays_unknown_after_a_later_revision() {
+    let mut mesh = Mesh::new(1);
+    mesh.pass(Duration::from_secs(1));
+    mesh.table.lose = 1;
+    mesh.submit(0, 1, operation("a", [version("desk-1")]));
+    // The node writes this one as the next revision before it has asked for the receipt of the first.
+    mesh.submit(0, 2, operation("b", [version("desk-2")]));
+    while mesh.table.head < Revision(2) {
+        mesh.pass(TICK);
+    }
+    mesh.table.down = true;
+    mesh.pass(WAIT_MAX);
+    assert_eq!(mesh.times("a"), 1);
+    assert_eq!(mesh.nodes[0].verdict(1), Some(&Verdict::Unknown));
+}
+
 #[test]
 fn one_that_is_asked_again_in_an_outage_stays_unknown() {
     let mut mesh = Mesh::new(1);
