--- /dev/null
+++ b/soak/tests/lib.rs
@@ -0,0 +1,1 @@
+//! The soak's own checks.
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -62,7 +62,7 @@
         let (link, link_address) = bind(settings.link).await?;
         let clock = Clock::open();
         let contact = Contact {
-            address: link_address,
+            address: settings.advertised.unwrap_or(link_address),
             domain: settings.domain.clone(),
             host: settings.host.clone(),
             incarnation: clock.now().0,
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -24,6 +24,9 @@
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
+    /// Where other nodes are told to connect, if that is not `link` itself, such as behind a forwarded port.
+    #[serde(default)]
+    pub advertised: Option<SocketAddr>,
     /// Where callers on this host send requests.
     pub callers: SocketAddr,
     /// Where the upstream on this host announces itself.
