--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -104,8 +104,7 @@
         Kind::Probe(number) => format!("GET /{}/7", route(number)),
         Kind::Safe => "GET /status/7".to_string(),
     };
-    let deadline = DEADLINE.as_millis();
-    format!("{first}\nHost: desk.example\nX-Request-Id: {id}\nX-Deadline-Ms: {deadline}\n")
+    mulberryshelf_standin::request(&first, id, DEADLINE)
 }
 
 /// Names the route that only configurations of this number and later have.
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -189,14 +189,15 @@
         {
             let known = newest.entry((call.machine, call.lifetime)).or_default();
             match status {
-                404 if known
-                    .iter()
-                    .any(|(at, held)| *at < call.sent && *held >= number) =>
-                {
-                    found.push(Violation(format!(
-                        "{}: machine {} went back",
-                        call.id, call.machine
-                    )));
+                404 => {
+                    let seen = known.iter().filter(|(at, _)| *at < call.sent);
+                    let held = seen.map(|(_, held)| *held).max().unwrap_or_default();
+                    if held >= number {
+                        let (id, machine) = (&call.id, call.machine);
+                        found.push(Violation(format!(
+                            "{id}: machine {machine} went back from {held}"
+                        )));
+                    }
                 }
                 200 => known.push((ended, number)),
                 _ => {}
@@ -270,8 +271,7 @@
     }
     match (reply.status, call.kind) {
         (200, _) => answered(call, reply, runs),
-        (404, Kind::Probe(_)) => None,
-        (0 | 500 | 502 | 503 | 504, _) => None,
+        (404, Kind::Probe(_)) | (0 | 500 | 502 | 503 | 504, _) => None,
         _ => Some("this answer was not to be expected".into()),
     }
 }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -15,7 +15,7 @@
     },
 };
 
-/// The run's own part of the loopback network, by its process.
+/// The loopback network; each process uses a part of its own, by its id.
 const NETWORK: u8 = 127;
 
 struct Options {
@@ -124,12 +124,7 @@
     }
     fs::create_dir_all(directory).into_diagnostic()?;
     let plan = Plan::draw(seed, Duration::from_secs(options.seconds), options.machines);
-    let steps: String = plan
-        .steps
-        .iter()
-        .map(|step| format!("{:8.3} {}\n", step.at.as_secs_f64(), step.fault))
-        .collect();
-    fs::write(directory.join("plan"), steps).into_diagnostic()?;
+    fs::write(directory.join("plan"), plan.to_string()).into_diagnostic()?;
     let [_, _, high, low] = std::process::id().to_be_bytes();
     let ground = Ground {
         directory: directory.into(),
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -88,6 +88,15 @@
     pub steps: Vec<Step>,
 }
 
+impl fmt::Display for Plan {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for Step { at, fault } in &self.steps {
+            writeln!(formatter, "{:8.3} {fault}", at.as_secs_f64())?;
+        }
+        Ok(())
+    }
+}
+
 impl Plan {
     /// Draws the faults of a run of this length on so many machines.
     #[must_use]
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -68,7 +68,7 @@
         let names: Vec<String> = (1..=number).map(route).collect();
         let routes: Vec<_> = names.iter().map(|name| (name.as_str(), DESK)).collect();
         let document = configuration(FIRST + STRIDE * u64::from(number), &routes);
-        self.fleet.store.operator("op/config", &document);
+        self.fleet.store.configure(&document);
     }
 
     /// Notes that a promise was broken.
--- a/soak/tests/lib.rs
+++ b/soak/tests/lib.rs
@@ -1,1 +1,4 @@
-//! The soak's own checks.
+//! The soak's plans and checks, without processes.
+
+mod ledger;
+mod plan;
