--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -26,6 +26,11 @@
 /// One of so many requests goes to another node than the one before.
 const MOVED_ONE_OF: u32 = 12;
 
+/// One of so many times a request is sent before the one before it was answered.
+const PIPELINED_ONE_OF: u32 = 8;
+/// The longest body.
+const BODY: usize = 32 * 1024;
+
 /// Sends until the run ends.
 pub async fn call(soak: Rc<Soak>, name: usize, seed: u64) {
     let mut random = StdRng::seed_from_u64(seed);
@@ -43,39 +48,67 @@
             tokio::time::sleep(REFUSED_PAUSE).await;
             continue;
         };
-        let kind = kind(&mut random, soak.configuration());
-        let id = format!("c{name}-{number}");
-        caller.send(&request(&id, kind)).await;
-        let sent = Instant::now();
+        let mut sent = Vec::new();
+        for part in 0..=u32::from(random.random_ratio(1, PIPELINED_ONE_OF)) {
+            let call = Call {
+                body: body(&mut random),
+                deadline: DEADLINE,
+                ended: Instant::now(),
+                id: format!("c{name}-{number}-{part}"),
+                kind: kind(&mut random, soak.configuration()),
+                lifetime,
+                machine: place,
+                reply: None,
+                sent: Instant::now(),
+            };
+            caller.send(&request(&call.id, call.kind, &call.body)).await;
+            sent.push(call);
+        }
         let patience = if random.random_ratio(1, LEFT_ONE_OF) {
             Duration::from_millis(random.random_range(0..40))
         } else {
             PATIENCE
         };
-        let reply = tokio::time::timeout(patience, caller.receive()).await;
-        let reply = match reply {
+        let open = receive(&soak, &mut caller, sent, patience).await;
+        kept = open.then_some((caller, lifetime));
+        tokio::time::sleep(Duration::from_millis(random.random_range(0..PAUSE_MS))).await;
+    }
+}
+
+/// Awaits the answers in their order, and tells whether the connection is still of use.
+async fn receive(soak: &Soak, caller: &mut Caller, sent: Vec<Call>, patience: Duration) -> bool {
+    let mut open = true;
+    // A request is read once the one before it was answered.
+    let mut begun = None;
+    for mut call in sent {
+        call.sent = begun.unwrap_or_else(Instant::now);
+        let left = patience < PATIENCE;
+        let closed = Reply {
+            close: true,
+            ..Reply::default()
+        };
+        call.reply = match tokio::time::timeout(patience, caller.receive()).await {
             Ok(reply) => Some(reply),
-            Err(_) if patience < PATIENCE => None,
-            Err(_) => Some(Reply {
-                close: true,
-                ..Reply::default()
-            }),
+            Err(_) if left => None,
+            Err(_) => Some(closed),
         };
-        if reply.as_ref().is_some_and(|reply| !reply.close) {
-            kept = Some((caller, lifetime));
+        call.ended = Instant::now();
+        begun = Some(call.ended);
+        open &= call.reply.as_ref().is_some_and(|reply| !reply.close);
+        let gave_up = call.reply.is_none();
+        soak.ledger.borrow_mut().calls.push(call);
+        if gave_up {
+            return false;
         }
-        soak.ledger.borrow_mut().calls.push(Call {
-            deadline: DEADLINE,
-            ended: Instant::now(),
-            id,
-            kind,
-            lifetime,
-            machine: place,
-            reply,
-            sent,
-        });
-        tokio::time::sleep(Duration::from_millis(random.random_range(0..PAUSE_MS))).await;
     }
+    open
+}
+
+fn body(random: &mut StdRng) -> String {
+    if random.random() {
+        return String::new();
+    }
+    "b".repeat(random.random_range(1..BODY))
 }
 
 async fn connect(soak: &Soak, place: usize) -> Option<(Caller, u32)> {
@@ -98,13 +131,14 @@
 
 /// Writes a request of this kind.
 #[must_use]
-pub fn request(id: &str, kind: Kind) -> String {
+pub fn request(id: &str, kind: Kind, body: &str) -> String {
     let first = match kind {
         Kind::Once => "POST /reserve/7".into(),
         Kind::Probe(number) => format!("GET /{}/7", route(number)),
         Kind::Safe => "GET /status/7".to_string(),
     };
-    mulberryshelf_standin::request(&first, id, DEADLINE)
+    let head = mulberryshelf_standin::request(&first, id, DEADLINE);
+    format!("{head}\n{body}")
 }
 
 /// Names the route that only configurations of this number and later have.
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -14,6 +14,7 @@
         rc::Rc,
         time::{Duration, Instant},
     },
+    tokio::task::JoinHandle,
 };
 
 /// How long after it acknowledged a leaving a node may still send work. The platform's bound.
@@ -58,6 +59,10 @@
         tokio::time::sleep(step.at.saturating_sub(begin.elapsed())).await;
         tasks.push(tokio::task::spawn_local(apply(soak.clone(), step.fault)));
     }
+    finish(tasks).await
+}
+
+async fn finish(tasks: Vec<JoinHandle<io::Result<()>>>) -> io::Result<()> {
     for task in tasks {
         task.await.map_err(io::Error::other)??;
     }
@@ -71,6 +76,13 @@
         Fault::Crash(place, time) => crash(&machines[place], time).await,
         Fault::Drain(place) => exchange(&soak, place).await,
         Fault::Kill(place, time) => kill(&soak, place, time).await?,
+        Fault::KillAll(time) => {
+            let all = (0..machines.len()).map(|place| {
+                let soak = soak.clone();
+                tokio::task::spawn_local(async move { kill(&soak, place, time).await })
+            });
+            finish(all.collect()).await?;
+        }
         Fault::Link(place, weather, time) => {
             machines[place].links.set(weather);
             tokio::time::sleep(time).await;
@@ -86,6 +98,17 @@
         Fault::Reload(place) => machines[place].signal(Signal::HUP)?,
         Fault::Reset(place) => machines[place].links.reset(),
         Fault::Restart(place) => restart(&soak, place).await?,
+        Fault::RestartAll(gap) => {
+            let mut all = Vec::new();
+            for place in 0..machines.len() {
+                let soak = soak.clone();
+                all.push(tokio::task::spawn_local(async move {
+                    restart(&soak, place).await
+                }));
+                tokio::time::sleep(gap).await;
+            }
+            finish(all).await?;
+        }
         Fault::Slow(place, time) => {
             machines[place].endpoint.take(SLOW_RUN);
             tokio::time::sleep(time).await;
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -33,6 +33,8 @@
 /// One request of a caller.
 #[derive(Debug)]
 pub struct Call {
+    /// Its body.
+    pub body: String,
     /// How long the answer may take.
     pub deadline: Duration,
     /// When the answer was there.
@@ -128,6 +130,7 @@
             let runs = runs.get(call.id.as_str()).map_or(&[][..], Vec::as_slice);
             let faults = [
                 repeated(call, runs),
+                changed(call, runs),
                 call.reply
                     .as_ref()
                     .and_then(|reply| untrue(call, reply, runs)),
@@ -261,6 +264,12 @@
     (call.kind == Kind::Once && runs.len() > 1).then(|| format!("ran {} times", runs.len()))
 }
 
+/// What runs is what was sent.
+fn changed(call: &Call, runs: &[&Run]) -> Option<String> {
+    let same = runs.iter().all(|run| run.body == call.body);
+    (!same).then(|| "ran with another body".into())
+}
+
 /// An answer is the request's own, and what it says of the run is true.
 fn untrue(call: &Call, reply: &Reply, runs: &[&Run]) -> Option<String> {
     if reply.not_run && !runs.is_empty() {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -10,6 +10,8 @@
 const GAP_MS: u64 = 1800;
 /// The longest time that a fault lasts.
 const FAULT_MS: u64 = 4000;
+/// The longest time between two nodes that are stopped one after the other.
+const TURN_MS: u64 = 900;
 /// How many times a fault of a series comes.
 const SERIES: u32 = 3;
 /// The time between the faults of a series.
@@ -41,6 +43,8 @@
     Drain(usize),
     /// The node dies, and is started again after a time.
     Kill(usize, Duration),
+    /// All nodes die, and are started again after a time.
+    KillAll(Duration),
     /// The bytes of a node's links are disturbed for a time.
     Link(usize, Weather, Duration),
     /// The endpoint misbehaves for a time.
@@ -58,6 +62,8 @@
     Reset(usize),
     /// The node is asked to stop, and is started again when it has.
     Restart(usize),
+    /// All nodes are asked to stop, one after the other, and are started again when they have.
+    RestartAll(Duration),
     /// The endpoint takes longer for a time.
     Slow(usize, Duration),
     /// The store misbehaves for a time.
@@ -130,10 +136,11 @@
 
 fn planned_fault(random: &mut StdRng, machines: usize) -> Fault {
     let machine = random.random_range(0..machines);
-    match random.random_range(0..8) {
-        0..=2 => Fault::Restart(machine),
-        3 | 4 => Fault::Drain(machine),
-        5 => Fault::Reload(machine),
+    match random.random_range(0..17) {
+        0..=5 => Fault::Restart(machine),
+        6 => Fault::RestartAll(Duration::from_millis(random.random_range(0..TURN_MS))),
+        7..=10 => Fault::Drain(machine),
+        11 | 12 => Fault::Reload(machine),
         _ => Fault::Configure,
     }
 }
@@ -141,15 +148,16 @@
 fn any_fault(random: &mut StdRng, machines: usize) -> Fault {
     let machine = random.random_range(0..machines);
     let time = Duration::from_millis(random.random_range(100..FAULT_MS));
-    match random.random_range(0..12) {
-        0 => Fault::Crash(machine, time),
-        1 => Fault::Kill(machine, time),
-        2 => Fault::Pause(machine, time),
-        3 | 4 => Fault::Link(machine, weather(random), time),
-        5 => Fault::Reset(machine),
-        6 => Fault::Store(mode(random), time),
-        7 => Fault::Misbehave(machine, behaviour(random), time),
-        8 => Fault::Slow(machine, time),
+    match random.random_range(0..25) {
+        0 => Fault::KillAll(time),
+        1 | 2 => Fault::Crash(machine, time),
+        3 | 4 => Fault::Kill(machine, time),
+        5 | 6 => Fault::Pause(machine, time),
+        7..=10 => Fault::Link(machine, weather(random), time),
+        11 | 12 => Fault::Reset(machine),
+        13 | 14 => Fault::Store(mode(random), time),
+        15 | 16 => Fault::Misbehave(machine, behaviour(random), time),
+        17 | 18 => Fault::Slow(machine, time),
         _ => planned_fault(random, machines),
     }
 }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -183,7 +183,7 @@
     };
     let probe = Kind::Probe(soak.configuration());
     let id = format!("recovery-{place}-{number}");
-    let request = request(&id, probe);
+    let request = request(&id, probe, "");
     let reply = tokio::time::timeout(RECOVERY, caller.call(&request)).await;
     reply.is_ok_and(|reply| reply.status == 200)
 }
--- a/soak/tests/ledger.rs
+++ b/soak/tests/ledger.rs
@@ -21,6 +21,7 @@
         ..Reply::default()
     };
     let call = Call {
+        body: String::new(),
         deadline: ms(2500),
         ended: begin + ms(20),
         id,
@@ -77,6 +78,13 @@
     assert_eq!(found(Kind::Safe, twice), Vec::<String>::new());
 }
 
+#[test]
+fn request_that_ran_with_another_body_is_found() {
+    let change = |ledger: &mut Ledger, _| ledger.calls[0].body = "b".into();
+    let text = "a Safe status=200: ran with another body";
+    assert_eq!(found(Kind::Safe, change), [text]);
+}
+
 #[test]
 fn refusal_that_is_not_true_is_found() {
     let refuse = |ledger: &mut Ledger, _| {
--- a/soak/tests/plan.rs
+++ b/soak/tests/plan.rs
@@ -24,6 +24,7 @@
                     | Fault::Move { good: true }
                     | Fault::Reload(_)
                     | Fault::Restart(_)
+                    | Fault::RestartAll(_)
             ),
             "{}",
             step.fault
@@ -50,6 +51,7 @@
         "Crash",
         "Drain",
         "Kill",
+        "KillAll",
         "Link",
         "Misbehave",
         "Move",
@@ -57,6 +59,7 @@
         "Reload",
         "Reset",
         "Restart",
+        "RestartAll",
         "Slow",
         "Store",
     ];
