Moves: a node without a configuration learns how moves ended before it serves

Cause: a node that starts takes orders and the configuration from the store in one read, but how a move had ended only by its next call. Until then it, and all nodes it handed the configuration to, routed to all versions alike. Ruled out: the bound on the end itself, which stood in the store and was followed until the nodes were killed. The first read brings the records too, a version that is not known to be good gets nothing until its conductor says so, and whoever hands a configuration to a node without one sends the moves first.

--- a/src/sidecar/conductor.rs
+++ b/src/sidecar/conductor.rs
@@ -30,6 +30,23 @@
 }
 
 impl Conductor {
+    /// Takes over how far a move had come by what the store has of it.
+    pub fn recall(&mut self, now: Moment, record: &Record) {
+        let state = (record.mark, record.phase);
+        self.recorded.insert(record.service.clone(), state);
+        let Some(held) = self.moves.get_mut(&record.service) else {
+            return;
+        };
+        if held.order().mark != record.mark {
+            return;
+        }
+        if record.phase == Phase::Running {
+            held.backdate(now, record.elapsed);
+        } else {
+            held.settle(record.phase);
+        }
+    }
+
     /// Takes in what an upstream's runs came to.
     pub fn add(&mut self, evidence: &Evidence) {
         if let Some(held) = self.moves.get_mut(&evidence.service) {
@@ -183,7 +200,7 @@
     let (core, store) = (core.clone(), store.clone());
     tokio::task::spawn_local(async move {
         match store.record(&record).await {
-            Ok(standing) => settle(&core, &record, &standing),
+            Ok(standing) => settle(&core, &standing),
             Err(fault) => {
                 core.log.line(
                     core.now(),
@@ -201,7 +218,7 @@
 }
 
 /// Takes over what stands in the store: an end that was recorded before holds whatever was seen since.
-fn settle(core: &Core, record: &Record, standing: &Record) {
+fn settle(core: &Core, standing: &Record) {
     core.log.line(
         core.now(),
         "record",
@@ -210,18 +227,5 @@
             standing.service, standing.to, standing.phase, standing.mark
         ),
     );
-    let mut conductor = core.conductor.borrow_mut();
-    let state = (standing.mark, standing.phase);
-    conductor.recorded.insert(record.service.clone(), state);
-    let Some(held) = conductor.moves.get_mut(&record.service) else {
-        return;
-    };
-    if held.order().mark != standing.mark {
-        return;
-    }
-    if standing.phase == Phase::Running {
-        held.backdate(core.now(), standing.elapsed);
-    } else {
-        held.settle(standing.phase);
-    }
+    core.conductor.borrow_mut().recall(core.now(), standing);
 }
--- a/src/sidecar/follower.rs
+++ b/src/sidecar/follower.rs
@@ -6,9 +6,9 @@
         duty::{READERS, Reach},
         node::Core,
         peers,
-        ramp::Move,
+        ramp::{Move, Phase, Ramp},
         spread::Scope,
-        store::{Contacts, Fault, Orders, Store},
+        store::{Contacts, Fault, Orders, Record, Store},
     },
     std::{rc::Rc, time::Duration},
 };
@@ -56,8 +56,8 @@
         match read {
             Ok(orders) => {
                 reached(&core, &store);
-                mark = Some(orders.mark);
-                take(&core, orders);
+                let whole = mark.replace(orders.mark).is_none();
+                take(&core, orders, whole);
                 clear(&core, &*store).await;
             }
             Err(Fault::HistoryGone) => {
@@ -182,12 +182,14 @@
     );
 }
 
-fn take(core: &Rc<Core>, orders: Orders) {
+fn take(core: &Rc<Core>, orders: Orders, whole: bool) {
     for fault in &orders.faults {
         note(core, "left-out", fault);
     }
     for order in orders.moves {
-        take_move(core, order);
+        if take_move(core, &order) && whole {
+            recall(core, order, &orders.records);
+        }
     }
     let Some(document) = orders.document else {
         return;
@@ -221,14 +223,15 @@
     });
 }
 
-fn take_move(core: &Core, order: Order) {
+/// Takes an order in, and tells whether it is news.
+fn take_move(core: &Core, order: &Order) -> bool {
     let mut conductor = core.conductor.borrow_mut();
     let known = conductor
         .moves
         .get(&order.service)
         .is_some_and(|held| held.order().mark >= order.mark);
     if known {
-        return;
+        return false;
     }
     let now = core.now();
     core.log.line(
@@ -246,7 +249,21 @@
     let service = order.service.clone();
     let begun = match ramps.get(&service) {
         Some(ramp) if ramp.order.mark == order.mark => Move::adopt(now, ramp),
-        _ => Move::new(now, order),
+        _ => Move::new(now, order.clone()),
     };
     conductor.moves.insert(service, begun);
+    true
+}
+
+/// Takes over how far a move had come when everything was read from the store, so that no request is routed by the
+/// document alone.
+fn recall(core: &Core, order: Order, records: &[Record]) {
+    let recorded = |record: &&Record| record.service == order.service && record.mark == order.mark;
+    let record = records.iter().find(recorded);
+    if let Some(record) = record {
+        core.conductor.borrow_mut().recall(core.now(), record);
+    }
+    let phase = record.map_or(Phase::Running, |record| record.phase);
+    let reader = core.contact.host.clone();
+    core.follow(Ramp::unconducted(order, phase, reader));
 }
--- a/src/sidecar/node/core.rs
+++ b/src/sidecar/node/core.rs
@@ -223,7 +223,8 @@
         true
     }
 
-    /// Gives what leads from a document to the one in force, for a node that is to hand it on to `scope`.
+    /// Gives what leads from a document to the one in force, for a node that is to hand it on to `scope`. One that has
+    /// none has to know of the moves first: it routes as soon as it has a document.
     pub fn news(&self, from: Number, scope: Scope) -> Vec<Frame> {
         let document = self.document.borrow().clone();
         if document.number <= from {
@@ -239,7 +240,13 @@
                 .map(|step| Frame::Difference(scope, step.clone()))
                 .collect();
         }
-        vec![Frame::Document(scope, document)]
+        let ramps = self.ramps.borrow();
+        let known = ramps.values().filter(|_| from == Number::default());
+        let mut news: Vec<Frame> = known
+            .map(|ramp| Frame::Ramp(Scope::Host, ramp.clone()))
+            .collect();
+        news.push(Frame::Document(scope, document));
+        news
     }
 
     /// Takes over what is in force while a service's traffic moves, if it is news.
--- a/src/sidecar/ramp.rs
+++ b/src/sidecar/ramp.rs
@@ -86,6 +86,27 @@
 }
 
 impl Ramp {
+    /// Gives what a node routes by that knows of a move from the store alone: until its conductor says more, a version
+    /// that is not known to be good gets nothing. Whatever a conductor has put in force follows this.
+    #[must_use]
+    pub fn unconducted(order: Order, phase: Phase, reader: Host) -> Self {
+        Self {
+            baseline: BTreeMap::new(),
+            elapsed: Duration::ZERO,
+            // No node that answers has this incarnation, so the first reader conducts.
+            leader: Leader {
+                host: reader,
+                incarnation: 0,
+            },
+            order,
+            phase,
+            share: match phase {
+                Phase::Running | Phase::RolledBack => Permille(0),
+                Phase::Succeeded => Permille::WHOLE,
+            },
+        }
+    }
+
     /// Tells whether this is news after `held`.
     #[must_use]
     pub fn follows(&self, held: &Self) -> bool {
--- a/src/sidecar/store.rs
+++ b/src/sidecar/store.rs
@@ -38,6 +38,8 @@
     pub mark: u64,
     /// Moves between versions.
     pub moves: Vec<Order>,
+    /// What the mesh has recorded of moves, if everything was read.
+    pub records: Vec<Record>,
 }
 
 /// Where nodes can be found.
@@ -66,7 +68,7 @@
 
 /// A store, as its adapter offers it.
 pub trait Store: 'static {
-    /// Reads everything that operators have written.
+    /// Reads everything that operators have written, and how far the moves among it have come.
     fn orders(&self) -> impl Future<Output = Result<Orders, Fault>>;
 
     /// Waits until operators write something after `mark`, or `wait` is over.
