Connect to sixteen nodes of each other region instead of to all

Cause: greetings and statuses between regions grow with the square of the fleet. Ruled out: fewer or smaller statuses, as most of it is the greeting of each pair after a restart of all. Chosen: the four lowest names of a region for all nodes, as duties go by names, and twelve by the node's own name. What was told to everybody directly is passed on inside regions whose nodes are not all connected to its sender. Tests of the choice replay the growth; tests of whole nodes pass.

--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -9,6 +9,7 @@
 pub mod explain;
 pub mod frame;
 pub mod log;
+pub mod neighbours;
 pub mod node;
 pub mod placement;
 pub mod queue;
--- a/src/sidecar/conductor.rs
+++ b/src/sidecar/conductor.rs
@@ -73,12 +73,7 @@
     let Some(evidence) = core.egress.evidence() else {
         return;
     };
-    let mark = {
-        let conductor = core.conductor.borrow();
-        let held = conductor.moves.get(&evidence.service);
-        held.map_or(0, |held| held.order().mark)
-    };
-    match core.conducting(&evidence.service, mark) {
+    match core.judge_of(&evidence.service) {
         Some(host) => core.peers.send(&host, &Frame::Evidence(evidence)),
         None => core.conductor.borrow_mut().add(&evidence),
     }
--- a/src/sidecar/egress.rs
+++ b/src/sidecar/egress.rs
@@ -135,10 +135,11 @@
         self.quarantine.borrow().strikes()
     }
 
-    pub fn learn(&self, now: Moment, strikes: Vec<Strike>) {
-        for strike in strikes {
-            self.quarantine.borrow_mut().learn(now, strike);
-        }
+    /// Takes in what another node knows of requests that crash upstreams, and gives what of it is news.
+    pub fn learn(&self, now: Moment, mut strikes: Vec<Strike>) -> Vec<Strike> {
+        let mut quarantine = self.quarantine.borrow_mut();
+        strikes.retain(|strike| quarantine.learn(now, strike.clone()));
+        strikes
     }
 
     /// Takes an announcement; tells whether what the upstream offers has changed.
--- a/src/sidecar/node/core.rs
+++ b/src/sidecar/node/core.rs
@@ -173,6 +173,16 @@
         }
     }
 
+    /// Gives the node that judges what a service's runs came to; nothing if it is this one.
+    pub fn judge_of(&self, service: &Service) -> Option<Host> {
+        let mark = {
+            let conductor = self.conductor.borrow();
+            let held = conductor.moves.get(service);
+            held.map_or(0, |held| held.order().mark)
+        };
+        self.conducting(service, mark)
+    }
+
     /// Gives the node that follows the store first; nothing if it is this one.
     pub fn first_reader(&self) -> Option<Host> {
         let own = Candidate {
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -15,6 +15,7 @@
         duty::Candidate,
         frame::{Contact, Frame, Outcome, Stream},
         metrics::Metrics,
+        neighbours::{self, Neighbour, REMOTE_MAX},
         node::Core,
         ramp::Leader,
     },
@@ -28,7 +29,7 @@
     rand::{SeedableRng, rngs::StdRng},
     std::{
         cell::{Cell, RefCell},
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, HashMap, HashSet},
         rc::Rc,
         time::Duration,
     },
@@ -94,9 +95,35 @@
         }
     }
 
-    /// How many nodes there are, as far as is known here, this one included.
+    /// How many nodes there are, as far as is known here, this one included. Those that this one does not connect to
+    /// count unless they were seen to be lost.
     pub fn nodes(&self) -> usize {
-        self.links.borrow().len() + 1
+        let (known, links) = (self.known.borrow(), self.links.borrow());
+        let chosen = self.chosen(&known);
+        let apart = known.iter().filter(|(host, held)| {
+            held.lost.is_none() && !chosen.contains(host) && !links.contains_key(*host)
+        });
+        links.len() + apart.count() + 1
+    }
+
+    /// Tells whether nodes of other regions may not be connected to this one, but only to others of its region.
+    pub fn is_apart(&self) -> bool {
+        let known = self.known.borrow();
+        let mates = known
+            .values()
+            .filter(|held| held.contact.region == self.contact.region);
+        mates.count() + 1 > REMOTE_MAX
+    }
+
+    fn chosen<'a>(&self, known: &'a BTreeMap<Host, Known>) -> HashSet<&'a Host> {
+        let known: Vec<Neighbour> = known
+            .values()
+            .map(|held| Neighbour {
+                contact: &held.contact,
+                lost: held.lost.is_some(),
+            })
+            .collect();
+        neighbours::choose(&self.contact, &known)
     }
 
     pub fn measure(&self, metrics: &Metrics) {
@@ -154,6 +181,20 @@
         }
     }
 
+    /// Sends what came from another region on to the nodes of this one, as not all of them are connected to its sender.
+    fn pass_on(&self, from: &Contact, frame: &Frame) {
+        if from.region == self.contact.region || !self.is_apart() {
+            return;
+        }
+        let links = self.links.borrow();
+        let mates = links
+            .values()
+            .filter(|link| link.contact.region == self.contact.region);
+        for link in mates {
+            link.send(frame, None);
+        }
+    }
+
     /// Sends a frame to a node, if it is connected.
     pub fn send(&self, host: &Host, frame: &Frame) {
         if let Some(link) = self.links.borrow().get(host) {
@@ -235,8 +276,9 @@
         }
         !gone
     });
+    let chosen: HashSet<Host> = core.peers.chosen(&known).into_iter().cloned().collect();
     for (host, held) in known.iter_mut() {
-        if held.dialing || core.peers.links.borrow().contains_key(host) {
+        if !chosen.contains(host) || held.dialing || core.peers.links.borrow().contains_key(host) {
             continue;
         }
         if !held.backoff.due(now, &mut core.peers.rng.borrow_mut()) {
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -7,9 +7,11 @@
         sidecar::{
             document::{Difference, Number},
             egress,
+            evidence::Evidence,
             frame::{Frame, Outcome, Request, Stream},
             node::Core,
             placement::End,
+            ramp::Phase,
             spread::Scope,
         },
         traffic::spill::Tier,
@@ -65,13 +67,22 @@
             }
         }
         Frame::Difference(scope, difference) => step(core, &current, scope, &difference),
-        Frame::Evidence(evidence) => core.conductor.borrow_mut().add(&evidence),
+        Frame::Evidence(evidence) => judge(core, link, evidence),
         Frame::Ramp(scope, ramp) => {
             if core.follow(ramp.clone()) {
                 spreading::ramp(core, scope, &ramp);
+                if ramp.phase != Phase::Running {
+                    let ended = Frame::Ramp(Scope::Host, ramp);
+                    core.peers.pass_on(&link.contact, &ended);
+                }
+            }
+        }
+        Frame::Strikes(strikes) => {
+            let news = core.egress.learn(now, strikes);
+            if !news.is_empty() {
+                core.peers.pass_on(&link.contact, &Frame::Strikes(news));
             }
         }
-        Frame::Strikes(strikes) => core.egress.learn(now, strikes),
         Frame::Request(stream, request) => serve(core, link, stream, *request),
         Frame::Cancel(stream) => {
             link.serving.borrow_mut().remove(&stream);
@@ -85,6 +96,19 @@
     }
 }
 
+/// Takes evidence in. What comes from another region may be meant for a node that its sender is not connected to.
+fn judge(core: &Core, link: &Link, evidence: Evidence) {
+    let conductor = if core.tier(&link.contact) == Tier::Remote {
+        core.judge_of(&evidence.service)
+    } else {
+        None
+    };
+    match conductor {
+        Some(host) => core.peers.send(&host, &Frame::Evidence(evidence)),
+        None => core.conductor.borrow_mut().add(&evidence),
+    }
+}
+
 /// Notes which document a node runs, and asks a near one at once for what is missing here.
 fn runs(core: &Core, link: &Link, number: Number) {
     let mut status = link.status.borrow_mut();
--- a/src/traffic/quarantine.rs
+++ b/src/traffic/quarantine.rs
@@ -253,10 +253,10 @@
         })
     }
 
-    /// Takes in what another node knows of a request.
-    pub fn learn(&mut self, now: Moment, strike: Strike) {
+    /// Takes in what another node knows of a request, and tells whether any of it is news.
+    pub fn learn(&mut self, now: Moment, strike: Strike) -> bool {
         if self.disabled {
-            return;
+            return false;
         }
         let known = self.struck.contains_key(&strike.fingerprint);
         if !known && self.struck.len() >= STRUCK_MAX {
@@ -268,7 +268,10 @@
             seen: now,
         });
         struck.seen = now;
+        let known = |struck: &Struck| struck.cleared.len() + struck.crashes.len();
+        let before = (known(struck), struck.cleared.len());
         struck.join(strike);
+        before != (known(struck), struck.cleared.len())
     }
 
     fn make_room(&mut self) {
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -10,6 +10,8 @@
 mod http1;
 #[path = "sidecar/moves.rs"]
 mod moves;
+#[path = "sidecar/neighbours.rs"]
+mod neighbours;
 #[path = "sidecar/placement.rs"]
 mod placement;
 #[path = "sidecar/queue.rs"]
