Moves: what is in force says which share was reached, also while the new version has no upstream

Cause: a conductor that took over while no upstream of the new version was there took the share of 0 in force for the first step.

--- a/src/sidecar/ramp.rs
+++ b/src/sidecar/ramp.rs
@@ -81,7 +81,9 @@
     pub order: Order,
     /// How far it has come.
     pub phase: Phase,
-    /// The new version's share.
+    /// The share that the move has come to.
+    pub reached: Permille,
+    /// The new version's share: what was reached, or none while it has no upstreams.
     pub share: Permille,
     /// What the share has shown, if the move was handed over.
     pub shown: Shown,
@@ -107,6 +109,7 @@
             leader: None,
             order,
             phase,
+            reached: Permille(0),
             share: match phase {
                 Phase::Running | Phase::RolledBack => Permille(0),
                 Phase::Succeeded => Permille::WHOLE,
@@ -199,7 +202,7 @@
         self.old.clone_from(&ramp.baseline);
         self.phase = self.phase.max(ramp.phase);
         self.backdate(now, ramp.elapsed);
-        let reached = STEPS.iter().rposition(|(_, step)| *step <= ramp.share);
+        let reached = STEPS.iter().rposition(|(_, step)| *step <= ramp.reached);
         let step = reached.unwrap_or_default();
         if step != self.step {
             self.step = step;
@@ -337,6 +340,7 @@
             leader: leader.cloned(),
             order: self.order.clone(),
             phase: self.phase,
+            reached: STEPS[self.step].1,
             share: match self.phase {
                 Phase::Running if serving => STEPS[self.step].1,
                 Phase::Running | Phase::RolledBack => Permille(0),
--- a/tests/sidecar/ramp.rs
+++ b/tests/sidecar/ramp.rs
@@ -189,6 +189,7 @@
         leader: Some(leader("a1")),
         order: order(),
         phase: Phase::Running,
+        reached: Permille::WHOLE,
         share: Permille::WHOLE,
         shown: Shown::default(),
     }
@@ -311,6 +312,25 @@
     assert!(ended.is_some_and(|ms| ms <= 2_000), "{ended:?}");
 }
 
+/// The conductor was restarted while the new version's upstreams were away, and the next one took their absence for the
+/// move's first step (soak, seeds 204 and 300).
+#[test]
+fn second_conductor_of_a_move_without_new_upstreams_goes_on_from_the_share_it_had() {
+    let mut first = Move::adopt(at(0), &left_behind());
+    first.step(at(250), &leader("a1"), true);
+    let away = first.step(at(500), &leader("a1"), false);
+    assert_eq!(away.share, Permille(0));
+    let mut second = Move::adopt(at(900), &away);
+    assert_eq!(
+        second.step(at(1_000), &leader("b1"), false).share,
+        Permille(0)
+    );
+    assert_eq!(
+        second.step(at(1_250), &leader("b1"), true).share,
+        Permille::WHOLE
+    );
+}
+
 /// Upstreams that went away after failures may have died of the load.
 #[test]
 fn move_whose_new_upstreams_went_away_after_failures_begins_anew() {
