Stop: a node whose upstream has left serves its callers for as long as the grace period lets it

A node that comes back ends early for its upstream's sake; one whose upstream has left has nobody to hurry for. It takes requests until the longest route would not end within the grace period.

--- a/src/sidecar/egress.rs
+++ b/src/sidecar/egress.rs
@@ -111,6 +111,12 @@
         }
     }
 
+    /// Tells whether there is an upstream that has not left.
+    pub fn has_upstream(&self) -> bool {
+        let registered = self.registered.borrow();
+        registered.as_ref().is_some_and(|held| !held.leaving)
+    }
+
     /// Gives what the upstream offers to new requests.
     pub fn offer(&self, now: Moment) -> Option<Offer> {
         let registered = self.registered.borrow();
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -26,19 +26,14 @@
         node::Clock,
         traffic::quarantine::Quarantine,
     },
-    core::STOP_TAKES_CALLERS,
     std::{
         cell::{Cell, RefCell},
         net::SocketAddr,
         rc::Rc,
-        time::Duration,
     },
     tokio::net::TcpListener,
 };
 
-/// The part of the grace period after which the node ends with whatever still runs.
-const STOP_RESERVE: Duration = Duration::from_millis(600);
-
 /// A running node.
 pub struct Node {
     callers: SocketAddr,
@@ -147,12 +142,12 @@
         let began = core.now();
         core.stopping.set(Some(began));
         core.log.line(began, "stop", format_args!("outcome=begun"));
-        let grace = core.settings.borrow().grace.saturating_sub(STOP_RESERVE);
+        let grace = core.stops_within();
         loop {
             tokio::time::sleep(FLUSH / 5).await;
             let passed = core.now().since(began);
             let idle = core.callers.get() == 0 && core.egress.is_idle();
-            if passed >= grace || (passed >= STOP_TAKES_CALLERS && idle) {
+            if passed >= grace || (passed >= core.takes_callers_for() && idle) {
                 break;
             }
         }
--- a/src/sidecar/node/core.rs
+++ b/src/sidecar/node/core.rs
@@ -38,8 +38,12 @@
 /// place is taken over slowly.
 const OFFERS_WHILE_STOPPING: Duration = Duration::from_secs(1);
 
-/// How long a stopping node takes new requests in: until whoever sends callers here has noticed.
-pub(super) const STOP_TAKES_CALLERS: Duration = Duration::from_millis(2500);
+/// How long a stopping node takes new requests in: until whoever sends callers here has noticed. Its upstream waits for
+/// the next start of the node.
+const STOP_TAKES_CALLERS: Duration = Duration::from_millis(2500);
+
+/// The part of the grace period after which the node ends with whatever still runs.
+const STOP_RESERVE: Duration = Duration::from_millis(600);
 
 /// What the edges of a node share.
 pub(in crate::sidecar) struct Core {
@@ -151,7 +155,24 @@
     /// Tells whether the node stops and takes no new requests, so that what it has can end in time.
     pub fn is_closing(&self) -> bool {
         let since = self.stopping.get();
-        since.is_some_and(|since| self.now().since(since) >= STOP_TAKES_CALLERS)
+        since.is_some_and(|since| self.now().since(since) >= self.takes_callers_for())
+    }
+
+    /// Gives how long a stopping node takes new requests in. One whose upstream has left is not waited for, and callers
+    /// go on coming to it, so it serves for as long as any request surely ends within the grace period.
+    pub fn takes_callers_for(&self) -> Duration {
+        if self.egress.has_upstream() {
+            return STOP_TAKES_CALLERS;
+        }
+        let document = self.document.borrow();
+        let longest = document.routes.values().map(|route| route.timeout).max();
+        let grace = self.stops_within();
+        STOP_TAKES_CALLERS.max(grace.saturating_sub(longest.unwrap_or(grace)))
+    }
+
+    /// Gives how long a stop may take.
+    pub fn stops_within(&self) -> Duration {
+        self.settings.borrow().grace.saturating_sub(STOP_RESERVE)
     }
 
     /// Gives this node's rank among those that may follow the store.
