Moves: time without runs is no evidence against a version

Found by reading. The first runs are told by the routes' detectors; the flag beside them is gone. Before: the new test finds evidence after 10 s without a run; after: none. The other tests of moves pass.

--- a/src/sidecar/ramp.rs
+++ b/src/sidecar/ramp.rs
@@ -68,8 +68,6 @@
     step_began: Moment,
     step_runs: u32,
     detectors: BTreeMap<u64, [Detector; BAD.len()]>,
-    /// Whether `whole` has seen runs.
-    judged_once: bool,
     whole: [Detector; BAD.len()],
     window: BTreeMap<u64, Window>,
 }
@@ -90,7 +88,6 @@
             step_began: now,
             step_runs: 0,
             detectors: BTreeMap::new(),
-            judged_once: false,
             whole: Default::default(),
             window: BTreeMap::new(),
         }
@@ -269,6 +266,7 @@
         let span = self.order.duration.as_secs_f64().max(1.0);
         let weight = (1.0 - WEIGHT_AT_START) * now.since(self.judged).as_secs_f64() / span;
         self.judged = now;
+        let first_runs = self.detectors.is_empty();
         let mut all: [Vec<Cell>; BAD.len()] = Default::default();
         for (route, window) in std::mem::take(&mut self.window) {
             let first = !self.detectors.contains_key(&route);
@@ -281,14 +279,11 @@
                 all.push(cell);
             }
         }
-        let weight = if self.judged_once {
-            weight
-        } else {
-            WEIGHT_AT_START
-        };
         for (detector, cells) in self.whole.iter_mut().zip(all) {
-            self.judged_once |= !cells.is_empty();
-            detector.update(weight, &cells);
+            if !cells.is_empty() {
+                let weight = if first_runs { WEIGHT_AT_START } else { weight };
+                detector.update(weight, &cells);
+            }
         }
         if self.evidence() >= VERDICT {
             self.phase = Phase::RolledBack;
--- a/tests/sidecar/ramp.rs
+++ b/tests/sidecar/ramp.rs
@@ -251,6 +251,16 @@
     assert!(all / 20 <= 50, "{}", all / 20);
 }
 
+/// Time in which nothing runs is no evidence.
+#[test]
+fn version_that_has_not_run_yet_is_not_under_suspicion() {
+    let mut held = Move::new(at(0), order());
+    for step in 0..200 {
+        held.step(at(step * 50), &leader("a1"), true);
+    }
+    assert!(held.grounds().to_string().starts_with("evidence=0.0 "));
+}
+
 #[test]
 fn second_conductor_goes_on_from_the_share_in_force() {
     let mut second = Move::adopt(at(9_000), &left_behind());
