Proxy: read an upstream's answer also after a write to it has failed

An upstream that answers and closes with bytes of the request unread makes the kernel reset the connection. hyper ends the connection on a failed write, though the answer lies in the receive queue, and the caller is told that it is lost.

Ruled out: the reset discarding the answer; the new test reads it after the reset and after a failed write.

Change: the stream to the upstream reports no failed write; the answer, or the end of the stream, decides.

Before: with a plain TcpStream the write of the test after the reset fails. After: the answer is read.

--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -32,6 +32,7 @@
 pub mod ingress;
 pub mod parts;
 pub mod pool;
+pub mod stream;
 
 /// How long the answer of a failed request is held back until the other nodes of the service have
 /// received its strike.
--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -2,6 +2,7 @@
 //! has been read completely, so a late answer is never taken for the answer to a later request.
 
 use {
+    super::stream::Stream,
     crate::{body::Body, refusal::Reason},
     hyper::client::conn::http1::{SendRequest, handshake},
     hyper_util::rt::TokioIo,
@@ -152,8 +153,7 @@
 }
 
 async fn dial(address: SocketAddr, open: OpenGuard) -> io::Result<Connection> {
-    let stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
+    let stream = Stream::connect(address).await?;
     let (sender, connection) = handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -34,4 +34,5 @@
 mod stop;
 mod telemetry;
 mod test_mesh;
+mod upstream_stream;
 mod wire;
