Stopping node: offer the endpoint for as long as callers are served

Cause: a node that is asked to stop withdrew its endpoint after 1 s, though it runs for 2.5 s until its callers have been directed elsewhere, and then restarts.

Ruled out: the time that the new process needs to join (0.1 s), and a shortage of slots: hosts stood at 0.1 of their slots beside others that turned requests away.

Change: the offer lasts as long as callers are served, unless a request admitted then could outlast the grace period.

Test: restarts::stopping_node_offers_its_endpoint_for_as_long_as_it_serves_callers, fails before.

--- a/src/sidecar/node/core.rs
+++ b/src/sidecar/node/core.rs
@@ -34,9 +34,9 @@
 /// Maximum number of differences between documents kept for nodes that missed some.
 const DELTAS_MAX: usize = 32;
 
-/// Time for which a stopping node goes on offering its upstream's slots: callers are still sent to it, and other
-/// upstreams take over its traffic only gradually.
-const STOP_OFFER_PERIOD: Duration = Duration::from_secs(1);
+/// Minimum time for which a stopping node goes on offering its upstream's slots: other upstreams take over its traffic
+/// only gradually.
+const STOP_OFFER_PERIOD_MIN: Duration = Duration::from_secs(1);
 
 /// Time for which a stopping node accepts new requests, so that whoever directs callers to it can notice that it is not
 /// ready. Its upstream waits for the next start of the node.
@@ -119,7 +119,7 @@
     pub fn status(&self) -> Status {
         let stopping = self.stopping.get();
         let offer_withdrawn =
-            stopping.is_some_and(|since| self.now().since(since) >= STOP_OFFER_PERIOD);
+            stopping.is_some_and(|since| self.now().since(since) >= self.stop_offer_period());
         Status {
             document: self.number(),
             offer: if offer_withdrawn {
@@ -166,10 +166,25 @@
         if self.local_upstream.has_upstream() {
             return STOP_ACCEPT_PERIOD;
         }
+        STOP_ACCEPT_PERIOD.max(self.stop_admission_limit())
+    }
+
+    /// Returns how long a stopping node offers its upstream's slots to other nodes. The upstream is idle from the end of
+    /// the offer until the node has restarted, so it lasts as long as the node itself runs for its callers, unless a
+    /// request admitted then might outlast the stop.
+    fn stop_offer_period(&self) -> Duration {
+        STOP_ACCEPT_PERIOD
+            .min(self.stop_admission_limit())
+            .max(STOP_OFFER_PERIOD_MIN)
+    }
+
+    /// Returns the time after the start of a stop until which an admitted request is certain to end before the node
+    /// exits.
+    fn stop_admission_limit(&self) -> Duration {
         let document = self.document.borrow();
         let longest_timeout = document.routes.values().map(|route| route.timeout).max();
         let grace = self.stop_timeout();
-        STOP_ACCEPT_PERIOD.max(grace.saturating_sub(longest_timeout.unwrap_or(grace)))
+        grace.saturating_sub(longest_timeout.unwrap_or(grace))
     }
 
     /// Returns the maximum duration of a stop.
