Restarted node: learn from peers what its endpoint last announced

Ruled out: rows in the store. They would cost a call for each departure, and a node that restarts in an outage of the store could not read them.

Change: nodes send their endpoint's announcement to the nodes of their region when its start or its draining changes, and get it back on the next connection. It is ordered like any announcement, so an older one changes nothing.

Not covered: a restart of all nodes of a region at once.

--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -6,6 +6,7 @@
         dissemination::Scope,
         document::{Delta, Document, Number},
         evidence::Report,
+        handle::Announcement,
         load_balancer::{Load, Offer},
         queue::Demand,
         rollout::RolloutState,
@@ -161,6 +162,10 @@
     Cancel(StreamId),
     /// Outcome of a request, and the load of the upstream.
     Outcome(StreamId, Outcome, Load),
+    /// Last announcement of the sender's upstream, which the receiver keeps for the next start of the sender.
+    Registration(Announcement),
+    /// Last announcement of the receiver's own upstream, as the receiver sent it before it restarted.
+    Recall(Announcement),
 }
 
 /// Encodes a frame, preceded by its length. Documents and their differences are compressed, as configurations are
--- a/src/sidecar/handle.rs
+++ b/src/sidecar/handle.rs
@@ -6,11 +6,12 @@
         node::Core,
         settings::{Error, Settings},
     },
+    serde::{Deserialize, Serialize},
     std::{path::Path, rc::Rc},
 };
 
 /// Announcement of the upstream on this host.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
     /// Whether the upstream accepts no new requests and finishes those in progress.
     pub draining: bool,
--- a/src/sidecar/local_upstream.rs
+++ b/src/sidecar/local_upstream.rs
@@ -26,7 +26,7 @@
             admission::Ticket,
             quarantine::{Crash, Quarantine, Strike},
         },
-        types::{Moment, Service},
+        types::{Host, Moment, Service},
     },
     std::{
         cell::{Cell, RefCell},
@@ -224,11 +224,19 @@
                 );
             }
             self.queue.borrow_mut().set_slots(announcement.offer.slots);
+            let draining = announcement.draining;
+            let changed = restarted
+                || registration
+                    .as_ref()
+                    .is_some_and(|current| current.draining != draining);
+            if changed {
+                core.peers.share_registration(&announcement);
+            }
             *registration = Some(Registration {
                 cold_until,
                 down_until: Moment::default(),
                 announced_at: now,
-                draining: announcement.draining,
+                draining,
                 last_announcement: announcement,
             });
         }
@@ -249,6 +257,10 @@
                     if std::mem::replace(&mut current.draining, true) {
                         return false;
                     }
+                    // Supersedes the announcements that were made before it.
+                    current.last_announcement.draining = true;
+                    current.last_announcement.sequence += 1;
+                    core.peers.share_registration(&current.last_announcement);
                 }
                 _ => {
                     self.remember_departure(core, instance);
@@ -260,6 +272,32 @@
         true
     }
 
+    /// Registers the upstream by the announcement that a peer kept from before this node restarted, unless a newer one
+    /// is known. The upstream itself has usually gone on running, and one that was about to stop stays withdrawn.
+    /// Returns whether the offer to new requests has changed.
+    pub fn recall(&self, core: &Core, mut announcement: Announcement, peer: &Host) -> bool {
+        announcement.offer.cold = Duration::ZERO;
+        let (instance, draining) = (announcement.instance.clone(), announcement.draining);
+        let changed = self.announce(core, announcement);
+        if changed {
+            core.log.record(
+                core.now(),
+                "upstream",
+                format_args!(
+                    "outcome=recalled instance={instance} draining={draining} peer={peer}"
+                ),
+            );
+        }
+        changed
+    }
+
+    /// Returns the last announcement of the upstream, to be kept by other nodes.
+    pub fn last_announcement(&self) -> Option<Announcement> {
+        let registration = self.registration.borrow();
+        let current = registration.as_ref()?;
+        Some(current.last_announcement.clone())
+    }
+
     /// Remembers an instance that left unregistered, so that its late announcement is ignored.
     fn remember_departure(&self, core: &Core, instance: &str) {
         let at = core.now();
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -13,6 +13,7 @@
     super::{
         document::Number,
         frame::{Contact, Frame, Outcome, StreamId},
+        handle::Announcement,
         metrics::Metrics,
         neighbours::{self, KnownNode, NODES_PER_REMOTE_REGION},
         node::Core,
@@ -66,11 +67,13 @@
 const FORGET_AFTER: Duration = Duration::from_secs(600);
 
 /// Known node. `lost_since` is the time of the first of the failed attempts to connect since the last success.
+/// `registration` is the last announcement of its upstream, kept for its restart.
 struct KnownPeer {
     backoff: Backoff,
     contact: Contact,
     dialing: bool,
     lost_since: Option<Moment>,
+    registration: Option<Announcement>,
 }
 
 /// The other nodes that are known, and the connections to them.
@@ -193,6 +196,30 @@
         }
     }
 
+    /// Sends the announcement of this node's upstream to the nodes of its region, which return it after a restart.
+    pub fn share_registration(&self, announcement: &Announcement) {
+        let links = self.links.borrow();
+        let region_peers = links
+            .values()
+            .filter(|link| link.contact.region == self.contact.region);
+        for link in region_peers {
+            link.send(&Frame::Registration(announcement.clone()), None);
+        }
+    }
+
+    /// Keeps the last announcement of another node's upstream.
+    fn keep_registration(&self, host: &Host, announcement: Announcement) {
+        if let Some(peer) = self.known.borrow_mut().get_mut(host) {
+            peer.registration = Some(announcement);
+        }
+    }
+
+    /// Returns what a node last sent of its upstream's announcements.
+    fn kept_registration(&self, host: &Host) -> Option<Announcement> {
+        let known = self.known.borrow();
+        known.get(host)?.registration.clone()
+    }
+
     /// Relays a frame from another region to the nodes of this region, as not all of them are connected to its sender.
     fn relay_within_region(&self, from: &Contact, frame: &Frame) {
         if from.region == self.contact.region || !self.needs_regional_relay() {
@@ -235,6 +262,7 @@
                         contact,
                         dialing: false,
                         lost_since: None,
+                        registration: None,
                     };
                     known.insert(host, entry);
                 }
--- a/src/sidecar/peers/link.rs
+++ b/src/sidecar/peers/link.rs
@@ -202,6 +202,14 @@
             link.contact.incarnation
         ),
     );
+    if let Some(announcement) = core.peers.kept_registration(&host) {
+        link.send(&Frame::Recall(announcement), None);
+    }
+    if link.contact.region == core.contact.region
+        && let Some(announcement) = core.local_upstream.last_announcement()
+    {
+        link.send(&Frame::Registration(announcement), None);
+    }
     link.send(&Frame::Status(core.status()), None);
     for state in core.rollout_states.borrow().values() {
         link.send(&Frame::Ramp(Scope::Host, state.clone()), None);
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -49,6 +49,12 @@
             update_offer(core, &current, now);
             record_document(core, &current, number);
         }
+        Frame::Registration(announcement) => core.peers.keep_registration(host, announcement),
+        Frame::Recall(announcement) => {
+            if core.local_upstream.recall(core, announcement, host) {
+                core.broadcast_status();
+            }
+        }
         Frame::Introduce => {
             link.send(&Frame::Contacts(core.peers.contacts()), None);
         }
