Queue: count the more urgent requests that will overtake a waiting one

Cause: the expected wait of a request was that of the requests ahead of it now.

Ruled out: order of waiting within a priority; the load seen by other nodes (the nodes that declined were full).

Change: the share of the slots that more urgent requests have used lately, by exponential decay, prolongs the expected wait. A request that they will delay too long is rejected at once, while it can still be in time elsewhere.

Tests: queue_load::request_that_urgent_ones_will_overtake_is_rejected_at_once and queue_load::nine_tenths_of_the_slots_left_by_urgent_requests_serve_others_in_time replay one upstream at 1.4 times its capacity.

--- a/src/sidecar/queue.rs
+++ b/src/sidecar/queue.rs
@@ -23,6 +23,11 @@
 /// Fraction of the time to its deadline within which a returned request must be expected to be answered. The rest
 /// is a margin for a wrong estimate.
 const RETURNED_FRACTION: f64 = 0.7;
+/// Time constant with which the run times of started requests are averaged into the share of the slots that each
+/// priority uses: several runs, but less than a burst lasts.
+const SHARE_PERIOD_S: f64 = 1.0;
+/// Maximum share of the slots by which more urgent requests are expected to delay a waiting one.
+const URGENT_SHARE_MAX: f64 = 0.8;
 /// Minimum time after which the caller of a declined request is asked to return.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
 
@@ -50,6 +55,25 @@
     Start(Ticket),
 }
 
+/// Run time of the requests of one priority that were started lately, in seconds, with exponential decay.
+#[derive(Debug, Default)]
+struct Usage {
+    run_time_s: f64,
+    updated_at: Moment,
+}
+
+impl Usage {
+    fn run_time_s(&self, now: Moment) -> f64 {
+        let age = now.since(self.updated_at).as_secs_f64();
+        self.run_time_s * (-age / SHARE_PERIOD_S).exp()
+    }
+
+    fn add(&mut self, now: Moment, run_time: Duration) {
+        self.run_time_s = self.run_time_s(now) + run_time.as_secs_f64();
+        self.updated_at = now;
+    }
+}
+
 #[derive(Debug)]
 struct Waiting {
     arrived: Moment,
@@ -64,6 +88,7 @@
     running: BTreeMap<Ticket, Moment>,
     route_run_times_s: BTreeMap<u64, f64>,
     slots: u32,
+    usage: BTreeMap<u32, Usage>,
     waiting: Vec<Waiting>,
 }
 
@@ -95,7 +120,7 @@
         }
         let has_free_slot = self.running.len() < self.slots as usize && self.waiting.is_empty();
         if has_free_slot {
-            self.running.insert(ticket, now);
+            self.start(now, ticket, &demand);
             actions.push(Action::Start(ticket));
             return actions;
         }
@@ -158,12 +183,27 @@
         while self.running.len() < self.slots as usize {
             let Some(index) = self.next(now) else { break };
             let waiting = self.waiting.remove(index);
-            self.running.insert(waiting.ticket, now);
+            self.start(now, waiting.ticket, &waiting.demand);
             actions.push(Action::Start(waiting.ticket));
         }
         actions
     }
 
+    fn start(&mut self, now: Moment, ticket: Ticket, demand: &Demand) {
+        self.running.insert(ticket, now);
+        let run_time = self.run_time(Some(demand.route));
+        let usage = self.usage.entry(demand.priority).or_default();
+        usage.add(now, run_time);
+    }
+
+    /// Returns the share of the slots that requests more urgent than `priority` have used lately.
+    fn urgent_share(&self, now: Moment, priority: u32) -> f64 {
+        let urgent = self.usage.range(..priority);
+        let run_time_s: f64 = urgent.map(|(_, usage)| usage.run_time_s(now)).sum();
+        let share = run_time_s / SHARE_PERIOD_S / f64::from(self.slots.max(1));
+        share.min(URGENT_SHARE_MAX)
+    }
+
     /// Returns the index of the waiting request to start next.
     fn next(&self, now: Moment) -> Option<usize> {
         let indexed = self.waiting.iter().enumerate();
@@ -203,7 +243,8 @@
         actions
     }
 
-    /// Returns the expected time until a request starts, if no request that goes before it arrives meanwhile.
+    /// Returns the expected time until a request starts. More urgent requests go on arriving meanwhile, and leave it only
+    /// the rest of the slots.
     fn expected_wait(&self, now: Moment, demand: &Demand) -> Duration {
         let key = self.sort_key(now, demand);
         let ahead = self.waiting.iter();
@@ -211,7 +252,8 @@
         let work: Duration = ahead
             .map(|waiting| self.run_time(Some(waiting.demand.route)))
             .sum();
-        (work + self.run_time(None)) / self.slots.max(1)
+        let wait = (work + self.run_time(None)) / self.slots.max(1);
+        wait.div_f64(1.0 - self.urgent_share(now, demand.priority))
     }
 
     fn run_time(&self, route: Option<u64>) -> Duration {
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -17,6 +17,8 @@
 mod neighbours;
 #[path = "sidecar/queue.rs"]
 mod queue;
+#[path = "sidecar/queue_load.rs"]
+mod queue_load;
 #[path = "sidecar/refusal_history.rs"]
 mod refusal_history;
 #[path = "sidecar/retry_budget.rs"]
