--- a/src/sidecar/forward.rs
+++ b/src/sidecar/forward.rs
@@ -279,10 +279,11 @@
             && !exhausted
             && now < self.call.deadline
             && retry_budget.try_withdraw(now, &self.service, nodes);
-        // An answer that the request has not run tells the caller less than an earlier failure, so the failure is kept.
-        if failure.is_some() && !(self.may_have_run && self.failure.is_some()) {
-            self.failure = failure;
-        }
+        // An answer that the request has not run tells the caller nothing, while a failure tells that it has.
+        self.failure = self
+            .failure
+            .take()
+            .or(failure.filter(|answer| !answer.not_run));
         if allowed {
             return Next::Retry(reason);
         }
@@ -302,9 +303,9 @@
     /// request has run at no upstream.
     fn final_reply(&mut self, reason: Reason) -> Reply {
         match self.failure.take() {
-            Some(answer) if !answer.not_run => Reply::Answer(answer),
-            _ if self.may_have_run => Reply::Unknown(reason),
-            _ => self.refuse(reason),
+            Some(answer) => Reply::Answer(answer),
+            None if self.may_have_run => Reply::Unknown(reason),
+            None => self.refuse(reason),
         }
     }
 
--- a/src/sidecar/local_upstream.rs
+++ b/src/sidecar/local_upstream.rs
@@ -43,6 +43,9 @@
 
 /// Maximum delay of an announcement; the platform may deliver it seconds late.
 const ANNOUNCEMENT_DELAY_MAX: Duration = Duration::from_secs(15);
+/// Maximum time by which the start of an upstream may seem to lie in the future: the time of day of a host may jump by
+/// seconds.
+const CLOCK_JUMP_MAX: Duration = Duration::from_secs(600);
 /// Time for which an upstream that refuses connections receives no requests, unless it announces itself earlier.
 const DOWN_PERIOD: Duration = Duration::from_secs(2);
 
@@ -85,11 +88,22 @@
     instance: String,
 }
 
+/// Returns the time in the unit of incarnations, which are Unix times of starts in milliseconds, by the clock of this
+/// host.
+fn unix_ms(time: Moment) -> u64 {
+    time.0 / 1000
+}
+
+/// Returns whether an upstream claims to have been started in the future. If it were accepted, the announcements of the
+/// actual upstream would all be older.
+fn is_in_future(now: Moment, incarnation: u64) -> bool {
+    incarnation > unix_ms(now + CLOCK_JUMP_MAX)
+}
+
 impl Departure {
     /// Returns whether an announcement was made before the instance left, and arrived late.
     fn precedes(&self, now: Moment, announcement: &Announcement) -> bool {
-        // An incarnation is the Unix time of a start in milliseconds, by the clock of this host.
-        let unix_ms = self.at.0 / 1000;
+        let unix_ms = unix_ms(self.at);
         self.instance == announcement.instance
             && announcement.incarnation <= unix_ms
             && now.since(self.at) < ANNOUNCEMENT_DELAY_MAX
@@ -179,6 +193,17 @@
                 .record(now, "upstream", format_args!("outcome=announced-late"));
             return false;
         }
+        if is_in_future(now, announcement.incarnation) {
+            core.log.record(
+                now,
+                "upstream",
+                format_args!(
+                    "outcome=announced-ahead incarnation={}",
+                    announcement.incarnation
+                ),
+            );
+            return false;
+        }
         let offer_before = self.offer(now);
         let mut cold_until = now + announcement.offer.cold;
         {
--- a/src/sidecar/local_upstream/serve.rs
+++ b/src/sidecar/local_upstream/serve.rs
@@ -18,12 +18,16 @@
         types::Moment,
     },
     std::{rc::Rc, time::Duration},
-    tokio::sync::oneshot,
+    tokio::sync::oneshot::{self, error::TryRecvError},
 };
 
 /// Time that the upstream has after the deadline that it was given to report the outcome of a request.
 const DEADLINE_GRACE: Duration = Duration::from_millis(80);
 
+/// Maximum size of all answers that are being received at once, in bytes. Each slot may use an equal part of it, so that
+/// upstreams whose answers do not end cannot use up the memory of their node.
+const BODY_BYTES_TOTAL_MAX: u64 = 32 * 1024 * 1024;
+
 /// Interval at which a waiting request has the queue apply decisions that are due.
 const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -66,6 +70,10 @@
 ) -> Outcome {
     let state = &core.local_upstream;
     let arrived = core.now();
+    // A node that was paused reads requests and their cancellations from its connections at the same moment.
+    if cancelled.try_recv() != Err(TryRecvError::Empty) {
+        return decline(core, &request, arrived, Reason::Cut, Duration::ZERO);
+    }
     let demand = request.demand(arrived);
     let fingerprint = Fingerprint::new(
         request.service.as_str(),
@@ -214,6 +222,7 @@
         bytes: http1::encode_request(&request.method, &request.target, &fields, &request.body),
         id: &request.id,
         timeout: left + DEADLINE_GRACE,
+        body_bytes_max: BODY_BYTES_TOTAL_MAX / u64::from(core.local_upstream.load().slots.max(1)),
         repeatable: request.repeatable,
         is_head_request: request.method == "HEAD",
     };
--- a/src/sidecar/upstream_pool.rs
+++ b/src/sidecar/upstream_pool.rs
@@ -33,8 +33,6 @@
 const IDLE_MAX_ONCE: Duration = Duration::from_millis(700);
 /// Fraction of the idle timeout stated by the upstream for which a connection is reused.
 const KEEP_ALIVE_FRACTION: f64 = 0.6;
-/// Maximum size of a response body.
-const BODY_BYTES_MAX: u64 = 64 * 1024 * 1024;
 /// Maximum size of a response head.
 const HEAD_BYTES_MAX: usize = 64 * 1024;
 /// Maximum number of responses read for one request, including skipped ones to earlier requests; then the connection
@@ -52,6 +50,8 @@
 
 /// A request to the upstream, and how to read its response.
 pub struct Outgoing<'a> {
+    /// The maximum size of the body of the response, in bytes.
+    pub body_bytes_max: u64,
     /// The complete encoded request.
     pub bytes: Bytes,
     /// The request ID, which the response repeats.
@@ -133,7 +133,7 @@
         outgoing: &Outgoing<'_>,
     ) -> Option<Response> {
         let limits = http1::Limits {
-            body_bytes: BODY_BYTES_MAX,
+            body_bytes: outgoing.body_bytes_max,
             head_bytes: HEAD_BYTES_MAX,
             read_timeout: outgoing.timeout,
         };
