--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -3,6 +3,7 @@
 
 mod broadcast;
 mod link;
+mod recall;
 mod receive;
 
 pub(super) use broadcast::{push_document, push_state, request_contacts};
@@ -196,30 +197,6 @@
         }
     }
 
-    /// Sends the announcement of this node's upstream to the nodes of its region, which return it after a restart.
-    pub fn share_registration(&self, announcement: &Announcement) {
-        let links = self.links.borrow();
-        let region_peers = links
-            .values()
-            .filter(|link| link.contact.region == self.contact.region);
-        for link in region_peers {
-            link.send(&Frame::Registration(announcement.clone()), None);
-        }
-    }
-
-    /// Keeps the last announcement of another node's upstream.
-    fn keep_registration(&self, host: &Host, announcement: Announcement) {
-        if let Some(peer) = self.known.borrow_mut().get_mut(host) {
-            peer.registration = Some(announcement);
-        }
-    }
-
-    /// Returns what a node last sent of its upstream's announcements.
-    fn kept_registration(&self, host: &Host) -> Option<Announcement> {
-        let known = self.known.borrow();
-        known.get(host)?.registration.clone()
-    }
-
     /// Relays a frame from another region to the nodes of this region, as not all of them are connected to its sender.
     fn relay_within_region(&self, from: &Contact, frame: &Frame) {
         if from.region == self.contact.region || !self.needs_regional_relay() {
