--- a/src/sidecar/local_upstream/registration.rs
+++ b/src/sidecar/local_upstream/registration.rs
@@ -155,7 +155,8 @@
                     }
                     // Supersedes the announcements that were made before it.
                     current.last_announcement.draining = true;
-                    current.last_announcement.sequence += 1;
+                    current.last_announcement.sequence =
+                        current.last_announcement.sequence.saturating_add(1);
                     core.peers.share_registration(&current.last_announcement);
                 }
                 _ => {
