Read once more: one sender to the region, draining kept once, an unused value removed

- The frames for the own region were sent by two loops alike; both call broadcast_within_region.
- Whether a registration is draining stood beside its last announcement, which says the same since a departure is recorded there; it is derived now.

Behaviour is meant to be the same.

--- a/src/sidecar/local_upstream.rs
+++ b/src/sidecar/local_upstream.rs
@@ -107,7 +107,7 @@
         let registration = self.registration.borrow();
         registration
             .as_ref()
-            .is_some_and(|current| !current.draining)
+            .is_some_and(|current| !current.is_draining())
     }
 
     /// Returns what the upstream offers to new requests. `None` if it is not registered, draining or temporarily down,
@@ -116,7 +116,7 @@
         let registration = self.registration.borrow();
         let current = registration.as_ref()?;
         let lease_expired = now.since(current.announced_at) > self.heartbeat * LEASE_HEARTBEATS;
-        if current.draining || lease_expired || now < current.down_until {
+        if current.is_draining() || lease_expired || now < current.down_until {
             return None;
         }
         Some(current.last_announcement.offer.clone())
--- a/src/sidecar/local_upstream/registration.rs
+++ b/src/sidecar/local_upstream/registration.rs
@@ -22,7 +22,13 @@
     pub cold_until: Moment,
     pub down_until: Moment,
     pub announced_at: Moment,
-    pub draining: bool,
+}
+
+impl Registration {
+    /// Returns whether the upstream is about to stop, by its own announcement or by an order to remove it.
+    pub fn is_draining(&self) -> bool {
+        self.last_announcement.draining
+    }
 }
 
 /// Departure of an upstream instance that was not registered here, as this node had only just started.
@@ -84,7 +90,7 @@
                 let same_incarnation =
                     current.last_announcement.incarnation == announcement.incarnation;
                 let stale = order(&announcement) <= order(&current.last_announcement);
-                if stale || (same_incarnation && current.draining && !announcement.draining) {
+                if stale || (same_incarnation && current.is_draining() && !announcement.draining) {
                     return false;
                 }
                 if same_incarnation {
@@ -99,7 +105,7 @@
             // An upstream that starts again without having left before has crashed.
             let was_active = registration
                 .as_ref()
-                .is_some_and(|current| !current.draining);
+                .is_some_and(|current| !current.is_draining());
             if restarted && was_active {
                 self.record_crash(core);
             }
@@ -120,11 +126,10 @@
                 );
             }
             self.queue.borrow_mut().set_slots(announcement.offer.slots);
-            let draining = announcement.draining;
             let changed = restarted
                 || registration
                     .as_ref()
-                    .is_some_and(|current| current.draining != draining);
+                    .is_some_and(|current| current.is_draining() != announcement.draining);
             if changed {
                 core.peers.share_registration(&announcement);
             }
@@ -132,7 +137,6 @@
                 cold_until,
                 down_until: Moment::default(),
                 announced_at: now,
-                draining,
                 last_announcement: announcement,
             });
         }
@@ -150,14 +154,13 @@
             let mut registration = self.registration.borrow_mut();
             match registration.as_mut() {
                 Some(current) if current.last_announcement.instance == instance => {
-                    if std::mem::replace(&mut current.draining, true) {
+                    let last = &mut current.last_announcement;
+                    if std::mem::replace(&mut last.draining, true) {
                         return false;
                     }
                     // Supersedes the announcements that were made before it.
-                    current.last_announcement.draining = true;
-                    current.last_announcement.sequence =
-                        current.last_announcement.sequence.saturating_add(1);
-                    core.peers.share_registration(&current.last_announcement);
+                    last.sequence = last.sequence.saturating_add(1);
+                    core.peers.share_registration(last);
                 }
                 _ => {
                     self.remember_departure(core, instance);
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -199,9 +199,13 @@
 
     /// Relays a frame from another region to the nodes of this region, as not all of them are connected to its sender.
     fn relay_within_region(&self, from: &Contact, frame: &Frame) {
-        if from.region == self.contact.region || !self.needs_regional_relay() {
-            return;
+        if from.region != self.contact.region && self.needs_regional_relay() {
+            self.broadcast_within_region(frame);
         }
+    }
+
+    /// Sends a frame to every connected node of this region.
+    fn broadcast_within_region(&self, frame: &Frame) {
         let links = self.links.borrow();
         let region_peers = links
             .values()
--- a/src/sidecar/peers/recall.rs
+++ b/src/sidecar/peers/recall.rs
@@ -15,13 +15,7 @@
 impl Peers {
     /// Sends the announcement of this node's upstream to the nodes of its region, which return it after a restart.
     pub fn share_registration(&self, announcement: &Announcement) {
-        let links = self.links.borrow();
-        let region_peers = links
-            .values()
-            .filter(|link| link.contact.region == self.contact.region);
-        for link in region_peers {
-            link.send(&Frame::Registration(announcement.clone()), None);
-        }
+        self.broadcast_within_region(&Frame::Registration(announcement.clone()));
     }
 
     /// Keeps the last announcement of another node's upstream.
--- a/tests/sidecar/queue_load.rs
+++ b/tests/sidecar/queue_load.rs
@@ -8,7 +8,10 @@
         types::Moment,
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
 };
 
 const SLOTS: u32 = 6;
@@ -37,7 +40,7 @@
 
 struct Simulation {
     demands: BTreeMap<Ticket, Demand>,
-    ends: BTreeMap<(Moment, Ticket), u64>,
+    ends: BTreeSet<(Moment, Ticket)>,
     queue: Queue,
     report: Report,
     rng: StdRng,
@@ -50,7 +53,7 @@
                 Action::Start(ticket) => {
                     let run_time = -RUN_TIME_MS * self.rng.random::<f64>().ln();
                     let ends = now + Duration::from_secs_f64(run_time / 1000.0);
-                    self.ends.insert((ends, ticket), ticket.0);
+                    self.ends.insert((ends, ticket));
                 }
                 Action::Decline(ticket, reason, _) => {
                     let Some(demand) = self.demands.remove(&ticket) else {
@@ -67,7 +70,7 @@
     }
 
     fn finish_until(&mut self, now: Moment) {
-        while let Some((&(ended, ticket), _)) = self.ends.first_key_value() {
+        while let Some(&(ended, ticket)) = self.ends.first() {
             if ended > now {
                 return;
             }
@@ -89,7 +92,7 @@
     queue.set_slots(SLOTS);
     let mut simulation = Simulation {
         demands: BTreeMap::new(),
-        ends: BTreeMap::new(),
+        ends: BTreeSet::new(),
         queue,
         report: Report::default(),
         rng: StdRng::seed_from_u64(seed),
