Stopping node: exit once every peer has confirmed that its endpoint is withdrawn

A stopping node withdrew its endpoint with the first timer tick after 2.5 s, up to 250 ms late, while it exited at the first moment without requests after 2.5 s, checked every 50 ms. So it could exit while other nodes still sent to it.

Ruled out: the endpoint (it was up), a reset of the caller's connection (the caller has an answer).

Change: sidecar::shutdown decides, without I/O, when a stopping node withdraws and when it exits. It withdraws first, then waits until every open connection has answered a ping sent after the withdrawal and all frames are written; frames keep their order, so every request sent before has arrived. A peer that does not answer delays the exit by a second at most after the last request.

--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -18,6 +18,7 @@
         queue::Queue,
         retry_budget::RetryBudget,
         settings::Settings,
+        shutdown::{self, Activity, Shutdown},
         store::Store,
         store_follower,
         upstream_pool::Pool,
@@ -31,10 +32,14 @@
         cell::{Cell, RefCell},
         net::SocketAddr,
         rc::Rc,
+        time::Duration,
     },
     tokio::net::TcpListener,
 };
 
+/// Interval at which a stopping node checks whether it may exit.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// A running node.
 pub struct Node {
     callers: SocketAddr,
@@ -98,6 +103,7 @@
             peers: Peers::new(contact.clone()),
             load_balancer: RefCell::new(LoadBalancer::new(rand::random())),
             rollout_states: RefCell::default(),
+            offer_withdrawn: Cell::new(false),
             store_access: Cell::default(),
             retry_budget: RefCell::new(RetryBudget::new(Core::allowance(&settings))),
             refusal_history: RefCell::default(),
@@ -144,21 +150,30 @@
         core.stopping.set(Some(began));
         core.log
             .record(began, "stop", format_args!("outcome=begun"));
-        let grace = core.stop_timeout();
+        let mut shutdown = Shutdown::new(began);
         loop {
-            tokio::time::sleep(FLUSH_INTERVAL / 5).await;
-            let elapsed = core.now().since(began);
-            let idle = core.active_requests.get() == 0 && core.local_upstream.is_idle();
-            if elapsed >= grace || (elapsed >= core.stop_accept_period() && idle) {
-                break;
+            tokio::time::sleep(STOP_CHECK_INTERVAL).await;
+            let activity = Activity {
+                busy: core.active_requests.get() > 0 || !core.local_upstream.is_idle(),
+                unconfirmed: core.peers.unconfirmed_count(),
+            };
+            match shutdown.next(core.now(), core.stop_periods(), activity) {
+                shutdown::Action::Continue => {}
+                shutdown::Action::Withdraw => {
+                    core.offer_withdrawn.set(true);
+                    core.broadcast_status();
+                    core.peers.request_confirmations(&core);
+                }
+                shutdown::Action::Exit => break,
             }
         }
         core.log.record(
             core.now(),
             "stop",
             format_args!(
-                "outcome=done callers={} took_ms={}",
+                "outcome=done callers={} unconfirmed={} took_ms={}",
                 core.active_requests.get(),
+                core.peers.unconfirmed_count(),
                 core.now().since(began).as_millis()
             ),
         );
--- a/src/sidecar/node/core.rs
+++ b/src/sidecar/node/core.rs
@@ -18,6 +18,7 @@
             retry_budget::{Allowance, RetryBudget},
             rollout::{Leader, Phase, RolloutState},
             settings::Settings,
+            shutdown::Periods,
             store_readers::{self, Candidate, StoreAccess},
         },
         traffic::spill::Tier,
@@ -81,6 +82,8 @@
     pub refusal_history: RefCell<RefusalHistory>,
     /// Settings in force.
     pub settings: RefCell<Settings>,
+    /// Whether this node has withdrawn its upstream for its stop.
+    pub offer_withdrawn: Cell<bool>,
     /// Time at which the stop of this node began, if it has.
     pub stopping: Cell<Option<Moment>>,
     /// Names of the platform's header fields.
@@ -117,12 +120,9 @@
 
     /// Returns the status that this node sends to its peers.
     pub fn status(&self) -> Status {
-        let stopping = self.stopping.get();
-        let offer_withdrawn =
-            stopping.is_some_and(|since| self.now().since(since) >= self.stop_offer_period());
         Status {
             document: self.number(),
-            offer: if offer_withdrawn {
+            offer: if self.offer_withdrawn.get() {
                 None
             } else {
                 self.local_upstream.offer(self.now())
@@ -160,9 +160,18 @@
         since.is_some_and(|since| self.now().since(since) >= self.stop_accept_period())
     }
 
+    /// Returns the periods of a stop of this node.
+    pub fn stop_periods(&self) -> Periods {
+        Periods {
+            accept: self.stop_accept_period(),
+            offer: self.stop_offer_period(),
+            grace: self.stop_timeout(),
+        }
+    }
+
     /// Returns how long a stopping node accepts new requests. Nothing waits for a node whose upstream has left, and
     /// callers keep arriving, so it accepts requests for as long as each is certain to end within the grace period.
-    pub fn stop_accept_period(&self) -> Duration {
+    fn stop_accept_period(&self) -> Duration {
         if self.local_upstream.has_upstream() {
             return STOP_ACCEPT_PERIOD;
         }
@@ -188,7 +197,7 @@
     }
 
     /// Returns the maximum duration of a stop.
-    pub fn stop_timeout(&self) -> Duration {
+    fn stop_timeout(&self) -> Duration {
         self.settings.borrow().grace.saturating_sub(STOP_RESERVE)
     }
 
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -2,6 +2,7 @@
 //! traffic. The newest connection to a node is used; older ones only finish the requests that they carry.
 
 mod broadcast;
+mod confirmation;
 mod link;
 mod recall;
 mod receive;
@@ -84,7 +85,10 @@
     contact: Contact,
     forgotten: RefCell<Vec<Host>>,
     known: RefCell<BTreeMap<Host, KnownPeer>>,
+    /// Connection in use to each node.
     links: RefCell<HashMap<Host, Rc<Link>>>,
+    /// All open connections, also those that only finish the requests that they carry.
+    open_links: RefCell<Vec<Rc<Link>>>,
     rng: RefCell<StdRng>,
     spreading: broadcast::State,
     last_tick: Cell<Moment>,
@@ -98,6 +102,7 @@
             forgotten: RefCell::default(),
             known: RefCell::default(),
             links: RefCell::default(),
+            open_links: RefCell::default(),
             rng: RefCell::new(StdRng::seed_from_u64(rand::random())),
             spreading: broadcast::State::default(),
             last_tick: Cell::default(),
@@ -352,8 +357,7 @@
             Tier::Region | Tier::Remote => CROSS_DOMAIN_IDLE_PING_AFTER,
         };
         if now.since(link.received_at.get()) >= ping_after {
-            link.ping_sent_at.set(Some(now));
-            link.send(&Frame::Ping(core.number()), None);
+            link.ping(core, now);
         }
     }
     dial(core, now);
--- a/src/sidecar/peers/link.rs
+++ b/src/sidecar/peers/link.rs
@@ -55,7 +55,14 @@
     pub(super) next_stream: Cell<u64>,
     pub(super) outgoing: mpsc::UnboundedSender<Outgoing>,
     pub(super) pending: RefCell<HashMap<StreamId, Pending>>,
+    /// Time at which the ping was sent that has no answer yet.
     pub(super) ping_sent_at: Cell<Option<Moment>>,
+    /// Number of pings that were sent.
+    pub(super) pings_sent: Cell<u64>,
+    /// Number of pings that the node has answered.
+    pub(super) pongs_received: Cell<u64>,
+    /// Number of answered pings with which the node confirms all frames sent before [`Link::request_confirmation`].
+    pub(super) confirmed_at_pong: Cell<u64>,
     pub(super) serving: RefCell<HashMap<StreamId, oneshot::Sender<()>>>,
     pub(super) closing: tokio::sync::Notify,
     pub(super) status: RefCell<Status>,
@@ -74,6 +81,28 @@
         self.queued_bytes.set(self.queued_bytes.get() + bytes.len());
         self.outgoing.send(Outgoing { bytes, stream }).is_ok()
     }
+
+    /// Sends a ping, which the node has to answer from now on unless it has another one to answer.
+    pub(super) fn ping(&self, core: &Core, now: Moment) {
+        if self.ping_sent_at.get().is_none() {
+            self.ping_sent_at.set(Some(now));
+        }
+        if self.send(&Frame::Ping(core.number()), None) {
+            self.pings_sent.set(self.pings_sent.get() + 1);
+        }
+    }
+
+    /// Asks the node to confirm the frames sent so far. As frames keep their order, all that the node had sent before it
+    /// handled them have arrived with the confirmation.
+    pub(super) fn request_confirmation(&self, core: &Core, now: Moment) {
+        self.ping(core, now);
+        self.confirmed_at_pong.set(self.pings_sent.get());
+    }
+
+    /// Returns whether a requested confirmation is outstanding, or frames have not been written yet.
+    pub(super) fn is_unconfirmed(&self) -> bool {
+        self.pongs_received.get() < self.confirmed_at_pong.get() || self.queued_bytes.get() > 0
+    }
 }
 
 /// Sends a request to a node and returns its outcome, with the load of the upstream if the node reported it. Dropping
@@ -162,6 +191,9 @@
         outgoing,
         pending: RefCell::default(),
         ping_sent_at: Cell::default(),
+        pings_sent: Cell::default(),
+        pongs_received: Cell::default(),
+        confirmed_at_pong: Cell::default(),
         serving: RefCell::default(),
         closing: tokio::sync::Notify::new(),
         status: RefCell::default(),
@@ -185,6 +217,7 @@
         peer.lost_since = None;
         peer.backoff = Backoff::default();
     }
+    core.peers.open_links.borrow_mut().push(link.clone());
     let previous = core
         .peers
         .links
@@ -223,6 +256,10 @@
 /// Removes a closed connection, and ends the requests in progress on it in both directions.
 fn unregister(core: &Core, link: &Rc<Link>) {
     let host = &link.contact.host;
+    core.peers
+        .open_links
+        .borrow_mut()
+        .retain(|open| !Rc::ptr_eq(open, link));
     let current = core
         .peers
         .links
@@ -263,9 +300,8 @@
             return;
         }
         bytes.clear();
+        let dequeued: usize = batch.iter().map(|outgoing| outgoing.bytes.len()).sum();
         for outgoing in batch.drain(..) {
-            link.queued_bytes
-                .set(link.queued_bytes.get().saturating_sub(outgoing.bytes.len()));
             if let Some(stream) = outgoing.stream {
                 match link.pending.borrow_mut().get_mut(&stream) {
                     Some(pending) => pending.sent = true,
@@ -278,6 +314,8 @@
         if writer.write_all(&bytes).await.is_err() {
             return;
         }
+        link.queued_bytes
+            .set(link.queued_bytes.get().saturating_sub(dequeued));
     }
 }
 
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -42,7 +42,10 @@
             link.send(&Frame::Pong(core.number()), None);
             record_document(core, &current, number);
         }
-        Frame::Pong(number) => record_document(core, &current, number),
+        Frame::Pong(number) => {
+            link.pongs_received.set(link.pongs_received.get() + 1);
+            record_document(core, &current, number);
+        }
         Frame::Status(status) => {
             let number = status.document;
             *current.status.borrow_mut() = status;
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -27,5 +27,7 @@
 mod rollout;
 #[path = "sidecar/settings.rs"]
 mod settings;
+#[path = "sidecar/shutdown.rs"]
+mod shutdown;
 #[path = "sidecar/store_readers.rs"]
 mod store_readers;
