First document: two copies at a time from each node, all others referred to their receivers

Each fetch was answered with a copy of its own, compressed anew, over one link; a fetch that took over 400 ms was sent again, and each push of the cold start sent the document to each relay again.

Ruled out: connections (nodes that waited were connected and had asked), the store (read once by then).

Change: sidecar::uploads decides without I/O: a node sends its document to two nodes at a time and refers all others to these in turn; one that is asked before it has the document answers when it arrives. The encoded document is kept, and a broadcast is encoded once. Fetches, uploads and referrals are logged.

--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -1,6 +1,6 @@
 //! The node for platforms on which an upstream is reachable only from the node on its own host, and on which the
 //! platform's store accepts the operator's orders. The decision modules ([`document`], [`queue`], [`load_balancer`],
-//! [`retry_budget`], [`rollout`], [`shutdown`], [`store_readers`]) use no clock, socket or task; the other modules do the input and
+//! [`retry_budget`], [`rollout`], [`shutdown`], [`store_readers`], [`uploads`]) use no clock, socket or task; the other modules do the input and
 //! output and call them. See docs/design/platform.md.
 
 pub mod dissemination;
@@ -21,6 +21,7 @@
 pub mod store;
 pub mod store_readers;
 pub mod timeline;
+pub mod uploads;
 
 mod forward;
 mod handle;
--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -166,6 +166,8 @@
     Registration(Announcement),
     /// Last announcement of the receiver's own upstream, as the receiver sent it before it restarted.
     Recall(Announcement),
+    /// Refers a node that has no document to another one, which has the document or is about to receive it.
+    Referral(Host),
 }
 
 /// Encodes a frame, preceded by its length. Documents and their differences are compressed, as configurations are
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -3,6 +3,7 @@
 
 mod broadcast;
 mod confirmation;
+mod first_document;
 mod link;
 mod recall;
 mod receive;
@@ -14,7 +15,7 @@
 use {
     super::{
         document::Number,
-        frame::{Contact, Frame, Outcome, StreamId},
+        frame::{self, Contact, Frame, Outcome, StreamId},
         handle::Announcement,
         metrics::Metrics,
         neighbours::{self, KnownNode, NODES_PER_REMOTE_REGION},
@@ -90,6 +91,7 @@
     /// All open connections, also those that only finish the requests that they carry.
     open_links: RefCell<Vec<Rc<Link>>>,
     rng: RefCell<StdRng>,
+    first_documents: first_document::State,
     spreading: broadcast::State,
     last_tick: Cell<Moment>,
 }
@@ -104,6 +106,7 @@
             links: RefCell::default(),
             open_links: RefCell::default(),
             rng: RefCell::new(StdRng::seed_from_u64(rand::random())),
+            first_documents: first_document::State::default(),
             spreading: broadcast::State::default(),
             last_tick: Cell::default(),
         }
@@ -197,26 +200,11 @@
 
     /// Sends a frame to every connected node.
     pub fn broadcast(&self, frame: &Frame) {
+        let Ok(bytes) = frame::encode(frame) else {
+            return;
+        };
         for link in self.links.borrow().values() {
-            link.send(frame, None);
-        }
-    }
-
-    /// Relays a frame from another region to the nodes of this region, as not all of them are connected to its sender.
-    fn relay_within_region(&self, from: &Contact, frame: &Frame) {
-        if from.region != self.contact.region && self.needs_regional_relay() {
-            self.broadcast_within_region(frame);
-        }
-    }
-
-    /// Sends a frame to every connected node of this region.
-    fn broadcast_within_region(&self, frame: &Frame) {
-        let links = self.links.borrow();
-        let region_peers = links
-            .values()
-            .filter(|link| link.contact.region == self.contact.region);
-        for link in region_peers {
-            link.send(frame, None);
+            link.send_encoded(bytes.clone(), None);
         }
     }
 
--- a/src/sidecar/peers/broadcast.rs
+++ b/src/sidecar/peers/broadcast.rs
@@ -5,19 +5,21 @@
 //! peers that it is behind, and fetches the document from the nearest of them.
 
 use {
-    super::{Link, Peers},
+    super::{Link, Peers, first_document},
     crate::{
         sidecar::{
             dissemination::{self, Scope},
             document::Number,
-            frame::{Contact, Frame},
+            frame::{self, Contact, Frame},
             node::Core,
             rollout::{Phase, RolloutState},
         },
         traffic::spill::Tier,
         types::{Host, Moment},
     },
+    rand::Rng,
     std::{cell::RefCell, rc::Rc, time::Duration},
+    xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
 /// Time within which a relay has to acknowledge a document: a round trip between regions, and the processing time of a
@@ -45,13 +47,35 @@
 pub(super) struct State {
     pending_acks: RefCell<Vec<PendingAck>>,
     behind_since: RefCell<Option<Moment>>,
-    fetch_sent_at: RefCell<Option<Moment>>,
+    /// The node that was asked last for its document, and when.
+    fetch: RefCell<Option<(Host, Moment)>>,
 }
 
 impl Peers {
     fn contacts_of(links: &[Rc<Link>]) -> Vec<Contact> {
         links.iter().map(|link| link.contact.clone()).collect()
     }
+
+    /// Relays a frame from another region to the nodes of this region, as not all of them are connected to its sender.
+    pub(super) fn relay_within_region(&self, from: &Contact, frame: &Frame) {
+        if from.region != self.contact.region && self.needs_regional_relay() {
+            self.broadcast_within_region(frame);
+        }
+    }
+
+    /// Sends a frame to every connected node of this region.
+    pub(super) fn broadcast_within_region(&self, frame: &Frame) {
+        let links = self.links.borrow();
+        let region_peers = links
+            .values()
+            .filter(|link| link.contact.region == self.contact.region);
+        let Ok(bytes) = frame::encode(frame) else {
+            return;
+        };
+        for link in region_peers {
+            link.send_encoded(bytes.clone(), None);
+        }
+    }
 }
 
 /// Sends the document in force to all nodes of a scope that are not known to have it, through relays where possible.
@@ -71,12 +95,17 @@
         "spread",
         format_args!("number={number} scope={scope:?} nodes={}", links.len()),
     );
+    first_document::send_to_waiting(core);
 }
 
 /// Sends the document in force to one node, which relays it to `scope`. `tried` are the nodes that were tried as the
 /// relay before.
 fn send_document(core: &Core, link: &Link, scope: Scope, tried: &[Host]) {
     let current = link.status.borrow().document;
+    if current == Number::default() && scope == Scope::Host {
+        first_document::send_or_refer(core, link);
+        return;
+    }
     for frame in core.frames_since(current, scope) {
         link.send(&frame, None);
     }
@@ -124,15 +153,51 @@
 
 /// Requests the newer document of a node, unless another fetch is in progress.
 pub(super) fn fetch(core: &Core, link: &Link) {
-    let now = core.now();
-    let mut fetch_sent_at = core.peers.spreading.fetch_sent_at.borrow_mut();
-    if fetch_sent_at.is_some_and(|at| now.since(at) < FETCH_TIMEOUT) {
-        return;
+    if fetch_in_progress(core).is_none() {
+        send_fetch(core, link);
     }
-    *fetch_sent_at = Some(now);
+}
+
+/// Requests the newer document of a node.
+pub(super) fn send_fetch(core: &Core, link: &Link) {
+    let (now, host) = (core.now(), link.contact.host.clone());
+    core.log.record(
+        now,
+        "document",
+        format_args!("outcome=asked peer={host} number={}", core.number()),
+    );
+    *core.peers.spreading.fetch.borrow_mut() = Some((host, now));
     link.send(&Frame::Fetch(core.number()), None);
 }
 
+/// Returns the node that was asked for its document, unless that was too long ago.
+fn fetch_in_progress(core: &Core) -> Option<Host> {
+    let now = core.now();
+    let fetch = core.peers.spreading.fetch.borrow();
+    let (host, _) = fetch
+        .as_ref()
+        .filter(|(_, at)| now.since(*at) < FETCH_TIMEOUT)?;
+    Some(host.clone())
+}
+
+/// Returns whether a fetch from another node than this one is in progress.
+pub(super) fn awaits_other_than(core: &Core, host: &Host) -> bool {
+    fetch_in_progress(core).is_some_and(|asked| asked != *host)
+}
+
+/// Ends the fetch in progress, so that another node can be asked.
+pub(super) fn forget_fetch(core: &Core) {
+    *core.peers.spreading.fetch.borrow_mut() = None;
+}
+
+/// Ends the fetch in progress if this node was asked.
+pub(super) fn forget_fetch_from(core: &Core, host: &Host) {
+    let mut fetch = core.peers.spreading.fetch.borrow_mut();
+    if fetch.as_ref().is_some_and(|(asked, _)| asked == host) {
+        *fetch = None;
+    }
+}
+
 /// Requests the contacts known to the nearest node. Used while the store does not answer.
 pub(in crate::sidecar) fn request_contacts(core: &Core) {
     let links = core.peers.responsive_links();
@@ -172,7 +237,12 @@
     let ahead = links
         .iter()
         .filter(|link| link.status.borrow().document > own);
-    let nearest = ahead.min_by_key(|link| core.tier_of(&link.contact) as usize);
+    // One of the nearest at random: many nodes may be behind at the same moment.
+    let order: u64 = core.peers.rng.borrow_mut().random();
+    let nearest = ahead.min_by_key(|link| {
+        let host = xxh3_64_with_seed(link.contact.host.as_str().as_bytes(), order);
+        (core.tier_of(&link.contact) as usize, host)
+    });
     let mut behind_since = core.peers.spreading.behind_since.borrow_mut();
     let Some(nearest) = nearest else {
         *behind_since = None;
--- a/src/sidecar/peers/link.rs
+++ b/src/sidecar/peers/link.rs
@@ -1,7 +1,7 @@
 //! One connection to a node, from its greeting until it closes.
 
 use {
-    super::{CONNECT_TIMEOUT, receive},
+    super::{CONNECT_TIMEOUT, first_document, receive},
     crate::{
         refusal::Reason,
         sidecar::{
@@ -72,9 +72,11 @@
 
 impl Link {
     pub(super) fn send(&self, frame: &Frame, stream: Option<StreamId>) -> bool {
-        let Ok(bytes) = frame::encode(frame) else {
-            return false;
-        };
+        frame::encode(frame).is_ok_and(|bytes| self.send_encoded(bytes, stream))
+    }
+
+    /// Sends an encoded frame. Returns whether it was queued.
+    pub(super) fn send_encoded(&self, bytes: Bytes, stream: Option<StreamId>) -> bool {
         if self.queued_bytes.get() + bytes.len() > QUEUED_BYTES_MAX {
             return false;
         }
@@ -275,6 +277,7 @@
         core.log
             .record(now, "peer", format_args!("outcome=lost peer={host}"));
     }
+    first_document::forget(core, link);
     // Dropping the senders cancels the requests that run here on behalf of that node.
     link.serving.borrow_mut().clear();
     for (_, pending) in link.pending.borrow_mut().drain() {
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -1,7 +1,7 @@
 //! Handles the frames received from other nodes.
 
 use {
-    super::{Link, broadcast, dial},
+    super::{Link, broadcast, dial, first_document},
     crate::{
         refusal::Reason,
         sidecar::{
@@ -65,6 +65,10 @@
             core.peers.merge_contacts(contacts);
             dial(core, now);
         }
+        Frame::Fetch(from) if from == Number::default() => {
+            first_document::send_or_refer(core, link);
+        }
+        Frame::Referral(to) => first_document::follow_referral(core, host, &to),
         Frame::Fetch(from) => {
             for frame in core.frames_since(from, Scope::Host) {
                 link.send(&frame, None);
@@ -72,8 +76,14 @@
         }
         Frame::Document(scope, document) => {
             current.status.borrow_mut().document = document.number;
+            let is_first = !core.has_document();
             if core.install_document(Arc::unwrap_or_clone(document), host.as_str()) {
                 broadcast::acknowledge_and_relay(core, link, scope);
+                if is_first && scope == Scope::Host {
+                    // The sender counts its uploads in progress.
+                    link.send(&Frame::Status(core.status()), None);
+                    first_document::send_to_waiting(core);
+                }
             }
         }
         Frame::Difference(scope, difference) => apply_delta(core, &current, scope, &difference),
@@ -125,6 +135,9 @@
 fn record_document(core: &Core, link: &Link, number: Number) {
     let mut status = link.status.borrow_mut();
     status.document = status.document.max(number);
+    if number > Number::default() {
+        first_document::confirm(core, &link.contact.host);
+    }
     let near = match core.tier_of(&link.contact) {
         Tier::Own => true,
         // Without a document nothing can be served, so it is fetched at once. Otherwise a copy is already on its way
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -31,3 +31,5 @@
 mod shutdown;
 #[path = "sidecar/store_readers.rs"]
 mod store_readers;
+#[path = "sidecar/uploads.rs"]
+mod uploads;
