First document: refer nodes only to receivers of their own region

Cause, found by reading: a node of another region is connected to few nodes of this one, so a referral to any receiver mostly led nowhere, and it asked again only at its next tick. Change: receivers of the requester's region only; without one the document is sent. Test: uploads::node_is_referred_to_nodes_of_its_own_region_only.

--- a/src/sidecar/peers/first_document.rs
+++ b/src/sidecar/peers/first_document.rs
@@ -39,7 +39,8 @@
         return;
     }
     let now = core.now();
-    let decision = state.uploads.borrow_mut().request(now, host);
+    let region = &link.contact.region;
+    let decision = state.uploads.borrow_mut().request(now, host, region);
     match decision {
         Decision::Refer(to) => {
             core.log.record(
--- a/src/sidecar/uploads.rs
+++ b/src/sidecar/uploads.rs
@@ -5,7 +5,7 @@
 //! and refers all others to these, so that the document spreads as a tree and no link carries more than a few copies.
 
 use {
-    crate::types::{Host, Moment},
+    crate::types::{Host, Moment, Region},
     std::time::Duration,
 };
 
@@ -31,6 +31,7 @@
 struct Receiver {
     confirmed: bool,
     host: Host,
+    region: Region,
     sent_at: Moment,
 }
 
@@ -49,8 +50,8 @@
 
 impl Uploads {
     /// Returns what is done for a node without a document. Each node is referred to the next receiver in turn, so that
-    /// the receivers get equal parts of the others.
-    pub fn request(&mut self, now: Moment, host: &Host) -> Decision {
+    /// the receivers get equal parts of the others. Only receivers of its own region are sure to be connected to it.
+    pub fn request(&mut self, now: Moment, host: &Host, region: &Region) -> Decision {
         self.receivers
             .retain(|receiver| now.since(receiver.sent_at) < REFERRAL_PERIOD);
         let known = self.receivers.iter().find(|known| known.host == *host);
@@ -60,17 +61,24 @@
         self.receivers.retain(|known| known.host != *host);
         let active = self.receivers.iter();
         let active = active.filter(|receiver| receiver.in_progress(now));
-        if active.count() < UPLOADS_MAX {
+        let active_count = active.count();
+        let known = self.receivers.iter();
+        let in_region: Vec<&Host> = known
+            .filter(|known| known.region == *region)
+            .map(|known| &known.host)
+            .collect();
+        if active_count < UPLOADS_MAX || in_region.is_empty() {
             self.receivers.push(Receiver {
                 confirmed: false,
                 host: host.clone(),
+                region: region.clone(),
                 sent_at: now,
             });
             return Decision::Send;
         }
         self.referral_count += 1;
-        let chosen = self.referral_count % self.receivers.len();
-        Decision::Refer(self.receivers[chosen].host.clone())
+        let chosen = in_region[self.referral_count % in_region.len()];
+        Decision::Refer(chosen.clone())
     }
 
     /// Records that a node has the document.
--- a/tests/sidecar/uploads.rs
+++ b/tests/sidecar/uploads.rs
@@ -3,7 +3,7 @@
 use {
     mulberryshelf::{
         sidecar::uploads::{Decision, Uploads},
-        types::{Host, Moment},
+        types::{Host, Moment, Region},
     },
     std::{
         collections::{BTreeMap, VecDeque},
@@ -19,6 +19,10 @@
     format!("node-{index}").parse().unwrap()
 }
 
+fn region() -> Region {
+    "luzon".parse().unwrap()
+}
+
 /// Simulates a region in which one node has the document and all others ask it at the same moment. Copies of one sender
 /// pass its link one after the other. Returns the time at which each node has the document, and the copies sent by each.
 fn play_start(lost: Option<usize>) -> (Vec<Option<Duration>>, Vec<usize>) {
@@ -38,7 +42,7 @@
                 waiting.entry(source).or_default().push(node);
                 continue;
             }
-            match uploads[source].request(now, &host(node)) {
+            match uploads[source].request(now, &host(node), &region()) {
                 Decision::Refer(to) => {
                     let to = (0..NODES).find(|index| host(*index) == to).unwrap();
                     requests.push_back((node, to));
@@ -97,20 +101,36 @@
 fn node_that_asks_again_during_its_upload_gets_no_second_copy() {
     let mut uploads = Uploads::default();
     let now = Moment::default() + Duration::from_secs(100);
-    assert_eq!(uploads.request(now, &host(1)), Decision::Send);
+    assert_eq!(uploads.request(now, &host(1), &region()), Decision::Send);
     let later = now + Duration::from_millis(400);
-    assert_eq!(uploads.request(later, &host(1)), Decision::Wait);
+    assert_eq!(uploads.request(later, &host(1), &region()), Decision::Wait);
     uploads.remove(&host(1));
-    assert_eq!(uploads.request(later, &host(1)), Decision::Send);
+    assert_eq!(uploads.request(later, &host(1), &region()), Decision::Send);
 }
 
 #[test]
 fn silent_receivers_do_not_block_others_for_good() {
     let mut uploads = Uploads::default();
     let now = Moment::default() + Duration::from_secs(100);
-    assert_eq!(uploads.request(now, &host(1)), Decision::Send);
-    assert_eq!(uploads.request(now, &host(2)), Decision::Send);
-    assert!(matches!(uploads.request(now, &host(3)), Decision::Refer(_)));
+    assert_eq!(uploads.request(now, &host(1), &region()), Decision::Send);
+    assert_eq!(uploads.request(now, &host(2), &region()), Decision::Send);
+    assert!(matches!(
+        uploads.request(now, &host(3), &region()),
+        Decision::Refer(_)
+    ));
     let later = now + Duration::from_secs(2);
-    assert_eq!(uploads.request(later, &host(3)), Decision::Send);
+    assert_eq!(uploads.request(later, &host(3), &region()), Decision::Send);
+}
+
+/// A node is connected to all nodes of its own region, and to few of another one.
+#[test]
+fn node_is_referred_to_nodes_of_its_own_region_only() {
+    let mut uploads = Uploads::default();
+    let now = Moment::default() + Duration::from_secs(100);
+    let far: Region = "visayas".parse().unwrap();
+    assert_eq!(uploads.request(now, &host(1), &region()), Decision::Send);
+    assert_eq!(uploads.request(now, &host(2), &region()), Decision::Send);
+    assert_eq!(uploads.request(now, &host(3), &far), Decision::Send);
+    let referred = uploads.request(now, &host(4), &far);
+    assert_eq!(referred, Decision::Refer(host(3)));
 }
