First document: nodes draw who reads it from the store when all start together

A node counts as near the store if it answers within 14 ms; while all register, most answers take 42 to 120 ms, so none wrote near=true, and all waited for a nearer reader until FIRST_DOCUMENT_TIMEOUT, 1.5 s. Until then 8,100 requests were rejected.

Change: each node without a document draws at each check, so that six of the known nodes read at once on average and twice as many 250 ms later (store_readers::first_read_probability); the time-out stays. A relay that has not acknowledged the document is not sent it again by the next push of a cold start.

--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -118,6 +118,11 @@
         self.links.borrow().len() + self.unconnected.get() + 1
     }
 
+    /// Returns the number of other nodes that are known, whether they run or not.
+    pub fn known_count(&self) -> usize {
+        self.known.borrow().len()
+    }
+
     /// Returns whether the region is so large that nodes of other regions may be connected to only some of its nodes,
     /// and not to this one.
     pub fn needs_regional_relay(&self) -> bool {
--- a/src/sidecar/peers/broadcast.rs
+++ b/src/sidecar/peers/broadcast.rs
@@ -106,10 +106,14 @@
         first_document::send_or_refer(core, link);
         return;
     }
+    let is_relay = matches!(scope, Scope::Domain | Scope::Region);
+    if is_relay && is_awaited(core, link) {
+        return;
+    }
     for frame in core.frames_since(current, scope) {
         link.send(&frame, None);
     }
-    if matches!(scope, Scope::Domain | Scope::Region) {
+    if is_relay {
         let host = link.contact.host.clone();
         core.peers
             .spreading
@@ -262,6 +266,14 @@
     }
 }
 
+/// Returns whether the document in force is on its way to a relay that has not acknowledged it yet.
+fn is_awaited(core: &Core, link: &Link) -> bool {
+    let (host, number) = (&link.contact.host, core.number());
+    let pending_acks = core.peers.spreading.pending_acks.borrow();
+    let mut awaited = pending_acks.iter();
+    awaited.any(|pending| pending.number == number && pending.tried.last() == Some(host))
+}
+
 /// Returns whether the relay tried last is known to have the document. A closed connection counts as not acknowledged.
 fn is_acknowledged(core: &Core, pending: &PendingAck) -> bool {
     let links = core.peers.links.borrow();
--- a/src/sidecar/store_follower.rs
+++ b/src/sidecar/store_follower.rs
@@ -9,8 +9,9 @@
         peers,
         rollout::{Phase, Rollout, RolloutState},
         store::{Changes, Contacts, Fault, RolloutRecord, Store},
-        store_readers::{READERS_MAX, StoreAccess},
+        store_readers::{self, READERS_MAX, StoreAccess},
     },
+    rand::Rng,
     std::{rc::Rc, time::Duration},
 };
 
@@ -40,10 +41,12 @@
     register(&core, &*store).await;
     let began = core.now();
     let mut mark = None;
+    let mut checks = 0;
     loop {
         let is_reader = core.rank() < READERS_MAX;
         let lacks_document =
-            !core.has_document() && core.now().since(began) > FIRST_DOCUMENT_TIMEOUT;
+            !core.has_document() && reads_first_document(&core, core.now().since(began), checks);
+        checks += 1;
         let should_read = is_reader
             && (core.store_access.get() != StoreAccess::Far
                 || core.now().since(began) > FIRST_DOCUMENT_TIMEOUT);
@@ -75,6 +78,12 @@
     }
 }
 
+/// Returns whether this node reads the document, which it lacks, without waiting for a reader of the store any longer.
+fn reads_first_document(core: &Core, waited: Duration, checks: u32) -> bool {
+    let probability = store_readers::first_read_probability(core.peers.known_count() + 1, checks);
+    waited > FIRST_DOCUMENT_TIMEOUT || rand::rng().random_bool(probability)
+}
+
 async fn register<S: Store>(core: &Rc<Core>, store: &S) {
     let mut fastest = Duration::MAX;
     loop {
--- a/src/sidecar/store_readers.rs
+++ b/src/sidecar/store_readers.rs
@@ -32,6 +32,22 @@
     pub host: Host,
 }
 
+/// Number of nodes of a mesh that read the first document from the store at once, on average, if all start together and
+/// none is seen to be near the store. It leaves a small chance that none does.
+const FIRST_READERS: f64 = 6.0;
+
+/// Returns the probability with which a node without a document reads it from the store at its next check. `nodes` is
+/// the number of known nodes, and `checks` that of earlier checks; each doubles the probability.
+///
+/// Load pattern: all nodes start at the same moment, and their registrations keep the store so busy that each takes it for
+/// a distant one. Each would wait for a reader nearer to the store, and none would serve until a timeout.
+#[must_use]
+pub fn first_read_probability(nodes: usize, checks: u32) -> f64 {
+    let nodes = u32::try_from(nodes.max(1)).unwrap_or(u32::MAX);
+    let readers = FIRST_READERS * 2_f64.powf(f64::from(checks));
+    (readers / f64::from(nodes)).min(1.0)
+}
+
 /// Returns a node's rank among the candidates, including itself; 0 goes first.
 #[must_use]
 pub fn rank(own: &Candidate, others: impl Iterator<Item = Candidate>) -> usize {
--- a/tests/sidecar/store_readers.rs
+++ b/tests/sidecar/store_readers.rs
@@ -1,4 +1,7 @@
-use mulberryshelf::sidecar::store_readers::{Candidate, StoreAccess, rank};
+use {
+    mulberryshelf::sidecar::store_readers::{Candidate, StoreAccess, first_read_probability, rank},
+    rand::{Rng, SeedableRng, rngs::StdRng},
+};
 
 fn candidate(host: &str, reach: StoreAccess) -> Candidate {
     Candidate {
@@ -27,3 +30,30 @@
     let alone = candidate("z9", StoreAccess::Unknown);
     assert_eq!(rank(&alone, std::iter::empty()), 0);
 }
+
+/// All nodes of a large mesh were restarted at one moment, and the store knew as many that had gone before. No node was
+/// seen to be near the store, so none read the document until 1.5 s had passed, and all callers were refused.
+#[test]
+fn some_nodes_of_a_mesh_that_starts_together_read_the_first_document_at_once() {
+    let (started, known) = (295, 563);
+    let mut late = 0;
+    for seed in 0..1_000 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut readers_at = |checks| {
+            let probability = first_read_probability(known, checks);
+            let drawn = (0..started).filter(|_| random.random_bool(probability));
+            drawn.count()
+        };
+        let at_once = readers_at(0);
+        assert!(at_once <= 20, "{at_once} of {started} read at once");
+        late += u32::from(at_once == 0);
+        assert!(at_once + readers_at(1) > 0);
+    }
+    assert!(late < 100, "none read at once in {late} of 1000 starts");
+}
+
+#[test]
+fn node_of_a_small_mesh_reads_the_first_document_at_once() {
+    assert!((first_read_probability(1, 0) - 1.0).abs() < f64::EPSILON);
+    assert!((first_read_probability(100_000, 60) - 1.0).abs() < f64::EPSILON);
+}
