Dissemination: a relay passes a document on that it has already

The first reader had read the change, sent it to its own failure domain and to one relay of each other one, and lost power 0.3 s later. The relay of sudo-b was the second reader: it had the document from the store 3 ms after the first one, took the copy for an old one and passed it on to nobody. As second reader it saw that the first one had the document. So sudo-b-3 and sudo-b-2 learned of it 1.5 and 3.5 s later, from signs of life.

Change: a document or difference that is not newer is still confirmed and passed on to its scope, to the nodes that are not known to have it.

The node test fails before: nothing is passed on.

--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -75,7 +75,8 @@
             }
         }
         Frame::Document(scope, document) => {
-            current.status.borrow_mut().document = document.number;
+            let number = document.number;
+            current.status.borrow_mut().document = number;
             let is_first = !core.has_document();
             if core.install_document(Arc::unwrap_or_clone(document), host.as_str()) {
                 broadcast::acknowledge_and_relay(core, link, scope);
@@ -84,6 +85,8 @@
                     link.send(&Frame::Status(core.status()), None);
                     first_document::send_to_waiting(core);
                 }
+            } else if number <= core.number() {
+                broadcast::acknowledge_and_relay(core, link, scope);
             }
         }
         Frame::Difference(scope, difference) => apply_delta(core, &current, scope, &difference),
@@ -167,6 +170,8 @@
         status.document = status.document.max(difference.to);
     }
     if difference.to <= core.number() {
+        // The nodes that depend on this relay may not have it yet.
+        broadcast::acknowledge_and_relay(core, link, scope);
         return;
     }
     let current = core.document.borrow().clone();
