Read once more: one sender to several connections, one state of a stop, one way to end a fetch

broadcast and broadcast_within_region encoded and sent a frame by the same lines; both call send_to_all now. Shutdown's flag for the withdrawal is derived from idle_since. forget_fetch did what forget_fetch_from does for its one caller. Behaviour is meant to be the same; no test is changed.

--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -15,7 +15,7 @@
 use {
     super::{
         document::Number,
-        frame::{self, Contact, Frame, Outcome, StreamId},
+        frame::{Contact, Frame, Outcome, StreamId},
         handle::Announcement,
         metrics::Metrics,
         neighbours::{self, KnownNode, NODES_PER_REMOTE_REGION},
@@ -205,12 +205,7 @@
 
     /// Sends a frame to every connected node.
     pub fn broadcast(&self, frame: &Frame) {
-        let Ok(bytes) = frame::encode(frame) else {
-            return;
-        };
-        for link in self.links.borrow().values() {
-            link.send_encoded(bytes.clone(), None);
-        }
+        broadcast::send_to_all(self.links.borrow().values(), frame);
     }
 
     /// Sends a frame to a node, if it is connected.
--- a/src/sidecar/peers/broadcast.rs
+++ b/src/sidecar/peers/broadcast.rs
@@ -69,12 +69,17 @@
         let region_peers = links
             .values()
             .filter(|link| link.contact.region == self.contact.region);
-        let Ok(bytes) = frame::encode(frame) else {
-            return;
-        };
-        for link in region_peers {
-            link.send_encoded(bytes.clone(), None);
-        }
+        send_to_all(region_peers, frame);
+    }
+}
+
+/// Sends a frame on several connections. It is encoded once.
+pub(super) fn send_to_all<'a>(links: impl Iterator<Item = &'a Rc<Link>>, frame: &Frame) {
+    let Ok(bytes) = frame::encode(frame) else {
+        return;
+    };
+    for link in links {
+        link.send_encoded(bytes.clone(), None);
     }
 }
 
@@ -189,12 +194,7 @@
     fetch_in_progress(core).is_some_and(|asked| asked != *host)
 }
 
-/// Ends the fetch in progress, so that another node can be asked.
-pub(super) fn forget_fetch(core: &Core) {
-    *core.peers.spreading.fetch.borrow_mut() = None;
-}
-
-/// Ends the fetch in progress if this node was asked.
+/// Ends the fetch in progress if this node was asked, so that another one can be.
 pub(super) fn forget_fetch_from(core: &Core, host: &Host) {
     let mut fetch = core.peers.spreading.fetch.borrow_mut();
     if fetch.as_ref().is_some_and(|(asked, _)| asked == host) {
--- a/src/sidecar/peers/first_document.rs
+++ b/src/sidecar/peers/first_document.rs
@@ -71,7 +71,7 @@
     match link {
         Some(link) => broadcast::send_fetch(core, &link),
         // The connection is not open yet; another node is asked at the next tick.
-        None => broadcast::forget_fetch(core),
+        None => broadcast::forget_fetch_from(core, from),
     }
 }
 
--- a/src/sidecar/peers/link.rs
+++ b/src/sidecar/peers/link.rs
@@ -84,7 +84,7 @@
         self.outgoing.send(Outgoing { bytes, stream }).is_ok()
     }
 
-    /// Sends a ping, which the node has to answer from now on unless it has another one to answer.
+    /// Sends a ping. The time that the node has to answer counts from the first ping without an answer.
     pub(super) fn ping(&self, core: &Core, now: Moment) {
         if self.ping_sent_at.get().is_none() {
             self.ping_sent_at.set(Some(now));
--- a/src/sidecar/shutdown.rs
+++ b/src/sidecar/shutdown.rs
@@ -46,9 +46,8 @@
 #[derive(Debug)]
 pub struct Shutdown {
     began: Moment,
-    /// Time since when nothing has been in progress, but not before the withdrawal.
-    idle_since: Moment,
-    withdrawn: bool,
+    /// Time since when nothing has been in progress, from the withdrawal on; `None` before it.
+    idle_since: Option<Moment>,
 }
 
 impl Shutdown {
@@ -57,8 +56,7 @@
     pub fn new(began: Moment) -> Self {
         Self {
             began,
-            idle_since: began,
-            withdrawn: false,
+            idle_since: None,
         }
     }
 
@@ -71,16 +69,15 @@
         if elapsed < periods.offer {
             return Action::Continue;
         }
-        if !self.withdrawn {
-            self.withdrawn = true;
-            self.idle_since = now;
+        let Some(idle_since) = self.idle_since else {
+            self.idle_since = Some(now);
             return Action::Withdraw;
-        }
+        };
         if activity.busy {
-            self.idle_since = now;
+            self.idle_since = Some(now);
             return Action::Continue;
         }
-        let confirmed = activity.unconfirmed == 0 || now.since(self.idle_since) >= CONFIRM_TIMEOUT;
+        let confirmed = activity.unconfirmed == 0 || now.since(idle_since) >= CONFIRM_TIMEOUT;
         if elapsed >= periods.accept && confirmed {
             Action::Exit
         } else {
