--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -1,4 +1,4 @@
-//! Four clients of a machine send bodies within the operator's limit, and the node's memory exceeds its machine's.
+//! Three clients of a machine send bodies within the operator's limit, and the node's memory exceeds its machine's.
 
 #[path = "../standin/lib.rs"]
 mod standin;
@@ -113,7 +113,7 @@
         front.wait_ready(10);
         // Longer than `contact_window_s` after the last start.
         sleep_ms(5000);
-        let large: Vec<_> = (0..4)
+        let large: Vec<_> = (0..3)
             .map(|_| {
                 let (front, record) = (front.clone(), record.clone());
                 thread::spawn(move || {
