Configuration: a node notices that its document is no longer confirmed by the store

Cause: a document is sent to nodes that respond. One that missed it learns that it is behind only from a ping or a status. Pings are sent on silent connections only, and nothing else names the document, so a node with steady traffic stayed behind until the next change. Evidence: the frozen node logs `peer outcome=heard` and then no `document` line at all; the new node test with two busy peers that rank before the node fails on the old code, document 8 isn't in force after 5 s.

Change: one rule for all paths. The answer to each read of the store confirms the document in force; the first reader announces that twice a second along the tree. A node for which nobody has confirmed its document for a second reads the store itself, by rank among the nodes just heard, and announces what it has read. The poll waits 0.5 s instead of 2 s.

--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -1,12 +1,13 @@
 //! The node for platforms on which an upstream is reachable only from the node on its own host, and on which the
-//! platform's store accepts the operator's orders. The decision modules ([`document`], [`queue`], [`load_balancer`],
-//! [`retry_budget`], [`rollout`], [`shutdown`], [`store_readers`], [`uploads`]) use no clock, socket or task; the other
-//! modules do the input and output and call them. See docs/design/platform.md.
+//! platform's store accepts the operator's orders. The decision modules ([`document`], [`freshness`], [`queue`],
+//! [`load_balancer`], [`retry_budget`], [`rollout`], [`shutdown`], [`store_readers`], [`uploads`]) use no clock, socket or
+//! task; the other modules do the input and output and call them. See docs/design/platform.md.
 
 pub mod dissemination;
 pub mod document;
 pub mod evidence;
 pub mod frame;
+pub mod freshness;
 pub mod header_names;
 pub mod load_balancer;
 pub mod log;
--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -168,6 +168,9 @@
     Recall(Announcement),
     /// Refers a node that has no document to another one, which has the document or is about to receive it.
     Referral(Host),
+    /// The document with this number was the newest one in the store the given time ago. The receiver relays it to the
+    /// scope if it has the document in force.
+    Confirmation(Scope, Number, Duration),
 }
 
 /// Encodes a frame, preceded by its length. Documents and their differences are compressed, as configurations are
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -17,6 +17,8 @@
 pub struct Metrics {
     /// The number of the document in force.
     pub document: IntGauge,
+    /// The time since the document in force was the newest one in the store, in milliseconds.
+    pub document_age: IntGauge,
     latency: HistogramVec,
     outcomes: IntCounterVec,
     /// The number of connected nodes.
@@ -43,6 +45,10 @@
         );
         let metrics = Self {
             document: IntGauge::new("mulberry_document", "Number of the document in force.")?,
+            document_age: IntGauge::new(
+                "mulberry_document_age_ms",
+                "Milliseconds since a read of the store confirmed the document in force.",
+            )?,
             latency: HistogramVec::new(
                 latency.buckets(LATENCY_BUCKETS_S.into()),
                 &["route", "outcome"],
@@ -67,6 +73,7 @@
         };
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.document.clone()))?;
+        registry.register(Box::new(metrics.document_age.clone()))?;
         registry.register(Box::new(metrics.latency.clone()))?;
         registry.register(Box::new(metrics.outcomes.clone()))?;
         registry.register(Box::new(metrics.peers.clone()))?;
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -89,6 +89,8 @@
             active_requests: Cell::new(0),
             clock,
             rollouts: RefCell::default(),
+            document_stale: Cell::default(),
+            freshness: RefCell::default(),
             deltas: RefCell::default(),
             document: RefCell::default(),
             local_upstream: local_upstream::LocalUpstream::new(
@@ -177,6 +179,7 @@
                 core.now().since(began).as_millis()
             ),
         );
+        core.record_freshness();
         core.log.flush();
     }
 }
--- a/src/sidecar/node/core.rs
+++ b/src/sidecar/node/core.rs
@@ -7,6 +7,7 @@
             dissemination::Scope,
             document::{Delta, Document, Index, Number},
             frame::{Contact, Frame, Status},
+            freshness::Freshness,
             header_names::HeaderNames,
             leader::Rollouts,
             load_balancer::LoadBalancer,
@@ -56,6 +57,8 @@
     pub rollouts: RefCell<Rollouts>,
     /// Address, location and incarnation of this node.
     pub contact: Contact,
+    /// Whether the document in force was last seen to be stale, as the log states.
+    pub document_stale: Cell<bool>,
     /// Most recent differences between documents, oldest first.
     pub deltas: RefCell<VecDeque<Arc<Delta>>>,
     /// The document in force.
@@ -72,6 +75,8 @@
     pub peers: Peers,
     /// Load balancer over all known upstreams.
     pub load_balancer: RefCell<LoadBalancer>,
+    /// Time since the document in force was confirmed by a read of the store.
+    pub freshness: RefCell<Freshness>,
     /// Newest known rollout state of each service; requests are routed by it.
     pub rollout_states: RefCell<HashMap<Service, RolloutState>>,
     /// Connection of this node to the store.
@@ -207,6 +212,12 @@
         store_readers::rank(&own, self.peers.reader_candidates().into_iter())
     }
 
+    /// Returns this node's rank among the nodes of which something was heard just now, and that may thus read the store.
+    pub fn rank_among_heard(&self) -> usize {
+        let heard = self.peers.heard_candidates(self.now());
+        store_readers::rank(&self.candidate(), heard.into_iter())
+    }
+
     /// Returns this node's identity as the leader of a rollout.
     pub fn own_leader_id(&self) -> Leader {
         Leader {
@@ -262,6 +273,9 @@
             );
             return false;
         }
+        if !self.has_document() {
+            self.freshness.borrow_mut().begin(self.now());
+        }
         let delta = Arc::new(current.delta_to(&document));
         let number = document.number;
         *self.index.borrow_mut() = Index::new(&document);
@@ -287,6 +301,27 @@
         true
     }
 
+    /// Records whether the document in force may be outdated, in the log when that changes.
+    pub fn record_freshness(&self) {
+        if !self.has_document() {
+            return;
+        }
+        let (now, freshness) = (self.now(), self.freshness.borrow());
+        let age_ms = freshness.age(now).as_millis();
+        self.metrics
+            .document_age
+            .set(i64::try_from(age_ms).unwrap_or(i64::MAX));
+        let stale = freshness.is_stale(now);
+        if self.document_stale.replace(stale) != stale {
+            let outcome = if stale { "unconfirmed" } else { "confirmed" };
+            self.log.record(
+                now,
+                "document",
+                format_args!("outcome={outcome} number={} age_ms={age_ms}", self.number()),
+            );
+        }
+    }
+
     /// Returns the frames that bring a node from the document `from` to the one in force, to be relayed to `scope`. A
     /// node without a document gets the rollout states first, as it routes as soon as it has a document.
     pub fn frames_since(&self, from: Number, scope: Scope) -> Vec<Frame> {
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -8,7 +8,7 @@
 mod recall;
 mod receive;
 
-pub(super) use broadcast::{push_document, push_state, request_contacts};
+pub(super) use broadcast::{push_confirmation, push_document, push_state, request_contacts};
 pub(super) use link::send_request;
 pub(super) use receive::attempt_result;
 
@@ -59,6 +59,11 @@
 /// regions, with a host that is short of processor time.
 const SUSPECT_AFTER: Duration = Duration::from_millis(600);
 
+/// Time since the last frame of a node within which it is relied on to read the store: several round trips between
+/// regions. Shorter than the silence that is noticed by pings, as a node that is cut off has to notice it before a change
+/// of the configuration is due.
+const HEARD_WITHIN: Duration = Duration::from_millis(500);
+
 /// Time without an answer to a ping after which the connection is closed.
 const DEAD_AFTER: Duration = Duration::from_secs(4);
 
@@ -162,9 +167,18 @@
 
     /// Returns the connected nodes that respond, as candidates for reading the store.
     pub fn reader_candidates(&self) -> Vec<Candidate> {
+        self.candidates(|link| !link.suspect.get())
+    }
+
+    /// Returns the connected nodes of which something was heard just now, as candidates for reading the store.
+    pub fn heard_candidates(&self, now: Moment) -> Vec<Candidate> {
+        self.candidates(|link| now.since(link.received_at.get()) < HEARD_WITHIN)
+    }
+
+    fn candidates(&self, is_candidate: impl Fn(&Link) -> bool) -> Vec<Candidate> {
         let links = self.links.borrow();
-        let responsive = links.iter().filter(|(_, link)| !link.suspect.get());
-        responsive
+        let candidates = links.iter().filter(|(_, link)| is_candidate(link));
+        candidates
             .map(|(host, link)| Candidate {
                 reach: link.status.borrow().reach,
                 host: host.clone(),
--- a/src/sidecar/peers/broadcast.rs
+++ b/src/sidecar/peers/broadcast.rs
@@ -17,7 +17,7 @@
         traffic::spill::Tier,
         types::{Host, Moment},
     },
-    rand::Rng,
+    rand::{Rng, seq::SliceRandom},
     std::{cell::RefCell, rc::Rc, time::Duration},
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
@@ -145,6 +145,18 @@
     push_document(core, scope);
 }
 
+/// Tells all nodes of a scope that the document in force was the newest one in the store `age` ago. The relays are drawn
+/// at random each time, so that a node that is stalled does not hide every confirmation from those behind it.
+pub(in crate::sidecar) fn push_confirmation(core: &Core, scope: Scope, age: Duration) {
+    let mut links = core.peers.responsive_links();
+    links.shuffle(&mut *core.peers.rng.borrow_mut());
+    let number = core.number();
+    for hop in dissemination::next_hops(&core.contact, scope, &Peers::contacts_of(&links)) {
+        core.peers
+            .send(&hop.host, &Frame::Confirmation(hop.scope, number, age));
+    }
+}
+
 /// Sends the state of a rollout to all nodes of a scope. The end of a rollout is sent to every connected node directly,
 /// as it must not be delayed by a relay.
 pub(in crate::sidecar) fn push_state(core: &Core, scope: Scope, state: &RolloutState) {
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -90,6 +90,13 @@
             }
         }
         Frame::Difference(scope, difference) => apply_delta(core, &current, scope, &difference),
+        Frame::Confirmation(scope, number, age) => {
+            record_document(core, &current, number);
+            if number == core.number() {
+                core.freshness.borrow_mut().confirm_by_peer(now, age);
+                broadcast::push_confirmation(core, scope, age);
+            }
+        }
         Frame::Evidence(evidence) => record_evidence(core, link, evidence),
         Frame::Ramp(scope, state) => {
             if core.install_state(state.clone()) {
--- a/src/sidecar/store_follower.rs
+++ b/src/sidecar/store_follower.rs
@@ -15,8 +15,9 @@
     std::{rc::Rc, time::Duration},
 };
 
-/// Time for which a read waits for changes. A silent store stays unnoticed for as long.
-const POLL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for which a read waits for changes. Each answer confirms the document in force, which the other nodes expect twice
+/// a second ([`freshness`](super::freshness)).
+const POLL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval at which a node that does not read the store checks whether it should.
 const READER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Delay after a failed read.
@@ -50,11 +51,17 @@
         let should_read = is_reader
             && (core.store_access.get() != StoreAccess::Far
                 || core.now().since(began) > FIRST_DOCUMENT_TIMEOUT);
-        if !should_read && !lacks_document {
+        let replaces_readers = core.has_document()
+            && core
+                .freshness
+                .borrow()
+                .replaces_readers(core.now(), core.rank_among_heard());
+        if !should_read && !lacks_document && !replaces_readers {
             mark = None;
             probe(&core, &store).await;
             continue;
         }
+        let read_began = core.now();
         let read = match mark {
             Some(mark) => store.read_changes_after(mark, POLL_TIMEOUT).await,
             None => store.read_changes().await,
@@ -63,13 +70,26 @@
             Ok(changes) => {
                 mark_reachable(&core, &store);
                 let full_read = mark.replace(changes.mark).is_none();
-                apply_orders(&core, changes, full_read);
+                let is_empty = changes.document.is_none() && changes.orders.is_empty();
+                apply_orders(&core, changes, full_read, replaces_readers);
+                // The store answers a read without changes only once it has waited for them.
+                let waited = if full_read || !is_empty {
+                    Duration::ZERO
+                } else {
+                    POLL_TIMEOUT
+                };
+                confirm_document(&core, core.now().since(read_began).saturating_sub(waited));
                 remove_forgotten(&core, &*store).await;
             }
             Err(Fault::HistoryGone) => {
                 mark = None;
                 log_fault(&core, "reading-anew", &Fault::HistoryGone);
             }
+            Err(fault) if !should_read && !lacks_document => {
+                mark = None;
+                log_fault(&core, "failed", &fault);
+                core.freshness.borrow_mut().record_failure(core.now());
+            }
             Err(fault) => {
                 mark_unreachable(&core, &fault);
                 tokio::time::sleep(READ_RETRY_DELAY).await;
@@ -78,6 +98,23 @@
     }
 }
 
+/// Records that the document in force was the newest one in the store `age` ago, and announces it to the other nodes if
+/// they expect that of this one.
+fn confirm_document(core: &Core, age: Duration) {
+    if !core.has_document() {
+        return;
+    }
+    let (now, is_first_reader) = (core.now(), core.rank() == 0);
+    let announces = {
+        let mut freshness = core.freshness.borrow_mut();
+        freshness.confirm_by_store(now, age);
+        !freshness.is_stale(now) && freshness.try_announce(now, is_first_reader)
+    };
+    if announces {
+        peers::push_confirmation(core, Scope::Mesh, age);
+    }
+}
+
 /// Returns whether this node reads the document, which it lacks, without waiting for a reader of the store any longer.
 fn reads_first_document(core: &Core, waited: Duration, checks: u32) -> bool {
     let probability = store_readers::first_read_probability(core.peers.known_count() + 1, checks);
@@ -199,7 +236,9 @@
     );
 }
 
-fn apply_orders(core: &Rc<Core>, changes: Changes, full_read: bool) {
+/// Puts what was read from the store in force and relays it. `replaces_readers` states that this node has read it because
+/// the readers don't confirm the document any more, so that it does not wait for one of them to relay it.
+fn apply_orders(core: &Rc<Core>, changes: Changes, full_read: bool, replaces_readers: bool) {
     for fault in &changes.faults {
         log_fault(core, "left-out", fault);
     }
@@ -217,10 +256,11 @@
         return;
     }
     let is_first_reader = core.rank() == 0;
-    if is_cold_start || is_first_reader {
+    let relays_at_once = is_first_reader || replaces_readers;
+    if is_cold_start || relays_at_once {
         peers::push_document(core, Scope::Mesh);
     }
-    if is_first_reader && !is_cold_start {
+    if relays_at_once && !is_cold_start {
         return;
     }
     let (core, number) = (core.clone(), core.number());
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -7,6 +7,8 @@
 mod document;
 #[path = "sidecar/frame.rs"]
 mod frame;
+#[path = "sidecar/freshness.rs"]
+mod freshness;
 #[path = "sidecar/http1.rs"]
 mod http1;
 #[path = "sidecar/load_balancer.rs"]
