Membership: a departure that was acknowledged outlasts a restart of all nodes

Cause: the departure was kept in the memory of the endpoint's node and of the nodes of its region only. After a restart of all of them the late report is the first thing heard of the endpoint, and is right by all that is known.

Ruled out: to tell a late report by its counter or its start, as both are those of the running endpoint; to ask for two reports before an endpoint is used, which idles every endpoint for a heartbeat after each restart.

Change: a node writes the departure to the store before it acknowledges it, one call each, and reads it when it starts. Until then an announcement that may be older than a departure is kept, for 15 s at most, unless the endpoint started with its node or a peer has kept what it announced. While the store is away the acknowledgement is sent after 0.7 s without the record; docs/design/platform.md weighs that.

The same cause on related paths: a departure of an unregistered endpoint (left-unknown) is recorded as well, and one that the store holds now also wins against the older announcement of a peer that had missed it.

--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -3,6 +3,7 @@
 //! [`load_balancer`], [`retry_budget`], [`rollout`], [`shutdown`], [`store_readers`], [`uploads`]) use no clock, socket or
 //! task; the other modules do the input and output and call them. See docs/design/platform.md.
 
+pub mod departure;
 pub mod dissemination;
 pub mod document;
 pub mod evidence;
--- /dev/null
+++ b/src/sidecar/departure.rs
@@ -0,0 +1,174 @@
+//! The departure of the upstream on this host, which outlasts a restart of all nodes.
+//!
+//! A node that acknowledges a departure promises that the upstream gets no more requests. Peers keep that for a restart of
+//! the node, but lose it if they restart as well. So it is recorded in the store, and read from there at every start. See
+//! docs/design/platform.md.
+
+use {
+    super::{handle::Announcement, node::Core, store::Store},
+    crate::types::Moment,
+    serde::{Deserialize, Serialize},
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{sync::Notify, time::timeout},
+};
+
+/// Maximum delay of an announcement; the platform may deliver it seconds late.
+pub(super) const ANNOUNCEMENT_DELAY_MAX: Duration = Duration::from_secs(15);
+
+/// Time for which the acknowledgement of a departure waits for its record. The sender takes an acknowledgement that
+/// arrives after a second for a failure, and leaves in any case, so it is not withheld while the store is away.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Delay after a failed call to the store.
+const RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Departure of an instance of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Departure {
+    /// Time at which its node learned of it.
+    pub at: Moment,
+    /// Start of the instance; `None` if the node had only just started and did not know the instance.
+    pub incarnation: Option<u64>,
+    /// Name of the instance.
+    pub instance: String,
+}
+
+impl Departure {
+    /// Returns whether an announcement was made before the instance left, and arrives late.
+    #[must_use]
+    pub fn covers(&self, now: Moment, announcement: &Announcement) -> bool {
+        self.instance == announcement.instance
+            && match self.incarnation {
+                Some(incarnation) => announcement.incarnation <= incarnation,
+                None => {
+                    announcement.incarnation <= unix_ms(self.at)
+                        && now.since(self.at) < ANNOUNCEMENT_DELAY_MAX
+                }
+            }
+    }
+}
+
+/// Returns the time in the unit of incarnations, which are Unix times of starts in milliseconds, by the clock of this
+/// host.
+pub(super) fn unix_ms(time: Moment) -> u64 {
+    time.0 / 1000
+}
+
+/// Record of the departure in the store.
+#[derive(Default)]
+pub(super) struct Record {
+    changed: Notify,
+    /// Whether the departure that an earlier process of this node has recorded, if any, was read.
+    known: Cell<bool>,
+    unwritten: RefCell<Option<Departure>>,
+    written: Notify,
+}
+
+impl Record {
+    /// Returns whether it is known what an earlier process of this node has acknowledged.
+    pub fn is_known(&self) -> bool {
+        self.known.get()
+    }
+
+    /// Has a departure written to the store, in place of an earlier one.
+    pub fn submit(&self, departure: Departure) {
+        *self.unwritten.borrow_mut() = Some(departure);
+        self.changed.notify_one();
+    }
+
+    /// Waits until all submitted departures are written, at most for the time that an acknowledgement may take.
+    pub async fn wait_written(&self) {
+        let writing = async {
+            loop {
+                let written = self.written.notified();
+                if self.unwritten.borrow().is_none() {
+                    return;
+                }
+                written.await;
+            }
+        };
+        // An unwritten departure is acknowledged nevertheless.
+        let _ = timeout(RECORD_TIMEOUT, writing).await;
+    }
+}
+
+/// Reads what an earlier process has recorded, and writes departures for as long as the node runs. Never returns.
+pub(super) async fn run<S: Store>(core: Rc<Core>, store: Rc<S>) {
+    let record = &core.local_upstream.departure_record;
+    loop {
+        let unwritten = record.unwritten.borrow().clone();
+        let done = match unwritten {
+            Some(departure) => write(&core, &*store, departure).await,
+            None if !record.is_known() => read(&core, &*store).await,
+            None => {
+                record.changed.notified().await;
+                continue;
+            }
+        };
+        if !done {
+            tokio::time::sleep(RETRY_DELAY).await;
+        }
+    }
+}
+
+async fn write<S: Store>(core: &Core, store: &S, departure: Departure) -> bool {
+    let written = store.write_departure(core.host(), &departure).await;
+    let outcome = if written.is_ok() {
+        "recorded"
+    } else {
+        "failed"
+    };
+    let cause = written.as_ref().err().map(ToString::to_string);
+    core.log.record(
+        core.now(),
+        "departure",
+        format_args!(
+            "outcome={outcome} instance={} cause=\"{}\"",
+            departure.instance,
+            cause.as_deref().unwrap_or_default()
+        ),
+    );
+    let record = &core.local_upstream.departure_record;
+    if written.is_ok() {
+        // A departure that was submitted meanwhile is written next.
+        record
+            .unwritten
+            .borrow_mut()
+            .take_if(|unwritten| *unwritten == departure);
+        record.written.notify_waiters();
+    }
+    written.is_ok()
+}
+
+async fn read<S: Store>(core: &Core, store: &S) -> bool {
+    let departure = match store.read_departure(core.host()).await {
+        Ok(departure) => departure,
+        Err(fault) => {
+            core.log.record(
+                core.now(),
+                "departure",
+                format_args!("outcome=unread cause=\"{fault}\""),
+            );
+            return false;
+        }
+    };
+    core.log.record(
+        core.now(),
+        "departure",
+        format_args!(
+            "outcome=read instance={}",
+            departure
+                .as_ref()
+                .map_or("none", |departure| &departure.instance)
+        ),
+    );
+    core.local_upstream.departure_record.known.set(true);
+    if core.local_upstream.restore_departure(core, departure) {
+        core.broadcast_status();
+    }
+    true
+}
--- a/src/sidecar/freshness.rs
+++ b/src/sidecar/freshness.rs
@@ -27,40 +27,40 @@
 /// Recency of the document in force.
 #[derive(Debug, Clone, Default)]
 pub struct Freshness {
-    announced_at: Moment,
-    by_peer_at: Moment,
-    by_store_at: Moment,
-    failed_at: Option<Moment>,
+    announced: Moment,
+    confirmed_by_peer: Moment,
+    confirmed_by_store: Moment,
+    failed: Option<Moment>,
 }
 
 impl Freshness {
     /// Records that a document is in force for the first time. Its confirmation is awaited from now on.
     pub fn begin(&mut self, now: Moment) {
-        self.by_peer_at = now;
+        self.confirmed_by_peer = now;
     }
 
     /// Records that another node has confirmed the document in force as the newest one in the store. `age` is the time
     /// since the store was read.
     pub fn confirm_by_peer(&mut self, now: Moment, age: Duration) {
-        self.by_peer_at = self.by_peer_at.max(earlier(now, age));
-        self.failed_at = None;
+        self.confirmed_by_peer = self.confirmed_by_peer.max(earlier(now, age));
+        self.failed = None;
     }
 
     /// Records a read of the store, `age` ago, by which the document in force is the newest one.
     pub fn confirm_by_store(&mut self, now: Moment, age: Duration) {
-        self.by_store_at = self.by_store_at.max(earlier(now, age));
-        self.failed_at = None;
+        self.confirmed_by_store = self.confirmed_by_store.max(earlier(now, age));
+        self.failed = None;
     }
 
     /// Records a failed read in place of the readers.
     pub fn record_failure(&mut self, now: Moment) {
-        self.failed_at = Some(now);
+        self.failed = Some(now);
     }
 
     /// Returns the time since the document in force was the newest one in the store.
     #[must_use]
     pub fn age(&self, now: Moment) -> Duration {
-        now.since(self.by_peer_at.max(self.by_store_at))
+        now.since(self.confirmed_by_peer.max(self.confirmed_by_store))
     }
 
     /// Returns whether the document in force may be outdated.
@@ -73,22 +73,22 @@
     /// `rank` is the number of nodes that are heard and rank before this one as readers.
     #[must_use]
     pub fn replaces_readers(&self, now: Moment, rank: usize) -> bool {
-        if self.failed_at.is_some_and(|at| now.since(at) < RETRY_DELAY) {
+        if self.failed.is_some_and(|at| now.since(at) < RETRY_DELAY) {
             return false;
         }
         let rank = u32::try_from(rank).unwrap_or(u32::MAX);
         let delay = RANK_DELAY.saturating_mul(rank);
-        now.since(self.by_peer_at) >= STALE_AFTER.saturating_add(delay)
+        now.since(self.confirmed_by_peer) >= STALE_AFTER.saturating_add(delay)
     }
 
     /// Returns whether this node, which has read the store, announces that to the other nodes, and records that it does.
     /// The first reader always does; another node only if it has heard no announcement for some time.
     pub fn try_announce(&mut self, now: Moment, is_first_reader: bool) -> bool {
-        let heard_recently = now.since(self.by_peer_at) < TAKE_OVER_AFTER;
-        let announced_recently = now.since(self.announced_at) < ANNOUNCE_INTERVAL;
+        let heard_recently = now.since(self.confirmed_by_peer) < TAKE_OVER_AFTER;
+        let announced_recently = now.since(self.announced) < ANNOUNCE_INTERVAL;
         let announces = !announced_recently && (is_first_reader || !heard_recently);
         if announces {
-            self.announced_at = now;
+            self.announced = now;
         }
         announces
     }
--- a/src/sidecar/handle.rs
+++ b/src/sidecar/handle.rs
@@ -42,19 +42,29 @@
         self.core.has_document() && self.core.stopping.get().is_none()
     }
 
-    /// Applies an announcement of the upstream on this host. It is in force here when this returns, so that an
-    /// acknowledgement is never sent before that.
-    pub fn announce(&self, announcement: Announcement) {
+    /// Applies an announcement of the upstream on this host. It is in force here when this returns, and that an upstream
+    /// leaves is recorded in the store if the store answers in time, so that an acknowledgement is never sent before that.
+    pub async fn announce(&self, announcement: Announcement) {
+        let leaves = announcement.draining;
         if self.core.local_upstream.announce(&self.core, announcement) {
             self.core.broadcast_status();
         }
+        if leaves {
+            self.wait_departure_written().await;
+        }
     }
 
-    /// Records that the instance of the upstream is about to exit.
-    pub fn unregister(&self, instance: &str) {
+    /// Records that the instance of the upstream is about to exit, in the same way as [`announce`](Self::announce).
+    pub async fn unregister(&self, instance: &str) {
         if self.core.local_upstream.unregister(&self.core, instance) {
             self.core.broadcast_status();
         }
+        self.wait_departure_written().await;
+    }
+
+    async fn wait_departure_written(&self) {
+        let record = &self.core.local_upstream.departure_record;
+        record.wait_written().await;
     }
 
     /// Reads the settings again and puts them in force. Invalid settings leave those in force unchanged.
--- a/src/sidecar/local_upstream.rs
+++ b/src/sidecar/local_upstream.rs
@@ -12,8 +12,10 @@
 
 use {
     super::{
+        departure::{self, Departure},
         evidence::{Report, Totals},
         frame::{Frame, Request},
+        handle::Announcement,
         load_balancer::{Load, Offer},
         node::Core,
         queue::{Action, Queue},
@@ -28,7 +30,7 @@
         },
         types::{Moment, Service},
     },
-    registration::{Departure, Registration},
+    registration::Registration,
     std::{
         cell::{Cell, RefCell},
         collections::{BTreeMap, HashMap},
@@ -74,7 +76,12 @@
 pub(super) struct LocalUpstream {
     heartbeat: Duration,
     late_limits: RefCell<HashMap<Service, BTreeMap<u64, Duration>>>,
-    unknown_departure: RefCell<Option<Departure>>,
+    /// Last departure of an instance, also one from before the start of this process.
+    departure: RefCell<Option<Departure>>,
+    /// Record of the departure in the store.
+    pub(super) departure_record: departure::Record,
+    /// Announcement that is kept until it is known whether its instance has left.
+    early_announcement: RefCell<Option<Announcement>>,
     quarantine: RefCell<Quarantine>,
     queue: RefCell<Queue>,
     registration: RefCell<Option<Registration>>,
@@ -90,7 +97,9 @@
         Self {
             heartbeat,
             late_limits: RefCell::default(),
-            unknown_departure: RefCell::default(),
+            departure: RefCell::default(),
+            departure_record: departure::Record::default(),
+            early_announcement: RefCell::default(),
             quarantine: RefCell::new(quarantine),
             queue: RefCell::new(queue),
             registration: RefCell::default(),
--- a/src/sidecar/local_upstream/registration.rs
+++ b/src/sidecar/local_upstream/registration.rs
@@ -4,14 +4,18 @@
 use {
     super::LocalUpstream,
     crate::{
-        sidecar::{handle::Announcement, node::Core},
+        sidecar::{
+            departure::{ANNOUNCEMENT_DELAY_MAX, Departure, unix_ms},
+            handle::Announcement,
+            node::Core,
+        },
         types::{Host, Moment},
     },
     std::time::Duration,
 };
 
-/// Maximum delay of an announcement; the platform may deliver it seconds late.
-const ANNOUNCEMENT_DELAY_MAX: Duration = Duration::from_secs(15);
+/// Time by which an upstream may have started before its node without that node having run before.
+const START_INTERVAL_MAX: Duration = Duration::from_secs(1);
 /// Maximum time by which the start of an upstream may seem to lie in the future: the time of day of a host may jump by
 /// seconds.
 const CLOCK_JUMP_MAX: Duration = Duration::from_secs(600);
@@ -31,41 +35,64 @@
     }
 }
 
-/// Departure of an upstream instance that was not registered here, as this node had only just started.
-pub(super) struct Departure {
-    at: Moment,
-    instance: String,
-}
-
-/// Returns the time in the unit of incarnations, which are Unix times of starts in milliseconds, by the clock of this
-/// host.
-fn unix_ms(time: Moment) -> u64 {
-    time.0 / 1000
-}
-
 /// Returns whether an upstream claims to have been started in the future. If it were accepted, the announcements of the
 /// actual upstream would all be older.
 fn is_in_future(now: Moment, incarnation: u64) -> bool {
     incarnation > unix_ms(now + CLOCK_JUMP_MAX)
 }
 
-impl Departure {
-    /// Returns whether an announcement was made before the instance left, and arrived late.
-    fn precedes(&self, now: Moment, announcement: &Announcement) -> bool {
-        let unix_ms = unix_ms(self.at);
-        self.instance == announcement.instance
-            && announcement.incarnation <= unix_ms
-            && now.since(self.at) < ANNOUNCEMENT_DELAY_MAX
-    }
-}
-
 impl LocalUpstream {
     /// Registers the upstream by its announcement, or updates the registration. Returns whether the offer to new
-    /// requests has changed. Announcements that arrive late or out of order are ignored.
-    pub fn announce(&self, core: &Core, mut announcement: Announcement) -> bool {
+    /// requests has changed. Announcements that arrive late or out of order are ignored; one that may have been made
+    /// before a departure that is not known yet is kept until it is.
+    pub fn announce(&self, core: &Core, announcement: Announcement) -> bool {
+        if self.may_have_left(core, &announcement) {
+            core.log.record(
+                core.now(),
+                "upstream",
+                format_args!("outcome=announced-early instance={}", announcement.instance),
+            );
+            *self.early_announcement.borrow_mut() = Some(announcement);
+            return false;
+        }
+        self.register(core, announcement)
+    }
+
+    /// Returns whether an earlier process of this node may have acknowledged the departure of an upstream. Once no
+    /// announcement from before the start of this process can arrive any more, none has.
+    fn may_have_left(&self, core: &Core, announcement: &Announcement) -> bool {
+        let started_at = Moment(core.contact.incarnation);
+        let age_at_start = unix_ms(started_at).saturating_sub(announcement.incarnation);
+        let age_at_start = Duration::from_millis(age_at_start);
+        !announcement.draining
+            && !self.departure_record.is_known()
+            && self.registration.borrow().is_none()
+            && core.now().since(started_at) < ANNOUNCEMENT_DELAY_MAX
+            && age_at_start > START_INTERVAL_MAX
+    }
+
+    /// Puts the departure in force that an earlier process of this node has recorded, and then the announcement that was
+    /// kept until it was known. Returns whether the offer to new requests has changed.
+    pub fn restore_departure(&self, core: &Core, departure: Option<Departure>) -> bool {
+        let mut changed = false;
+        if let Some(departure) = departure {
+            let late = |current: &Registration| {
+                !current.is_draining() && departure.covers(core.now(), &current.last_announcement)
+            };
+            if self.registration.borrow().as_ref().is_some_and(late) {
+                changed = self.unregister(core, &departure.instance);
+            }
+            self.departure.borrow_mut().get_or_insert(departure);
+        }
+        let early = self.early_announcement.take();
+        early.is_some_and(|announcement| self.register(core, announcement)) || changed
+    }
+
+    fn register(&self, core: &Core, mut announcement: Announcement) -> bool {
         let now = core.now();
-        let late = |departure: &Departure| departure.precedes(now, &announcement);
-        if self.unknown_departure.borrow().as_ref().is_some_and(late) {
+        let late =
+            |departure: &Departure| !announcement.draining && departure.covers(now, &announcement);
+        if self.departure.borrow().as_ref().is_some_and(late) {
             core.log
                 .record(now, "upstream", format_args!("outcome=announced-late"));
             return false;
@@ -126,6 +153,13 @@
                 );
             }
             self.queue.borrow_mut().set_slots(announcement.offer.slots);
+            let was_draining = registration.as_ref().is_some_and(|current| {
+                current.last_announcement.incarnation == announcement.incarnation
+                    && current.is_draining()
+            });
+            if announcement.draining && !was_draining {
+                self.record_departure(core, &announcement.instance, Some(announcement.incarnation));
+            }
             let changed = restarted
                 || registration
                     .as_ref()
@@ -161,9 +195,10 @@
                     // Supersedes the announcements that were made before it.
                     last.sequence = last.sequence.saturating_add(1);
                     core.peers.share_registration(last);
+                    self.record_departure(core, instance, Some(last.incarnation));
                 }
                 _ => {
-                    self.remember_departure(core, instance);
+                    self.record_departure(core, instance, None);
                     return false;
                 }
             }
@@ -178,7 +213,7 @@
     pub fn recall(&self, core: &Core, mut announcement: Announcement, peer: &Host) -> bool {
         announcement.offer.cold = Duration::ZERO;
         let (instance, draining) = (announcement.instance.clone(), announcement.draining);
-        let changed = self.announce(core, announcement);
+        let changed = self.register(core, announcement);
         if changed {
             core.log.record(
                 core.now(),
@@ -198,17 +233,23 @@
         Some(current.last_announcement.clone())
     }
 
-    /// Remembers an instance that left unregistered, so that its late announcement is ignored.
-    fn remember_departure(&self, core: &Core, instance: &str) {
-        let at = core.now();
+    /// Remembers that an instance has left, so that its late announcements are ignored, also after a restart.
+    fn record_departure(&self, core: &Core, instance: &str, incarnation: Option<u64>) {
+        let departure = Departure {
+            at: core.now(),
+            incarnation,
+            instance: instance.into(),
+        };
+        let outcome = match incarnation {
+            Some(_) => "left",
+            None => "left-unknown",
+        };
         core.log.record(
-            at,
+            departure.at,
             "upstream",
-            format_args!("outcome=left-unknown instance={instance}"),
+            format_args!("outcome={outcome} instance={instance}"),
         );
-        *self.unknown_departure.borrow_mut() = Some(Departure {
-            at,
-            instance: instance.into(),
-        });
+        self.departure_record.submit(departure.clone());
+        *self.departure.borrow_mut() = Some(departure);
     }
 }
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -6,6 +6,7 @@
 
 use {
     super::{
+        departure,
         frame::Contact,
         handle::Handle,
         header_names::HeaderNames,
@@ -118,6 +119,7 @@
         tokio::task::spawn_local(ingress::accept_connections(core.clone(), callers));
         tokio::task::spawn_local(super::peers::accept(core.clone(), link));
         tokio::task::spawn_local(store_follower::run(core.clone(), store.clone()));
+        tokio::task::spawn_local(departure::run(core.clone(), store.clone()));
         tokio::task::spawn_local(tick(core.clone(), store));
         Ok(Self {
             callers: callers_address,
--- a/src/sidecar/store.rs
+++ b/src/sidecar/store.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        departure::Departure,
         document::{Document, Order},
         frame::Contact,
         rollout::Phase,
@@ -90,6 +91,18 @@
     /// Reads the contacts of all nodes.
     fn read_contacts(&self) -> impl Future<Output = Result<Contacts, Fault>>;
 
-    /// Removes the contact of a node that is gone for good.
+    /// Writes the departure of the upstream on a host, in place of an earlier one.
+    fn write_departure(
+        &self,
+        host: &Host,
+        departure: &Departure,
+    ) -> impl Future<Output = Result<(), Fault>>;
+
+    /// Reads the last departure of the upstream on a host. One that cannot be decoded counts as none, as another writer
+    /// has left it there.
+    fn read_departure(&self, host: &Host)
+    -> impl Future<Output = Result<Option<Departure>, Fault>>;
+
+    /// Removes the contact of a node that is gone for good, and the departure of its upstream.
     fn remove_contact(&self, host: &Host) -> impl Future<Output = Result<(), Fault>>;
 }
