Endpoints: a connection is closed after an answer that names no request

Cause: a connection was used again after any whole answer. An endpoint's refusal bears no id, so a second copy of it, read while the next request on that connection runs, can't be told from that request's answer, and its X-Not-Executed was taken for the proof that this request had not run.

Ruled out: to take a refusal without an id for no proof on a connection that has carried another request. That would answer 502 to each request that an endpoint truly refuses on a kept connection.

Change: a connection is used again only after an answer that names its request. An answer without an id is thus the last one on its connection, and any later copy of an answer on a connection in use is told by its id.

--- a/src/sidecar/upstream_pool.rs
+++ b/src/sidecar/upstream_pool.rs
@@ -1,8 +1,8 @@
 //! Connection pool to the upstream on this host.
 //!
 //! Designed for upstreams that crash, close idle connections or answer late. Each connection carries one request at a
-//! time. It is reused only after the complete response was read and no bytes followed, so that a response can't be
-//! taken for that of another request.
+//! time. It is reused only after the complete response was read, named the request and no bytes followed, so that a response
+//! can't be taken for that of another request.
 
 use {
     super::header_names::HeaderNames,
@@ -114,7 +114,7 @@
             Ok(response) => response.ok_or(lost)?,
             Err(_) => return Err(Failure::Sent(Reason::Deadline)),
         };
-        self.store_idle(connection, &response);
+        self.store_idle(connection, &response, outgoing.id);
         Ok(response)
     }
 
@@ -199,8 +199,12 @@
         })
     }
 
-    fn store_idle(&self, mut connection: Connection, response: &Response) {
-        if response.close || connection.reader.has_buffered() {
+    /// Keeps a connection for the next request. After a response without an id it is closed: a copy of that response could
+    /// not be told from the next one.
+    fn store_idle(&self, mut connection: Connection, response: &Response, id: &str) {
+        let names_request =
+            http1::field_text(&response.fields, self.header_names.request_id) == Some(id);
+        if response.close || !names_request || connection.reader.has_buffered() {
             return;
         }
         connection.idle_since = Instant::now();
