Stop: every request that was read is answered before the node exits

Callers of a stopping node lost requests without an answer: one that was taken up to 2.5 s into the stop and could run for longer than the rest of the grace period, and one that ran already and outlasted it. Unsafe ones among them.

Cause: a stopping node takes requests for 2.5 s whatever time they have, and exits 0.6 s before the end of the grace period with whatever is in progress.

To reject each request with a longer time budget from the beginning of a stop: most of them run for a tenth of it.

Change: a request that is taken during a stop gets the time that the node has left, so that the endpoint answers or the queue turns it away in time. What is in progress when the node exits is answered first: 503 if it was sent to no endpoint, otherwise 502. The line `stop outcome=done` tells how many.

--- a/src/sidecar/forward.rs
+++ b/src/sidecar/forward.rs
@@ -123,11 +123,16 @@
         attempts,
     };
     let time_limit = call.deadline.since(now) + DEADLINE_GRACE;
-    let finished = tokio::time::timeout(time_limit, forwarder.run()).await;
-    match finished {
-        Ok(reply) => reply,
-        Err(_) if forwarder.attempts.sent > 0 => Reply::Unknown(Reason::Deadline),
-        Err(_) => Reply::Refused(Reason::Deadline, RETRY_AFTER_MIN),
+    let cut_off = tokio::select! {
+        biased;
+        reply = forwarder.run() => return reply,
+        () = tokio::time::sleep(time_limit) => Reason::Deadline,
+        () = core.exiting.notified() => Reason::Leaving,
+    };
+    if forwarder.attempts.sent > 0 {
+        Reply::Unknown(cut_off)
+    } else {
+        Reply::Refused(cut_off, RETRY_AFTER_MIN)
     }
 }
 
--- a/src/sidecar/ingress/handler.rs
+++ b/src/sidecar/ingress/handler.rs
@@ -204,6 +204,10 @@
         .and_then(|text| text.trim().parse().ok());
     let stated_timeout = stated_timeout.map_or(DEFAULT_TIMEOUT, Duration::from_millis);
     let caller_deadline = arrived + stated_timeout;
+    let deadline = arrived + stated_timeout.min(route.timeout);
+    let deadline = core
+        .stop_deadline()
+        .map_or(deadline, |stop| stop.min(deadline));
     let fingerprint =
         Fingerprint::new(&route.name, &request.method, &request.target, &request.body);
     let refused = core
@@ -220,7 +224,7 @@
     fields.retain(|field| !own_fields.iter().any(|name| field.is(name)));
     Ok(Call {
         body: request.body,
-        deadline: arrived + stated_timeout.min(route.timeout),
+        deadline,
         fields,
         fingerprint,
         id,
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -35,12 +35,19 @@
         rc::Rc,
         time::Duration,
     },
-    tokio::net::TcpListener,
+    tokio::{net::TcpListener, sync::Notify},
 };
 
 /// Interval at which a stopping node checks whether it may exit.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time for which an exiting node waits until the answers to the last requests are written. It is a part of what is held
+/// back of the grace period.
+const ANSWER_REST_PERIOD: Duration = Duration::from_millis(200);
+
+/// Interval at which an exiting node checks whether they are.
+const ANSWER_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// A running node.
 pub struct Node {
     callers: SocketAddr,
@@ -112,6 +119,7 @@
             refusal_history: RefCell::default(),
             settings: RefCell::new(settings),
             stopping: Cell::new(None),
+            exiting: Notify::new(),
             contact,
             header_names,
         });
@@ -171,11 +179,13 @@
                 shutdown::Action::Exit => break,
             }
         }
+        let unanswered = core.active_requests.get();
+        answer_rest(&core).await;
         core.log.record(
             core.now(),
             "stop",
             format_args!(
-                "outcome=done callers={} unconfirmed={} took_ms={}",
+                "outcome=done callers={} unanswered={unanswered} unconfirmed={} took_ms={}",
                 core.active_requests.get(),
                 core.peers.unconfirmed_count(),
                 core.now().since(began).as_millis()
@@ -186,6 +196,16 @@
     }
 }
 
+/// Ends the requests in progress, and waits until their callers are answered. A caller that doesn't read its answer is not
+/// waited for any longer than the grace period allows.
+async fn answer_rest(core: &Core) {
+    core.exiting.notify_waiters();
+    let began = core.now();
+    while core.active_requests.get() > 0 && core.now().since(began) < ANSWER_REST_PERIOD {
+        tokio::time::sleep(ANSWER_CHECK_INTERVAL).await;
+    }
+}
+
 async fn bind(address: SocketAddr) -> Result<(TcpListener, SocketAddr)> {
     let fail = |source| Error::Bind { address, source };
     let listener = TcpListener::bind(address).await.map_err(fail)?;
--- a/src/sidecar/node/core.rs
+++ b/src/sidecar/node/core.rs
@@ -31,6 +31,7 @@
         sync::Arc,
         time::Duration,
     },
+    tokio::sync::Notify,
 };
 
 /// Maximum number of differences between documents kept for nodes that missed some.
@@ -47,6 +48,10 @@
 /// Part of the grace period that is held back: the node exits this long before its end, even if requests still run.
 const STOP_RESERVE: Duration = Duration::from_millis(600);
 
+/// Time before the exit of a stopping node until which the requests that it takes have to be answered: the answer still
+/// has to be written.
+const STOP_ANSWER_RESERVE: Duration = Duration::from_millis(250);
+
 /// State shared by the tasks of a node.
 pub(in crate::sidecar) struct Core {
     /// Number of callers' requests in progress.
@@ -91,6 +96,8 @@
     pub offer_withdrawn: Cell<bool>,
     /// Time at which the stop of this node began, if it has.
     pub stopping: Cell<Option<Moment>>,
+    /// Notified when the grace period is nearly over: all requests in progress are answered at once.
+    pub exiting: Notify,
     /// Names of the platform's header fields.
     pub header_names: HeaderNames,
 }
@@ -165,6 +172,12 @@
         since.is_some_and(|since| self.now().since(since) >= self.stop_accept_period())
     }
 
+    /// Returns the time by which a request that is admitted now has to be answered at the latest, if the node is stopping.
+    pub fn stop_deadline(&self) -> Option<Moment> {
+        let period = self.stop_timeout().saturating_sub(STOP_ANSWER_RESERVE);
+        Some(self.stopping.get()? + period)
+    }
+
     /// Returns the periods of a stop of this node.
     pub fn stop_periods(&self) -> Periods {
         Periods {
