HTTP: a chunk size near the largest number is too large, not a small one

In a release build the sum wraps round, and the node takes bytes that it doesn't have.

Cause: the length read so far and the stated size are added without a bound. The test failed with the overflow.

--- a/src/http1/reader.rs
+++ b/src/http1/reader.rs
@@ -190,7 +190,7 @@
                 self.discard_trailers(limits).await?;
                 return Ok(body.freeze());
             }
-            if body.len() as u64 + size > limits.body_bytes {
+            if size.saturating_add(body.len() as u64) > limits.body_bytes {
                 return Err(Error::BodyTooLarge);
             }
             let size = usize::try_from(size).map_err(|_| Error::BodyTooLarge)?;
--- a/tests/sidecar/http1.rs
+++ b/tests/sidecar/http1.rs
@@ -156,3 +156,12 @@
         prop_assert!(read[0].fields.contains(&fields[0]));
     }
 }
+
+/// The size of the second chunk and the length of the first one added up to a small number: the node tried to take bytes
+/// that it did not have, and nobody answered the request.
+#[test]
+fn size_of_a_chunk_beyond_all_numbers_is_too_large() {
+    let bytes = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n\
+        1\r\nx\r\nffffffffffffffff\r\nxxxxxxxx";
+    assert!(matches!(response(bytes), Err(Error::BodyTooLarge)));
+}
