Requests: large bodies share a budget, so that they can't use up a node's memory

Cause: the bodies of callers had a bound each, but none together, and each took about three times its size on its way.

Change: large bodies are held up to 32 MiB together, or one larger one alone. What has no room is answered 503 with Retry-After before it is read, and the rest of it is discarded for up to 2 s, as an unread connection is reset with the answer. A node turns requests of other nodes away by the same budget. Bodies up to 64 KiB aren't counted, their number is bounded by that of the connections. A frame is encoded into its place, and a large one is written without being joined.

Ruled out: 413 for a body above the budget, as the operator allows it; a wait for room, as what can't be served is rejected at once.

--- a/src/http1.rs
+++ b/src/http1.rs
@@ -139,4 +139,7 @@
     /// The body exceeds the size limit.
     #[error("the body is longer than allowed")]
     BodyTooLarge,
+    /// There is no room for the body at the moment.
+    #[error("no room for the body")]
+    NoRoom,
 }
--- a/src/http1/reader.rs
+++ b/src/http1/reader.rs
@@ -75,6 +75,21 @@
         &mut self,
         limits: Limits,
         send_continue: impl AsyncFnOnce() -> std::io::Result<()>,
+    ) -> Result<Request, Error> {
+        self.read_request_within(limits, |_| true, send_continue)
+            .await
+    }
+
+    /// Reads a request as [`read_request`](Self::read_request) does. `reserve` is called with the size of the body, in
+    /// bytes, before that much of it is read, and returns whether there is room for it.
+    ///
+    /// # Errors
+    /// Returns [`Error::NoRoom`] if there is no room for the body, and the errors of `read_request`.
+    pub async fn read_request_within(
+        &mut self,
+        limits: Limits,
+        mut reserve: impl FnMut(u64) -> bool,
+        send_continue: impl AsyncFnOnce() -> std::io::Result<()>,
     ) -> Result<Request, Error> {
         let reading = self.read_head(limits.head_bytes, parse::parse_request);
         let head = timeout(limits.read_timeout, reading)
@@ -85,10 +100,18 @@
         {
             return Err(Error::BodyTooLarge);
         }
+        if let Framing::Length(length) = head.framing
+            && !reserve(length)
+        {
+            return Err(Error::NoRoom);
+        }
         if super::has_token(&head.fields, "expect", "100-continue") && !self.has_buffered() {
             send_continue().await?;
         }
-        let body = self.read_body(head.framing, limits).await?;
+        let body = match head.framing {
+            Framing::Chunked => self.read_chunked(limits, reserve).await?,
+            framing => self.read_body(framing, limits).await?,
+        };
         Ok(Request {
             body,
             close: head.close,
@@ -166,7 +189,7 @@
     async fn read_body(&mut self, framing: Framing, limits: Limits) -> Result<Bytes, Error> {
         match framing {
             Framing::Length(length) => self.read_sized(length, limits).await,
-            Framing::Chunked => self.read_chunked(limits).await,
+            Framing::Chunked => self.read_chunked(limits, |_| true).await,
             Framing::UntilClose => self.read_until_close(limits).await,
         }
     }
@@ -182,7 +205,11 @@
         Ok(self.buffer.split_to(length).freeze())
     }
 
-    async fn read_chunked(&mut self, limits: Limits) -> Result<Bytes, Error> {
+    async fn read_chunked(
+        &mut self,
+        limits: Limits,
+        mut reserve: impl FnMut(u64) -> bool,
+    ) -> Result<Bytes, Error> {
         let mut body = BytesMut::new();
         loop {
             let size = self.read_chunk_size(limits).await?;
@@ -190,9 +217,13 @@
                 self.discard_trailers(limits).await?;
                 return Ok(body.freeze());
             }
-            if size.saturating_add(body.len() as u64) > limits.body_bytes {
+            let body_bytes = size.saturating_add(body.len() as u64);
+            if body_bytes > limits.body_bytes {
                 return Err(Error::BodyTooLarge);
             }
+            if !reserve(body_bytes) {
+                return Err(Error::NoRoom);
+            }
             let size = usize::try_from(size).map_err(|_| Error::BodyTooLarge)?;
             while self.buffer.len() < size + 2 {
                 self.read_more_timed(limits).await?;
--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -18,7 +18,7 @@
         traffic::quarantine::Strike,
         types::{Domain, Host, Moment, Region, Service, Version},
     },
-    bytes::{BufMut, Bytes, BytesMut},
+    bytes::{Bytes, BytesMut},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::io::{AsyncRead, AsyncReadExt},
@@ -179,21 +179,35 @@
 /// # Errors
 /// Returns an error if a value cannot be encoded.
 pub fn encode(frame: &Frame) -> Result<Bytes, postcard::Error> {
-    let plain = postcard::to_stdvec(frame)?;
     let compress = matches!(frame, Frame::Document(..) | Frame::Difference(..));
-    let body = if compress {
-        lz4_flex::compress_prepend_size(&plain)
+    let mut bytes = vec![0; HEADER_BYTES];
+    if compress {
+        bytes.extend(lz4_flex::compress_prepend_size(&postcard::to_stdvec(
+            frame,
+        )?));
     } else {
-        plain
-    };
-    let mut bytes = BytesMut::with_capacity(body.len() + HEADER_BYTES);
-    let length = u32::try_from(body.len()).unwrap_or(u32::MAX);
-    bytes.put_u32(length);
-    bytes.put_u8(u8::from(compress));
-    bytes.put_slice(&body);
-    Ok(bytes.freeze())
+        // A large body is copied once, into its place in the frame.
+        bytes.reserve(body_bytes(frame) + HEAD_BYTES);
+        bytes = postcard::to_extend(frame, bytes)?;
+    }
+    let length = u32::try_from(bytes.len() - HEADER_BYTES).unwrap_or(u32::MAX);
+    bytes[..4].copy_from_slice(&length.to_be_bytes());
+    bytes[4] = u8::from(compress);
+    Ok(bytes.into())
 }
 
+/// Returns the size in bytes of the body that a frame carries.
+fn body_bytes(frame: &Frame) -> usize {
+    match frame {
+        Frame::Request(_, request) => request.body.len(),
+        Frame::Outcome(_, Outcome::Answered(answer), _) => answer.body.len(),
+        _ => 0,
+    }
+}
+
+/// Space reserved for what a frame carries besides a body, in bytes; larger heads are rare.
+const HEAD_BYTES: usize = 512;
+
 /// Length of a frame's header in bytes: a length of 4 bytes, and a flag for compression.
 const HEADER_BYTES: usize = 5;
 
--- a/src/sidecar/ingress.rs
+++ b/src/sidecar/ingress.rs
@@ -6,7 +6,7 @@
 mod handler;
 
 use {
-    super::{document::Limits, node::Core},
+    super::{body_budget::Reservation, document::Limits, node::Core},
     crate::http1::{self, Error, Reader, Request},
     bytes::Bytes,
     handler::{error_response, handle},
@@ -22,6 +22,9 @@
 /// Maximum number of requests in flight on one connection.
 const PIPELINE_MAX: usize = 16;
 
+/// Time for which the rest of a rejected request is discarded, so that its caller can read the response.
+const REJECTED_LINGER: Duration = Duration::from_secs(2);
+
 /// Delay before the next attempt after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -138,7 +141,8 @@
         }
         while running.try_join_next().is_some() {}
         let arrived = core.now();
-        let read = read_request(&mut reader, limits, responses).await;
+        let mut room = core.body_budget.open();
+        let read = read_request(&mut reader, limits, &mut room, responses).await;
         if connection.closing.get() {
             // The connection closes with an earlier response, so this request is ignored.
             return reader.discard_until_close(limits.idle_timeout).await;
@@ -161,6 +165,7 @@
                 let core = core.clone();
                 running.spawn_local(async move {
                     let encoded = handle(&core, request, arrived).await;
+                    drop(room);
                     // The writer has ended if the caller has gone.
                     let _ = sender.send(encoded);
                 });
@@ -174,7 +179,8 @@
                 };
                 // The writer has ended if the caller has gone.
                 let _ = sender.send(encoded);
-                return false;
+                // A connection that is closed with unread bytes is reset, and the response with it.
+                return reader.discard_until_close(REJECTED_LINGER).await;
             }
         }
     }
@@ -183,6 +189,7 @@
 async fn read_request(
     reader: &mut Reader<OwnedReadHalf>,
     limits: Limits,
+    room: &mut Reservation,
     responses: &mpsc::Sender<Item>,
 ) -> Result<Request, Error> {
     let limits = http1::Limits {
@@ -194,7 +201,10 @@
         let broken_pipe = |_| std::io::ErrorKind::BrokenPipe.into();
         responses.send(Item::Continue).await.map_err(broken_pipe)
     };
-    reader.read_request(limits, send_continue).await
+    let reserve = |body_bytes| room.try_grow(body_bytes);
+    reader
+        .read_request_within(limits, reserve, send_continue)
+        .await
 }
 
 async fn write_responses(
--- a/src/sidecar/ingress/handler.rs
+++ b/src/sidecar/ingress/handler.rs
@@ -27,6 +27,9 @@
 /// Time after which a caller may return to a node that is stopping; a restart takes at least that long.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Time after which a caller may return whose body had no room: that of a usual run.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// Returns the response to a request that could not be read, or `None` if the connection has failed.
 pub(super) fn error_response(core: &Core, error: &Error) -> Option<EncodedResponse> {
     let status = match error {
@@ -35,6 +38,7 @@
         Error::Timeout => 408,
         Error::HeadTooLarge => 431,
         Error::BodyTooLarge => 413,
+        Error::NoRoom => 503,
     };
     let now = core.now();
     core.log.record(
@@ -44,8 +48,12 @@
     );
     core.metrics
         .outcome("", "rejected", &status.to_string(), Duration::ZERO);
+    let fields = match error {
+        Error::NoRoom => vec![retry_after(forward::with_jitter(NO_ROOM_RETRY_AFTER))],
+        _ => Vec::new(),
+    };
     Some(EncodedResponse {
-        bytes: http1::encode_response(status, &[], b"", false),
+        bytes: http1::encode_response(status, &fields, b"", false),
         close: true,
     })
 }
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -6,6 +6,7 @@
 
 use {
     super::{
+        body_budget::BodyBudget,
         departure,
         frame::Contact,
         handle::Handle,
@@ -95,6 +96,7 @@
         );
         let core = Rc::new(Core {
             active_requests: Cell::new(0),
+            body_budget: BodyBudget::default(),
             clock,
             rollouts: RefCell::default(),
             document_stale: Cell::default(),
--- a/src/sidecar/node/core.rs
+++ b/src/sidecar/node/core.rs
@@ -4,6 +4,7 @@
     crate::{
         node::Clock,
         sidecar::{
+            body_budget::BodyBudget,
             dissemination::Scope,
             document::{Delta, Document, Index, Number},
             frame::{Contact, Frame, Status},
@@ -56,6 +57,8 @@
 pub(in crate::sidecar) struct Core {
     /// Number of callers' requests in progress.
     pub active_requests: Cell<usize>,
+    /// Memory for the bodies of requests, of callers and of other nodes.
+    pub body_budget: BodyBudget,
     /// Source of the current time.
     pub clock: Clock,
     /// Rollouts known to this node.
--- a/src/sidecar/peers/link.rs
+++ b/src/sidecar/peers/link.rs
@@ -34,6 +34,9 @@
 /// Maximum number of frames written with one call.
 const WRITE_FRAMES_MAX: usize = 64;
 
+/// Maximum size in bytes of a frame that is joined with others for one call.
+const JOINED_BYTES_MAX: usize = 64 * 1024;
+
 /// Encoded frame waiting to be written. `stream` is set for a request, which is skipped if it is cancelled before.
 pub(super) struct Outgoing {
     pub(super) bytes: Bytes,
@@ -312,7 +315,17 @@
                     None => continue,
                 }
             }
-            bytes.extend_from_slice(&outgoing.bytes);
+            if outgoing.bytes.len() <= JOINED_BYTES_MAX {
+                bytes.extend_from_slice(&outgoing.bytes);
+                continue;
+            }
+            // A large frame is written from where it is, as a copy would double its memory.
+            for part in [&bytes[..], &outgoing.bytes[..]] {
+                if writer.write_all(part).await.is_err() {
+                    return;
+                }
+            }
+            bytes.clear();
         }
         if writer.write_all(&bytes).await.is_err() {
             return;
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -17,10 +17,13 @@
         traffic::spill::Tier,
         types::Moment,
     },
-    std::{rc::Rc, sync::Arc},
+    std::{rc::Rc, sync::Arc, time::Duration},
     tokio::sync::oneshot,
 };
 
+/// Time after which a request may return whose body had no room: that of a usual run.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// Handles one frame. Any frame counts as a sign that the node responds.
 pub(super) fn receive(core: &Rc<Core>, link: &Rc<Link>, frame: Frame) {
     let now = core.now();
@@ -205,11 +208,21 @@
 
 /// Runs a request at the upstream on this host and sends its outcome back.
 fn serve(core: &Rc<Core>, link: &Rc<Link>, stream: StreamId, request: Request) {
+    let mut room = core.body_budget.open();
+    if !room.try_grow(request.body.len() as u64) {
+        let outcome = Outcome::Declined(Reason::Overloaded, NO_ROOM_RETRY_AFTER);
+        link.send(
+            &Frame::Outcome(stream, outcome, core.local_upstream.load()),
+            None,
+        );
+        return;
+    }
     let (cancel, cancelled) = oneshot::channel();
     link.serving.borrow_mut().insert(stream, cancel);
     let (core, link) = (core.clone(), link.clone());
     tokio::task::spawn_local(async move {
         let outcome = local_upstream::serve(&core, request, cancelled).await;
+        drop(room);
         link.serving.borrow_mut().remove(&stream);
         let load = core.local_upstream.load();
         link.send(&Frame::Outcome(stream, outcome, load), None);
