Membership: an announcement that is kept is dropped when its endpoint leaves

A fault of the change that records departures, found on reading it: while the store is away a restarted node keeps the announcement of its endpoint. If the endpoint left meanwhile, and the store came back more than 15 s later, the announcement was put in force, and requests were sent to an endpoint whose leaving had been acknowledged.

Cause: a departure of an endpoint that isn't registered knows no start of it, so it holds for the 15 s that an announcement may be late, while the kept announcement is used whenever the store is read.

Change: the departure takes the start from the kept announcement and drops it. `mulberryctl explain` shows the lines of `departure` as changes of what a node believes.

--- a/src/sidecar/local_upstream/registration.rs
+++ b/src/sidecar/local_upstream/registration.rs
@@ -198,7 +198,10 @@
                     self.record_departure(core, instance, Some(last.incarnation));
                 }
                 _ => {
-                    self.record_departure(core, instance, None);
+                    let early = self.early_announcement.take();
+                    let early = early.filter(|early| early.instance == instance);
+                    let incarnation = early.map(|early| early.incarnation);
+                    self.record_departure(core, instance, incarnation);
                     return false;
                 }
             }
--- a/src/sidecar/timeline.rs
+++ b/src/sidecar/timeline.rs
@@ -10,9 +10,20 @@
 /// end of an upstream affects requests within seconds.
 const CONTEXT_MICROS: u64 = 5_000_000;
 /// Events that log a change of a node's state rather than a single request.
-const STATE_EVENTS: [&str; 12] = [
-    "document", "move", "omitted", "order", "peer", "record", "reload", "spread", "start", "stop",
-    "store", "upstream",
+const STATE_EVENTS: [&str; 13] = [
+    "departure",
+    "document",
+    "move",
+    "omitted",
+    "order",
+    "peer",
+    "record",
+    "reload",
+    "spread",
+    "start",
+    "stop",
+    "store",
+    "upstream",
 ];
 
 /// A parsed line of a node's log.
