Sidecar: rank for replacing the readers only when it matters; one Retry-After for bodies without room

Every node worked out its rank among the nodes that it heard four times a second, which copies the names of all its peers; it is needed only once a confirmation is overdue. The Retry-After of a body without room stood in two places.

--- a/src/sidecar/body_budget.rs
+++ b/src/sidecar/body_budget.rs
@@ -4,7 +4,7 @@
 //! memory of the host. The node would be ended, and with it the requests of all callers. A request whose body has no room
 //! is rejected before the body is read.
 
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 /// Maximum size of all large bodies held at a time, in bytes. Each is copied once on its way, and the smallest hosts have
 /// 160 MiB.
@@ -13,6 +13,9 @@
 /// Size in bytes up to which a body is always held. The number of these is bounded by that of the connections.
 const SMALL_BYTES_MAX: u64 = 64 * 1024;
 
+/// Time after which a request may return whose body had no room: that of a usual run.
+pub const RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// Memory for the bodies that a node holds.
 #[derive(Debug, Clone, Default)]
 pub struct BodyBudget {
--- a/src/sidecar/freshness.rs
+++ b/src/sidecar/freshness.rs
@@ -70,15 +70,21 @@
     }
 
     /// Returns whether this node reads the store in place of those that should, as none of them confirms the document.
-    /// `rank` is the number of nodes that are heard and rank before this one as readers.
+    /// `rank` returns the number of nodes that are heard and rank before this one as readers; it is called only if the
+    /// confirmation is overdue.
     #[must_use]
-    pub fn replaces_readers(&self, now: Moment, rank: usize) -> bool {
-        if self.failed.is_some_and(|at| now.since(at) < RETRY_DELAY) {
+    pub fn replaces_readers(&self, now: Moment, rank: impl FnOnce() -> usize) -> bool {
+        let overdue = now.since(self.confirmed_by_peer).checked_sub(STALE_AFTER);
+        let Some(overdue) = overdue else {
+            return false;
+        };
+        if self
+            .failed
+            .is_some_and(|failed| now.since(failed) < RETRY_DELAY)
+        {
             return false;
         }
-        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
-        let delay = RANK_DELAY.saturating_mul(rank);
-        now.since(self.confirmed_by_peer) >= STALE_AFTER.saturating_add(delay)
+        overdue >= RANK_DELAY.saturating_mul(u32::try_from(rank()).unwrap_or(u32::MAX))
     }
 
     /// Returns whether this node, which has read the store, announces that to the other nodes, and records that it does.
--- a/src/sidecar/ingress/handler.rs
+++ b/src/sidecar/ingress/handler.rs
@@ -7,6 +7,7 @@
         http1::{self, Error, Field, Request},
         refusal::Reason,
         sidecar::{
+            body_budget,
             forward::{self, Attempts, Call, Reply},
             node::Core,
         },
@@ -27,9 +28,6 @@
 /// Time after which a caller may return to a node that is stopping; a restart takes at least that long.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Time after which a caller may return whose body had no room: that of a usual run.
-const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(300);
-
 /// Returns the response to a request that could not be read, or `None` if the connection has failed.
 pub(super) fn error_response(core: &Core, error: &Error) -> Option<EncodedResponse> {
     let status = match error {
@@ -49,7 +47,7 @@
     core.metrics
         .outcome("", "rejected", &status.to_string(), Duration::ZERO);
     let fields = match error {
-        Error::NoRoom => vec![retry_after(forward::with_jitter(NO_ROOM_RETRY_AFTER))],
+        Error::NoRoom => vec![retry_after(forward::with_jitter(body_budget::RETRY_AFTER))],
         _ => Vec::new(),
     };
     Some(EncodedResponse {
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -5,6 +5,7 @@
     crate::{
         refusal::Reason,
         sidecar::{
+            body_budget,
             dissemination::Scope,
             document::{Delta, Number},
             evidence::Report,
@@ -17,13 +18,10 @@
         traffic::spill::Tier,
         types::Moment,
     },
-    std::{rc::Rc, sync::Arc, time::Duration},
+    std::{rc::Rc, sync::Arc},
     tokio::sync::oneshot,
 };
 
-/// Time after which a request may return whose body had no room: that of a usual run.
-const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(300);
-
 /// Handles one frame. Any frame counts as a sign that the node responds.
 pub(super) fn receive(core: &Rc<Core>, link: &Rc<Link>, frame: Frame) {
     let now = core.now();
@@ -210,7 +208,7 @@
 fn serve(core: &Rc<Core>, link: &Rc<Link>, stream: StreamId, request: Request) {
     let mut room = core.body_budget.open();
     if !room.try_grow(request.body.len() as u64) {
-        let outcome = Outcome::Declined(Reason::Overloaded, NO_ROOM_RETRY_AFTER);
+        let outcome = Outcome::Declined(Reason::Overloaded, body_budget::RETRY_AFTER);
         link.send(
             &Frame::Outcome(stream, outcome, core.local_upstream.load()),
             None,
--- a/src/sidecar/store_follower.rs
+++ b/src/sidecar/store_follower.rs
@@ -55,7 +55,7 @@
             && core
                 .freshness
                 .borrow()
-                .replaces_readers(core.now(), core.rank_among_heard());
+                .replaces_readers(core.now(), || core.rank_among_heard());
         if !should_read && !lacks_document && !replaces_readers {
             mark = None;
             probe(&core, &store).await;
--- a/tests/sidecar/freshness.rs
+++ b/tests/sidecar/freshness.rs
@@ -25,7 +25,7 @@
     for step in 1..20 {
         let now = after(step * 500);
         assert!(!freshness.is_stale(now));
-        assert!(!freshness.replaces_readers(now, 0));
+        assert!(!freshness.replaces_readers(now, || 0));
         freshness.confirm_by_peer(now, ms(20));
     }
 }
@@ -36,7 +36,7 @@
     let freshness = fresh();
     let due = |rank| {
         let mut times = 0..100;
-        times.find(|step| freshness.replaces_readers(after(step * 50), rank))
+        times.find(|step| freshness.replaces_readers(after(step * 50), || rank))
     };
     assert_eq!([0, 1, 2, 10].map(due), [20, 22, 24, 40].map(Some));
 }
@@ -58,17 +58,17 @@
     let mut freshness = fresh();
     freshness.confirm_by_store(after(1_200), ms(10));
     assert!(!freshness.is_stale(after(1_200)));
-    assert!(freshness.replaces_readers(after(1_200), 0));
+    assert!(freshness.replaces_readers(after(1_200), || 0));
     freshness.confirm_by_peer(after(1_300), ms(10));
-    assert!(!freshness.replaces_readers(after(1_300), 0));
+    assert!(!freshness.replaces_readers(after(1_300), || 0));
 }
 
 #[test]
 fn failed_read_is_repeated_after_two_seconds() {
     let mut freshness = fresh();
     freshness.record_failure(after(1_000));
-    assert!(!freshness.replaces_readers(after(2_900), 0));
-    assert!(freshness.replaces_readers(after(3_000), 0));
+    assert!(!freshness.replaces_readers(after(2_900), || 0));
+    assert!(freshness.replaces_readers(after(3_000), || 0));
 }
 
 #[test]
