Store: fewer calls for confirmations and departures

Both readers polled twice a second, and each node read its departure at every start.

A node reads its departure only once it hears of an upstream that started over a second before it: one that started with its node can't have left before. The acknowledgement of an announcement that is kept waits for the read, at most 0.7 s, so that what is acknowledged is in force.

--- a/src/sidecar/departure.rs
+++ b/src/sidecar/departure.rs
@@ -1,8 +1,8 @@
 //! The departure of the upstream on this host, which outlasts a restart of all nodes.
 //!
 //! A node that acknowledges a departure promises that the upstream gets no more requests. Peers keep that for a restart of
-//! the node, but lose it if they restart as well. So it is recorded in the store, and read from there at every start. See
-//! docs/design/platform.md.
+//! the node, but lose it if they restart as well. So it is recorded in the store, and read from there once a restarted node
+//! hears of an upstream that had started before it. See docs/design/platform.md.
 
 use {
     super::{handle::Announcement, node::Core, store::Store},
@@ -64,8 +64,10 @@
     changed: Notify,
     /// Whether the departure that an earlier process of this node has recorded, if any, was read.
     known: Cell<bool>,
+    /// Whether it is to be read. An upstream that has started with its node can't have left before.
+    requested: Cell<bool>,
     unwritten: RefCell<Option<Departure>>,
-    written: Notify,
+    settled: Notify,
 }
 
 impl Record {
@@ -74,36 +76,50 @@
         self.known.get()
     }
 
+    /// Has the departure read that an earlier process of this node may have recorded.
+    pub fn request(&self) {
+        if !self.requested.replace(true) {
+            self.changed.notify_one();
+        }
+    }
+
     /// Has a departure written to the store, in place of an earlier one.
     pub fn submit(&self, departure: Departure) {
         *self.unwritten.borrow_mut() = Some(departure);
         self.changed.notify_one();
     }
 
-    /// Waits until all submitted departures are written, at most for the time that an acknowledgement may take.
-    pub async fn wait_written(&self) {
-        let writing = async {
+    fn is_settled(&self) -> bool {
+        let is_read = self.known.get() || !self.requested.get();
+        is_read && self.unwritten.borrow().is_none()
+    }
+
+    /// Waits until what is requested is read and what is submitted is written, at most for the time that an
+    /// acknowledgement may take.
+    pub async fn wait_settled(&self) {
+        let settling = async {
             loop {
-                let written = self.written.notified();
-                if self.unwritten.borrow().is_none() {
+                let settled = self.settled.notified();
+                if self.is_settled() {
                     return;
                 }
-                written.await;
+                settled.await;
             }
         };
-        // An unwritten departure is acknowledged nevertheless.
-        let _ = timeout(RECORD_TIMEOUT, writing).await;
+        // While the store is away, what was announced is acknowledged nevertheless.
+        let _ = timeout(RECORD_TIMEOUT, settling).await;
     }
 }
 
-/// Reads what an earlier process has recorded, and writes departures for as long as the node runs. Never returns.
+/// Reads what an earlier process has recorded if that is requested, and writes departures for as long as the node runs. Never
+/// returns.
 pub(super) async fn run<S: Store>(core: Rc<Core>, store: Rc<S>) {
     let record = &core.local_upstream.departure_record;
     loop {
         let unwritten = record.unwritten.borrow().clone();
         let done = match unwritten {
             Some(departure) => write(&core, &*store, departure).await,
-            None if !record.is_known() => read(&core, &*store).await,
+            None if record.requested.get() && !record.is_known() => read(&core, &*store).await,
             None => {
                 record.changed.notified().await;
                 continue;
@@ -139,7 +155,7 @@
             .unwritten
             .borrow_mut()
             .take_if(|unwritten| *unwritten == departure);
-        record.written.notify_waiters();
+        record.settled.notify_waiters();
     }
     written.is_ok()
 }
@@ -170,5 +186,9 @@
     if core.local_upstream.restore_departure(core, departure) {
         core.broadcast_status();
     }
+    core.local_upstream
+        .departure_record
+        .settled
+        .notify_waiters();
     true
 }
--- a/src/sidecar/handle.rs
+++ b/src/sidecar/handle.rs
@@ -49,8 +49,8 @@
         if self.core.local_upstream.announce(&self.core, announcement) {
             self.core.broadcast_status();
         }
-        if leaves {
-            self.wait_departure_written().await;
+        if leaves || self.core.local_upstream.is_announcement_kept() {
+            self.wait_departure_settled().await;
         }
     }
 
@@ -59,12 +59,12 @@
         if self.core.local_upstream.unregister(&self.core, instance) {
             self.core.broadcast_status();
         }
-        self.wait_departure_written().await;
+        self.wait_departure_settled().await;
     }
 
-    async fn wait_departure_written(&self) {
+    async fn wait_departure_settled(&self) {
         let record = &self.core.local_upstream.departure_record;
-        record.wait_written().await;
+        record.wait_settled().await;
     }
 
     /// Reads the settings again and puts them in force. Invalid settings leave those in force unchanged.
--- a/src/sidecar/local_upstream/registration.rs
+++ b/src/sidecar/local_upstream/registration.rs
@@ -46,7 +46,7 @@
     /// requests has changed. Announcements that arrive late or out of order are ignored; one that may have been made
     /// before a departure that is not known yet is kept until it is.
     pub fn announce(&self, core: &Core, announcement: Announcement) -> bool {
-        if self.may_have_left(core, &announcement) {
+        if self.may_have_left(core, &announcement) && self.registration.borrow().is_none() {
             core.log.record(
                 core.now(),
                 "upstream",
@@ -58,17 +58,24 @@
         self.register(core, announcement)
     }
 
-    /// Returns whether an earlier process of this node may have acknowledged the departure of an upstream. Once no
-    /// announcement from before the start of this process can arrive any more, none has.
+    /// Returns whether an announcement is kept until it is known whether its instance has left.
+    pub fn is_announcement_kept(&self) -> bool {
+        self.early_announcement.borrow().is_some()
+    }
+
+    /// Returns whether an earlier process of this node may have acknowledged the departure of an upstream, and has that
+    /// looked up in the store. Once no announcement from before the start of this process can arrive any more, none has.
     fn may_have_left(&self, core: &Core, announcement: &Announcement) -> bool {
         let started_at = Moment(core.contact.incarnation);
         let age_at_start = unix_ms(started_at).saturating_sub(announcement.incarnation);
-        let age_at_start = Duration::from_millis(age_at_start);
-        !announcement.draining
+        let may_have_left = !announcement.draining
             && !self.departure_record.is_known()
-            && self.registration.borrow().is_none()
             && core.now().since(started_at) < ANNOUNCEMENT_DELAY_MAX
-            && age_at_start > START_INTERVAL_MAX
+            && Duration::from_millis(age_at_start) > START_INTERVAL_MAX;
+        if may_have_left {
+            self.departure_record.request();
+        }
+        may_have_left
     }
 
     /// Puts the departure in force that an earlier process of this node has recorded, and then the announcement that was
@@ -216,6 +223,8 @@
     pub fn recall(&self, core: &Core, mut announcement: Announcement, peer: &Host) -> bool {
         announcement.offer.cold = Duration::ZERO;
         let (instance, draining) = (announcement.instance.clone(), announcement.draining);
+        // The peer may have missed a later departure, which is put in force once it is read.
+        self.may_have_left(core, &announcement);
         let changed = self.register(core, announcement);
         if changed {
             core.log.record(
--- a/src/sidecar/store_follower.rs
+++ b/src/sidecar/store_follower.rs
@@ -18,6 +18,8 @@
 /// Time for which a read waits for changes. Each answer confirms the document in force, which the other nodes expect twice
 /// a second ([`freshness`](super::freshness)).
 const POLL_TIMEOUT: Duration = Duration::from_millis(500);
+/// The same for the second reader, whose answers are announced only if those of the first one stay away.
+const SECOND_POLL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval at which a node that does not read the store checks whether it should.
 const READER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Delay after a failed read.
@@ -62,8 +64,13 @@
             continue;
         }
         let read_began = core.now();
+        let poll_timeout = if core.rank() == 0 || replaces_readers {
+            POLL_TIMEOUT
+        } else {
+            SECOND_POLL_TIMEOUT
+        };
         let read = match mark {
-            Some(mark) => store.read_changes_after(mark, POLL_TIMEOUT).await,
+            Some(mark) => store.read_changes_after(mark, poll_timeout).await,
             None => store.read_changes().await,
         };
         match read {
@@ -76,7 +83,7 @@
                 let waited = if full_read || !is_empty {
                     Duration::ZERO
                 } else {
-                    POLL_TIMEOUT
+                    poll_timeout
                 };
                 confirm_document(&core, core.now().since(read_began).saturating_sub(waited));
                 remove_forgotten(&core, &*store).await;
