Log: what a node knows of its document when it denies a request, who relays a change, and who reads the store

A denied request is logged with the age of the document and who confirmed it now, a change with its relays, and each node logs when its rank among the readers changes.

--- a/src/sidecar/ingress/handler.rs
+++ b/src/sidecar/ingress/handler.rs
@@ -12,7 +12,7 @@
             node::Core,
         },
         traffic::quarantine::Fingerprint,
-        types::Moment,
+        types::{Host, Moment},
     },
     bytes::Bytes,
     std::{rc::Rc, time::Duration},
@@ -82,7 +82,7 @@
         core.now(),
         "request",
         format_args!(
-            "id={} {} service={} outcome={} reason={} status={} took_ms={} document={} sent={} declines={} hosts={}",
+            "id={} {} service={} outcome={} reason={} status={} took_ms={} document={}{} sent={} declines={} hosts={}",
             id.as_deref().unwrap_or("-"),
             CallFields { arrived, call },
             attempts.service.as_ref().map_or("-", |service| service.as_str()),
@@ -91,6 +91,10 @@
             response.status,
             took.as_millis(),
             core.number(),
+            Confirmed {
+                core,
+                denied: admitted.as_ref().is_err_and(Rejection::is_denial),
+            },
             attempts.sent,
             attempts.declines,
             Hosts(&attempts),
@@ -147,6 +151,12 @@
 
 struct Hosts<'a>(&'a Attempts);
 
+/// Recency of the document by which a request was denied, as log fields; nothing for other requests.
+struct Confirmed<'a> {
+    core: &'a Core,
+    denied: bool,
+}
+
 fn retry_after(after: Duration) -> Field {
     Field::new("Retry-After", format!("{:.2}", after.as_secs_f64()))
 }
@@ -158,6 +168,11 @@
 }
 
 impl Rejection {
+    /// Returns whether the document in force has no route for the request.
+    fn is_denial(&self) -> bool {
+        self.status == 404
+    }
+
     fn response(&self) -> CallerResponse {
         let after = match self.reason {
             Reason::Leaving => STOPPING_RETRY_AFTER,
@@ -262,6 +277,23 @@
     }
 }
 
+impl std::fmt::Display for Confirmed<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        if !self.denied {
+            return Ok(());
+        }
+        let age_ms = self
+            .core
+            .freshness
+            .borrow()
+            .age(self.core.now())
+            .as_millis();
+        let confirmed_by = self.core.confirmed_by.borrow();
+        let source = confirmed_by.as_ref().map_or("store", Host::as_str);
+        write!(f, " age_ms={age_ms} confirmed_by={source}")
+    }
+}
+
 impl std::fmt::Display for Hosts<'_> {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
         for (place, host) in self.0.hosts.iter().enumerate() {
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -100,6 +100,7 @@
             body_budget: BodyBudget::default(),
             clock,
             rollouts: RefCell::default(),
+            confirmed_by: RefCell::default(),
             document_stale: Cell::default(),
             freshness: RefCell::default(),
             deltas: RefCell::default(),
--- a/src/sidecar/node/core.rs
+++ b/src/sidecar/node/core.rs
@@ -48,6 +48,8 @@
     pub rollouts: RefCell<Rollouts>,
     /// Address, location and incarnation of this node.
     pub contact: Contact,
+    /// Who last confirmed the document in force, for the log: a host, or the store.
+    pub confirmed_by: RefCell<Option<Host>>,
     /// Whether the document in force was last seen to be stale, as the log states.
     pub document_stale: Cell<bool>,
     /// Most recent differences between documents, oldest first.
--- a/src/sidecar/peers/broadcast.rs
+++ b/src/sidecar/peers/broadcast.rs
@@ -88,17 +88,25 @@
     let number = core.number();
     let mut links = core.peers.responsive_links();
     links.retain(|link| link.status.borrow().document < number);
+    let mut relays = Vec::new();
     for hop in dissemination::next_hops(&core.contact, scope, &Peers::contacts_of(&links)) {
         let link = links.iter().find(|link| link.contact.host == hop.host);
         if let Some(link) = link {
             send_document(core, link, hop.scope, &[]);
         }
+        if hop.scope != Scope::Host {
+            relays.push(hop.host.to_string());
+        }
     }
     let now = core.now();
     core.log.record(
         now,
         "spread",
-        format_args!("number={number} scope={scope:?} nodes={}", links.len()),
+        format_args!(
+            "number={number} scope={scope:?} nodes={} relays={}",
+            links.len(),
+            relays.join(",")
+        ),
     );
     first_document::send_to_waiting(core);
 }
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -95,6 +95,7 @@
             record_document(core, &current, number);
             if number == core.number() {
                 core.freshness.borrow_mut().confirm_by_peer(now, age);
+                *core.confirmed_by.borrow_mut() = Some(host.clone());
                 broadcast::push_confirmation(core, scope, age);
             }
         }
--- a/src/sidecar/store_follower.rs
+++ b/src/sidecar/store_follower.rs
@@ -45,8 +45,11 @@
     let began = core.now();
     let mut mark = None;
     let mut checks = 0;
+    let mut logged_rank = None;
     loop {
-        let is_reader = core.rank() < READERS_MAX;
+        let rank = core.rank();
+        let is_reader = rank < READERS_MAX;
+        log_rank(&core, &mut logged_rank, rank);
         let lacks_document =
             !core.has_document() && reads_first_document(&core, core.now().since(began), checks);
         checks += 1;
@@ -112,6 +115,7 @@
         return;
     }
     let (now, is_first_reader) = (core.now(), core.rank() == 0);
+    *core.confirmed_by.borrow_mut() = None;
     let announces = {
         let mut freshness = core.freshness.borrow_mut();
         freshness.confirm_by_store(now, age);
@@ -235,6 +239,20 @@
     }
 }
 
+/// Logs a change of this node's rank as a reader of the store. `logged` is the last one, `None` for any that does not read.
+fn log_rank(core: &Core, logged: &mut Option<usize>, rank: usize) {
+    let rank = Some(rank).filter(|rank| *rank < READERS_MAX);
+    if std::mem::replace(logged, rank) == rank {
+        return;
+    }
+    let rank = rank.map_or_else(|| String::from("none"), |rank| rank.to_string());
+    core.log.record(
+        core.now(),
+        "store",
+        format_args!("outcome=ranked reader={rank}"),
+    );
+}
+
 fn log_fault(core: &Core, outcome: &str, fault: &Fault) {
     core.log.record(
         core.now(),
