Dissemination: relays in other places are sent a change before the own domain

Cause: a node sends a change to its own domain first and to the relays of other places last. Its domain holds the nodes that rank next as readers, and they have nothing more to read then. On a host with 10 Mbit/s, copies for a whole domain take longest, so this is the order in which most is lost.

With the relays first each place has a copy before the second one of the own domain, whose nodes can fetch it from each other at once. The test fails on the order of before.

--- a/src/sidecar/dissemination.rs
+++ b/src/sidecar/dissemination.rs
@@ -33,16 +33,19 @@
     pub scope: Scope,
 }
 
-/// Returns the next hops of an update that the own node relays to all nodes of a scope. `peers` are the nodes that
-/// it can reach, the preferred ones first.
+/// Returns the next hops of an update that the own node relays to all nodes of a scope, in the order of sending. `peers`
+/// are the nodes that it can reach, the preferred ones first.
+///
+/// The relays come first: each place has a copy then, however few were sent before the own node is lost, and the longest
+/// way begins at once. Over a slow link the copies for a whole domain take most of the time.
 #[must_use]
 pub fn next_hops(own: &Contact, scope: Scope, peers: &[Contact]) -> Vec<Hop> {
-    let mut hops = Vec::new();
+    let mut own_domain = Vec::new();
     let mut domains: BTreeMap<&Domain, &Host> = BTreeMap::new();
     let mut regions: BTreeMap<&Region, &Host> = BTreeMap::new();
     for peer in peers {
         if peer.domain == own.domain {
-            hops.push(Hop {
+            own_domain.push(Hop {
                 host: peer.host.clone(),
                 scope: Scope::Host,
             });
@@ -52,15 +55,17 @@
             regions.entry(&peer.region).or_insert(&peer.host);
         }
     }
+    let mut hops = Vec::new();
     match scope {
-        Scope::Host => return Vec::new(),
+        Scope::Host => return hops,
         Scope::Domain => {}
         Scope::Region => relay(&mut hops, domains, Scope::Domain),
         Scope::Mesh => {
-            relay(&mut hops, domains, Scope::Domain);
             relay(&mut hops, regions, Scope::Region);
+            relay(&mut hops, domains, Scope::Domain);
         }
     }
+    hops.extend(own_domain);
     hops
 }
 
--- a/tests/sidecar/dissemination.rs
+++ b/tests/sidecar/dissemination.rs
@@ -54,6 +54,17 @@
     }
 }
 
+/// A node was lost after it had sent a change to its own failure domain only. No other domain had a copy, and whoever ranked
+/// next as a reader of the store had the change already.
+#[test]
+fn every_other_place_is_sent_a_copy_before_the_own_domain() {
+    let all = mesh();
+    let hops = next_hops(&all[0], Scope::Mesh, &all[1..]);
+    let scopes: Vec<Scope> = hops.iter().map(|hop| hop.scope).collect();
+    let relays = [Scope::Region, Scope::Domain, Scope::Domain];
+    assert_eq!(scopes, [&relays[..], &[Scope::Host; 4]].concat());
+}
+
 #[test]
 fn update_for_one_host_is_not_relayed() {
     let all = mesh();
