--- a/src/sidecar/peers/broadcast.rs
+++ b/src/sidecar/peers/broadcast.rs
@@ -17,6 +17,7 @@
         traffic::spill::Tier,
         types::{Host, Moment},
     },
+    bytes::Bytes,
     rand::{Rng, seq::SliceRandom},
     std::{cell::RefCell, rc::Rc, time::Duration},
     xxhash_rust::xxh3::xxh3_64_with_seed,
@@ -42,6 +43,28 @@
     scope: Scope,
 }
 
+/// Frames that bring nodes to the document in force, encoded once for all that have the same document. To compress a large
+/// change for each node of a domain takes a small host longer than to send it.
+#[derive(Default)]
+struct EncodedUpdates(Vec<(Number, Scope, Vec<Bytes>)>);
+
+impl EncodedUpdates {
+    /// Returns the frames for nodes that have the document `from` and relay the one in force to `scope`.
+    fn frames(&mut self, core: &Core, from: Number, scope: Scope) -> &[Bytes] {
+        let known = self
+            .0
+            .iter()
+            .position(|(known_from, known_scope, _)| (*known_from, *known_scope) == (from, scope));
+        let index = known.unwrap_or_else(|| {
+            let frames = core.frames_since(from, scope);
+            let encoded = frames.iter().filter_map(|frame| frame::encode(frame).ok());
+            self.0.push((from, scope, encoded.collect()));
+            self.0.len() - 1
+        });
+        &self.0[index].2
+    }
+}
+
 /// State of relaying and fetching documents.
 #[derive(Default)]
 pub(super) struct State {
@@ -89,10 +112,11 @@
     let mut links = core.peers.responsive_links();
     links.retain(|link| link.status.borrow().document < number);
     let mut relays = Vec::new();
+    let mut updates = EncodedUpdates::default();
     for hop in dissemination::next_hops(&core.contact, scope, &Peers::contacts_of(&links)) {
         let link = links.iter().find(|link| link.contact.host == hop.host);
         if let Some(link) = link {
-            send_document(core, link, hop.scope, &[]);
+            send_document(core, link, hop.scope, &[], &mut updates);
         }
         if hop.scope != Scope::Host {
             relays.push(hop.host.to_string());
@@ -113,7 +137,13 @@
 
 /// Sends the document in force to one node, which relays it to `scope`. `tried` are the nodes that were tried as the
 /// relay before.
-fn send_document(core: &Core, link: &Link, scope: Scope, tried: &[Host]) {
+fn send_document(
+    core: &Core,
+    link: &Link,
+    scope: Scope,
+    tried: &[Host],
+    updates: &mut EncodedUpdates,
+) {
     let current = link.status.borrow().document;
     if current == Number::default() && scope == Scope::Host {
         first_document::send_or_refer(core, link);
@@ -123,8 +153,8 @@
     if is_relay && is_awaited(core, link) {
         return;
     }
-    for frame in core.frames_since(current, scope) {
-        link.send(&frame, None);
+    for bytes in updates.frames(core, current, scope) {
+        link.send_encoded(bytes.clone(), None);
     }
     if is_relay {
         let host = link.contact.host.clone();
@@ -326,6 +356,6 @@
             "spread",
             format_args!("outcome=unconfirmed peer={last} next={}", link.contact.host),
         );
-        send_document(core, link, scope, tried);
+        send_document(core, link, scope, tried, &mut EncodedUpdates::default());
     }
 }
