Configuration: a node that missed a change does not wait for all nodes that have it

Cause: a node that nobody confirms its document to reads the store itself, 100 ms later for each node that it hears and that ranks before it, as one of these might read it and spare the others the call. But those that have the change, or hear the readers, have no reason to. So the wait grew with the number of nodes elsewhere, to seconds in a fleet of a hundred.

Ruled out: that the node didn't notice, as `document outcome=unconfirmed` comes after a second.

All nodes of other domains together count for no more than the two readers now, so the first node of each domain goes at most 0.2 s late, and what it has read it pushes to its own domain first-hand. The number of nodes that go at once is bounded by that of the domains.

--- a/src/sidecar/node/core.rs
+++ b/src/sidecar/node/core.rs
@@ -160,10 +160,10 @@
         store_readers::rank(&own, self.peers.reader_candidates().into_iter())
     }
 
-    /// Returns this node's rank among the nodes of which something was heard just now, and that may thus read the store.
-    pub fn rank_among_heard(&self) -> usize {
+    /// Returns this node's rank among those that read the store in place of silent readers.
+    pub fn replacement_rank(&self) -> usize {
         let heard = self.peers.heard_candidates(self.now());
-        store_readers::rank(&self.candidate(), heard.into_iter())
+        store_readers::replacement_rank(&self.candidate(), heard.into_iter())
     }
 
     /// Returns this node's identity as the leader of a rollout.
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -167,22 +167,20 @@
 
     /// Returns the connected nodes that respond, as candidates for reading the store.
     pub fn reader_candidates(&self) -> Vec<Candidate> {
-        self.candidates(|link| !link.suspect.get())
-    }
-
-    /// Returns the connected nodes of which something was heard just now, as candidates for reading the store.
-    pub fn heard_candidates(&self, now: Moment) -> Vec<Candidate> {
-        self.candidates(|link| now.since(link.received_at.get()) < HEARD_WITHIN)
+        let links = self.links.borrow();
+        let responsive = links.values().filter(|link| !link.suspect.get());
+        responsive.map(|link| link.candidate()).collect()
     }
 
-    fn candidates(&self, is_candidate: impl Fn(&Link) -> bool) -> Vec<Candidate> {
+    /// Returns the connected nodes of which something was heard just now, as candidates for reading the store, and
+    /// whether each is of the own failure domain.
+    pub fn heard_candidates(&self, now: Moment) -> Vec<(Candidate, bool)> {
         let links = self.links.borrow();
-        let candidates = links.iter().filter(|(_, link)| is_candidate(link));
-        candidates
-            .map(|(host, link)| Candidate {
-                reach: link.status.borrow().reach,
-                host: host.clone(),
-            })
+        let heard = links
+            .values()
+            .filter(|link| now.since(link.received_at.get()) < HEARD_WITHIN);
+        heard
+            .map(|link| (link.candidate(), link.contact.domain == self.contact.domain))
             .collect()
     }
 
--- a/src/sidecar/peers/link.rs
+++ b/src/sidecar/peers/link.rs
@@ -9,6 +9,7 @@
             frame::{self, Contact, Frame, Outcome, Request, Status, StreamId},
             load_balancer::Load,
             node::Core,
+            store_readers::Candidate,
         },
         spread::Backoff,
         types::{Host, Moment},
@@ -74,6 +75,14 @@
 }
 
 impl Link {
+    /// Returns the node as a candidate for reading the store.
+    pub(super) fn candidate(&self) -> Candidate {
+        Candidate {
+            reach: self.status.borrow().reach,
+            host: self.contact.host.clone(),
+        }
+    }
+
     pub(super) fn send(&self, frame: &Frame, stream: Option<StreamId>) -> bool {
         frame::encode(frame).is_ok_and(|bytes| self.send_encoded(bytes, stream))
     }
--- a/src/sidecar/store_follower.rs
+++ b/src/sidecar/store_follower.rs
@@ -60,7 +60,7 @@
             && core
                 .freshness
                 .borrow()
-                .replaces_readers(core.now(), || core.rank_among_heard());
+                .replaces_readers(core.now(), || core.replacement_rank());
         if !should_read && !lacks_document && !replaces_readers {
             mark = None;
             probe(&core, &store).await;
--- a/src/sidecar/store_readers.rs
+++ b/src/sidecar/store_readers.rs
@@ -53,3 +53,22 @@
 pub fn rank(own: &Candidate, others: impl Iterator<Item = Candidate>) -> usize {
     others.filter(|other| other < own).count()
 }
+
+/// Returns a node's rank among those that replace silent readers; 0 goes first. `heard` are the candidates of which
+/// something was heard just now, and whether each is of the own failure domain.
+///
+/// All nodes of other domains together count no more than the readers do. They may have what the own domain has missed, and
+/// then none of them has a reason to read the store: the wait must not grow with the fleet. In each domain the first node
+/// goes soon, and spares the others of its domain the call.
+#[must_use]
+pub fn replacement_rank(own: &Candidate, heard: impl Iterator<Item = (Candidate, bool)>) -> usize {
+    let preceding = heard.filter(|(other, _)| other < own);
+    let (same_domain, elsewhere) = preceding.fold((0, 0), |(same, elsewhere), (_, is_same)| {
+        if is_same {
+            (same + 1, elsewhere)
+        } else {
+            (same, elsewhere + 1)
+        }
+    });
+    same_domain + READERS_MAX.min(elsewhere)
+}
--- a/tests/sidecar/store_readers.rs
+++ b/tests/sidecar/store_readers.rs
@@ -1,5 +1,7 @@
 use {
-    mulberryshelf::sidecar::store_readers::{Candidate, StoreAccess, first_read_probability, rank},
+    mulberryshelf::sidecar::store_readers::{
+        Candidate, StoreAccess, first_read_probability, rank, replacement_rank,
+    },
     rand::{Rng, SeedableRng, rngs::StdRng},
 };
 
@@ -57,3 +59,21 @@
     assert!((first_read_probability(1, 0) - 1.0).abs() < f64::EPSILON);
     assert!((first_read_probability(100_000, 60) - 1.0).abs() < f64::EPSILON);
 }
+
+/// The wait of a node that had missed a change grew with the number of nodes elsewhere that had it.
+#[test]
+fn first_node_of_each_domain_replaces_silent_readers_whatever_the_size_of_the_mesh() {
+    let candidate = |index: usize| Candidate {
+        reach: StoreAccess::Near,
+        host: format!("h{index:03}").parse().unwrap(),
+    };
+    let domain = |index: usize| index / 37;
+    let rank_of = |own: usize| {
+        let others = (0..296).filter(|other| *other != own);
+        let heard = others.map(|other| (candidate(other), domain(other) == domain(own)));
+        replacement_rank(&candidate(own), heard)
+    };
+    let first_of_domains: Vec<usize> = (0..8).map(|domain| rank_of(domain * 37)).collect();
+    assert_eq!(first_of_domains, [0, 2, 2, 2, 2, 2, 2, 2]);
+    assert_eq!([rank_of(1), rank_of(38), rank_of(295)], [1, 3, 38]);
+}
