Configuration: a node that becomes the first reader confirms the document at once

Cause: the second reader waits for changes for up to 2 s, and only the first one announces what is read. If that is lost right after a change, the second one has just begun to wait, so that nobody confirms the document until each node finds out by itself after a second.

Evidence: the node test, the first reader lost 0.1 s after a change: confirms nothing within 0.5 s. Ruled out: that the loss isn't known, as its connection closes.

The wait ends when the node ranks first, by a loss or by a status; it announces the document with its true age, and goes on reading every half second.

--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -39,6 +39,7 @@
     },
     tokio::{
         net::{TcpListener, TcpStream},
+        sync::Notify,
         time::timeout,
     },
 };
@@ -99,6 +100,8 @@
     first_documents: first_document::State,
     spreading: broadcast::State,
     last_tick: Cell<Moment>,
+    /// Notified when a node no longer responds or has sent a status, so that the ranks of readers may have changed.
+    pub candidates_changed: Notify,
 }
 
 impl Peers {
@@ -114,6 +117,7 @@
             first_documents: first_document::State::default(),
             spreading: broadcast::State::default(),
             last_tick: Cell::default(),
+            candidates_changed: Notify::new(),
         }
     }
 
@@ -375,6 +379,7 @@
     core.load_balancer
         .borrow_mut()
         .update_offer(now, host, tier, None);
+    core.peers.candidates_changed.notify_waiters();
     let mut pending = link.pending.borrow_mut();
     let repeatable: Vec<StreamId> = pending
         .iter()
--- a/src/sidecar/peers/link.rs
+++ b/src/sidecar/peers/link.rs
@@ -288,6 +288,7 @@
             .update_offer(now, host, tier, None);
         core.log
             .record(now, "peer", format_args!("outcome=lost peer={host}"));
+        core.peers.candidates_changed.notify_waiters();
     }
     first_document::forget(core, link);
     // Dropping the senders cancels the requests that run here on behalf of that node.
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -51,6 +51,7 @@
             let number = status.document;
             *current.status.borrow_mut() = status;
             update_offer(core, &current, now);
+            core.peers.candidates_changed.notify_waiters();
             record_document(core, &current, number);
         }
         Frame::Registration(announcement) => core.peers.keep_registration(host, announcement),
--- a/src/sidecar/store_follower.rs
+++ b/src/sidecar/store_follower.rs
@@ -72,9 +72,18 @@
         } else {
             SECOND_POLL_TIMEOUT
         };
-        let read = match mark {
-            Some(mark) => store.read_changes_after(mark, poll_timeout).await,
-            None => store.read_changes().await,
+        let reading = async {
+            match mark {
+                Some(mark) => store.read_changes_after(mark, poll_timeout).await,
+                None => store.read_changes().await,
+            }
+        };
+        let read = tokio::select! {
+            read = reading => read,
+            () = becomes_first_reader(&core), if mark.is_some() && rank > 0 => {
+                announce(&core);
+                continue;
+            }
         };
         match read {
             Ok(changes) => {
@@ -114,18 +123,34 @@
     if !core.has_document() {
         return;
     }
-    let (now, is_first_reader) = (core.now(), core.rank() == 0);
     *core.confirmed_by.borrow_mut() = None;
-    let announces = {
+    core.freshness
+        .borrow_mut()
+        .confirm_by_store(core.now(), age);
+    announce(core);
+}
+
+/// Announces how long ago the document in force was the newest one in the store, if the other nodes expect that of this one.
+fn announce(core: &Core) {
+    let (now, is_first_reader) = (core.now(), core.rank() == 0);
+    let (age, announces) = {
         let mut freshness = core.freshness.borrow_mut();
-        freshness.confirm_by_store(now, age);
-        !freshness.is_stale(now) && freshness.try_announce(now, is_first_reader)
+        let announces = !freshness.is_stale(now) && freshness.try_announce(now, is_first_reader);
+        (freshness.age(now), announces)
     };
     if announces {
         peers::push_confirmation(core, Scope::Mesh, age);
     }
 }
 
+/// Waits until this node ranks first as a reader of the store. Its predecessor may have been lost while it handed a change
+/// on, so the nodes that have missed it are to hear of it now, and not when a read without changes ends.
+async fn becomes_first_reader(core: &Core) {
+    while core.rank() > 0 {
+        core.peers.candidates_changed.notified().await;
+    }
+}
+
 /// Returns whether this node reads the document, which it lacks, without waiting for a reader of the store any longer.
 fn reads_first_document(core: &Core, waited: Duration, checks: u32) -> bool {
     let probability = store_readers::first_read_probability(core.peers.known_count() + 1, checks);
