Configuration: a relay that had to fetch a document passes the confirmation on

Cause: a confirmation of a newer document makes its receiver fetch that. But it is relayed only if the document is in force already, so the nodes that hear from that relay alone learn nothing, until the next confirmation happens to be drawn to the same relay, or each of them reads the store.

Evidence: the node test; on the code before, no confirmation comes within 0.5 s of the document.

The confirmation is kept and relayed, with its true age, once the document that was fetched for it is in force. One that came by the usual way is not confirmed twice. The wait before a fetch counts from the confirmation, not from the next tick.

--- a/src/sidecar/peers/broadcast.rs
+++ b/src/sidecar/peers/broadcast.rs
@@ -65,10 +65,19 @@
     }
 }
 
+/// Confirmation of a document that this node does not have yet, to be relayed once it does.
+struct PendingConfirmation {
+    age: Duration,
+    number: Number,
+    received_at: Moment,
+    scope: Scope,
+}
+
 /// State of relaying and fetching documents.
 #[derive(Default)]
 pub(super) struct State {
     pending_acks: RefCell<Vec<PendingAck>>,
+    pending_confirmation: RefCell<Option<PendingConfirmation>>,
     behind_since: RefCell<Option<Moment>>,
     /// The node that was asked last for its document, and when.
     fetch: RefCell<Option<(Host, Moment)>>,
@@ -195,6 +204,58 @@
     }
 }
 
+/// Handles a confirmation of another node: relays it if its document is the one in force, and keeps it if this node is
+/// behind. The nodes that would hear of it from this one have probably missed the same change.
+pub(super) fn receive_confirmation(
+    core: &Core,
+    from: &Host,
+    scope: Scope,
+    number: Number,
+    age: Duration,
+) {
+    let now = core.now();
+    if number == core.number() {
+        confirm_and_relay(core, from, scope, age);
+    } else if number > core.number() {
+        core.peers
+            .spreading
+            .behind_since
+            .borrow_mut()
+            .get_or_insert(now);
+        *core.peers.spreading.pending_confirmation.borrow_mut() = Some(PendingConfirmation {
+            age,
+            number,
+            received_at: now,
+            scope,
+        });
+    }
+}
+
+fn confirm_and_relay(core: &Core, from: &Host, scope: Scope, age: Duration) {
+    core.freshness.borrow_mut().confirm_by_peer(core.now(), age);
+    *core.confirmed_by.borrow_mut() = Some(from.clone());
+    push_confirmation(core, scope, age);
+}
+
+/// Relays the confirmation that made this node fetch the document from `host`, once that is in force. A document that was
+/// relayed to this node as usual is relayed further as usual as well.
+pub(super) fn relay_pending_confirmation(core: &Core, host: &Host) {
+    let spreading = &core.peers.spreading;
+    let is_in_force = |pending: &mut PendingConfirmation| pending.number <= core.number();
+    let pending = spreading
+        .pending_confirmation
+        .borrow_mut()
+        .take_if(is_in_force);
+    let Some(pending) = pending else {
+        return;
+    };
+    let fetched = matches!(spreading.fetch.take(), Some((asked, _)) if asked == *host);
+    if fetched && pending.number == core.number() {
+        let age = pending.age + core.now().since(pending.received_at);
+        confirm_and_relay(core, host, pending.scope, age);
+    }
+}
+
 /// Sends the state of a rollout to all nodes of a scope. The end of a rollout is sent to every connected node directly,
 /// as it must not be delayed by a relay.
 pub(in crate::sidecar) fn push_state(core: &Core, scope: Scope, state: &RolloutState) {
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -82,6 +82,7 @@
             let is_first = !core.has_document();
             if core.install_document(Arc::unwrap_or_clone(document), host.as_str()) {
                 broadcast::acknowledge_and_relay(core, link, scope);
+                broadcast::relay_pending_confirmation(core, host);
                 if is_first && scope == Scope::Host {
                     // The sender counts its uploads in progress.
                     link.send(&Frame::Status(core.status()), None);
@@ -94,11 +95,7 @@
         Frame::Difference(scope, difference) => apply_delta(core, &current, scope, &difference),
         Frame::Confirmation(scope, number, age) => {
             record_document(core, &current, number);
-            if number == core.number() {
-                core.freshness.borrow_mut().confirm_by_peer(now, age);
-                *core.confirmed_by.borrow_mut() = Some(host.clone());
-                broadcast::push_confirmation(core, scope, age);
-            }
+            broadcast::receive_confirmation(core, host, scope, number, age);
         }
         Frame::Evidence(evidence) => record_evidence(core, link, evidence),
         Frame::Ramp(scope, state) => {
@@ -189,6 +186,7 @@
         Ok(document) => {
             if core.install_document(document, host.as_str()) {
                 broadcast::acknowledge_and_relay(core, link, scope);
+                broadcast::relay_pending_confirmation(core, host);
             }
         }
         Err(fault) => {
