Soak: an added route is in force at every machine in touch two seconds after its configuration was accepted

The soak asked for added routes at random machines, but reported only one that had been served there before, and nodes that are behind 15 s after the last fault. The test of the ledger fails without the check.

--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -12,6 +12,7 @@
     rustix::process::Signal,
     std::{
         io,
+        ops::Range,
         rc::Rc,
         time::{Duration, Instant},
     },
@@ -76,12 +77,45 @@
 }
 
 async fn apply(soak: Rc<Soak>, fault: Fault) -> io::Result<()> {
+    let from = Instant::now();
+    inject_one(&soak, fault).await?;
+    let until = Instant::now() + CATCH_UP_TIME;
+    let machines = machines_out_of_touch(fault, soak.fleet.machines.len());
+    let periods = machines.map(|machine| Disturbance {
+        from,
+        machine,
+        until,
+    });
+    soak.ledger.borrow_mut().out_of_touch.extend(periods);
+    Ok(())
+}
+
+/// Returns the machines that a fault may keep from learning of a configuration in time.
+fn machines_out_of_touch(fault: Fault, count: usize) -> Range<usize> {
+    match fault {
+        Fault::Kill(index, _)
+        | Fault::Link(index, ..)
+        | Fault::Pause(index, _)
+        | Fault::Reset(index)
+        | Fault::Restart(index) => index..index + 1,
+        Fault::KillAll(_) | Fault::RestartAll(_) | Fault::Store(..) => 0..count,
+        Fault::Configure
+        | Fault::Crash(..)
+        | Fault::Drain(_)
+        | Fault::Misbehave(..)
+        | Fault::Move { .. }
+        | Fault::Reload(_)
+        | Fault::Slow(..) => 0..0,
+    }
+}
+
+async fn inject_one(soak: &Rc<Soak>, fault: Fault) -> io::Result<()> {
     let machines = &soak.fleet.machines;
     match fault {
         Fault::Configure => soak.configure(),
         Fault::Crash(index, time) => crash(&machines[index], time).await,
-        Fault::Drain(index) => drain_and_replace(&soak, index).await,
-        Fault::Kill(index, time) => kill(&soak, index, time).await?,
+        Fault::Drain(index) => drain_and_replace(soak, index).await,
+        Fault::Kill(index, time) => kill(soak, index, time).await?,
         Fault::KillAll(time) => {
             let all = (0..machines.len()).map(|index| {
                 let soak = soak.clone();
@@ -99,11 +133,11 @@
             tokio::time::sleep(time).await;
             machines[index].endpoint.behave(Behaviour::Answers);
         }
-        Fault::Move { good } => roll_out(&soak, good).await,
-        Fault::Pause(index, time) => pause(&soak, index, time).await?,
+        Fault::Move { good } => roll_out(soak, good).await,
+        Fault::Pause(index, time) => pause(soak, index, time).await?,
         Fault::Reload(index) => machines[index].signal(Signal::HUP)?,
         Fault::Reset(index) => machines[index].links.reset(),
-        Fault::Restart(index) => restart(&soak, index).await?,
+        Fault::Restart(index) => restart(soak, index).await?,
         Fault::RestartAll(gap) => {
             let mut all = Vec::new();
             for index in 0..machines.len() {
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -16,6 +16,9 @@
 /// Time after the last byte of a request within which its connection may end without a response during planned work,
 /// since the node may not have read the request yet. The platform sets this limit.
 const CLOSE_SLACK: Duration = Duration::from_millis(200);
+/// Longest time after the store has accepted a configuration until it is in force at every machine in touch. The platform
+/// sets this limit.
+const APPLY_TIME: Duration = Duration::from_secs(2);
 /// Number of runs that a bad version may get in addition to its share of the runs of the service.
 const BAD_VERSION_RUNS_MAX: usize = 50;
 /// One in this many runs of the service is the share of a bad version.
@@ -103,6 +106,8 @@
 /// Observations of a run.
 #[derive(Debug, Default)]
 pub struct Ledger {
+    /// Times at which the store accepted the configurations, by their numbers.
+    pub accepted: HashMap<u32, Instant>,
     /// Rollouts of bad versions.
     pub bad_moves: Vec<BadMove>,
     /// Requests of the callers.
@@ -113,6 +118,9 @@
     pub disturbances: Vec<Disturbance>,
     /// Violations that were found during the run.
     pub found: Vec<Violation>,
+    /// Periods in which machines had no contact to the store or to other machines, or did not run, and in which they may
+    /// catch up after that.
+    pub out_of_touch: Vec<Disturbance>,
     /// Whether the run has planned work only, which must not cost any caller a response.
     pub planned: bool,
     /// Runs of the endpoints.
@@ -136,6 +144,7 @@
                 call.reply
                     .as_ref()
                     .and_then(|reply| check_response(call, reply, runs)),
+                self.check_apply_time(call),
                 self.check_deadline(call),
                 self.check_planned_work(call, runs),
             ];
@@ -157,6 +166,18 @@
         found
     }
 
+    /// Reports a route that is missing at a machine in touch though its configuration was accepted long ago.
+    fn check_apply_time(&self, call: &Call) -> Option<String> {
+        let probe = probe(call).filter(|probe| probe.status == 404)?;
+        let accepted = self.accepted.get(&probe.number)?;
+        let elapsed = call.sent.saturating_duration_since(*accepted);
+        let in_touch = !overlaps(&self.out_of_touch, call.machine, call.sent, call.ended);
+        (elapsed > APPLY_TIME && in_touch).then(|| {
+            let machine = call.machine;
+            format!("not in force at machine {machine} {elapsed:?} after it was accepted")
+        })
+    }
+
     /// Reports a response that arrived after its deadline, unless the node of the caller was disturbed.
     fn check_deadline(&self, call: &Call) -> Option<String> {
         let took = call.ended.saturating_duration_since(call.sent);
@@ -167,8 +188,7 @@
 
     /// Returns whether a machine was disturbed at some time between `from` and `until`.
     fn was_disturbed(&self, machine: usize, from: Instant, until: Instant) -> bool {
-        let mut disturbances = self.disturbances.iter();
-        disturbances.any(|one| one.machine == machine && one.from < until && from < one.until)
+        overlaps(&self.disturbances, machine, from, until)
     }
 
     /// Reports a request that was lost during planned work.
@@ -251,6 +271,12 @@
     }
 }
 
+/// Returns whether one of the periods of a machine overlaps with the time between `from` and `until`.
+fn overlaps(periods: &[Disturbance], machine: usize, from: Instant, until: Instant) -> bool {
+    let mut periods = periods.iter();
+    periods.any(|one| one.machine == machine && one.from < until && from < one.until)
+}
+
 struct Probe<'a> {
     call: &'a Call,
     ended: Instant,
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -74,6 +74,10 @@
             &routes,
         );
         self.fleet.store.configure(&document);
+        self.ledger
+            .borrow_mut()
+            .accepted
+            .insert(number, Instant::now());
     }
 
     /// Records a violation.
--- a/soak/tests/ledger.rs
+++ b/soak/tests/ledger.rs
@@ -256,3 +256,31 @@
     assert_eq!(violations(60, 39), Vec::<String>::new());
     assert_eq!(violations(61, 38), ["a bad version got 61 of 100 runs"]);
 }
+
+#[test]
+fn route_that_is_missing_at_a_machine_in_touch_is_reported_after_the_apply_time() {
+    let missing = |accepted_ago, out_of_touch: Option<usize>| {
+        move |ledger: &mut Ledger, begin: Instant| {
+            reply(ledger).status = 404;
+            ledger.runs.clear();
+            let sent = begin + ms(accepted_ago);
+            ledger.accepted.insert(1, begin);
+            ledger.calls[0].sent = sent;
+            ledger.calls[0].ended = sent + ms(20);
+            ledger
+                .out_of_touch
+                .extend(out_of_touch.map(|machine| Disturbance {
+                    from: begin,
+                    machine,
+                    until: sent + ms(10),
+                }));
+        }
+    };
+    let text = "a Probe(1) status=404: not in force at machine 0 2.5s after it was accepted";
+    let reported =
+        |accepted_ago, machine| violations_after(Kind::Probe(1), missing(accepted_ago, machine));
+    assert_eq!(reported(2_500, None), [text]);
+    assert_eq!(reported(2_500, Some(1)), [text]);
+    assert_eq!(reported(2_500, Some(0)), Vec::<String>::new());
+    assert_eq!(reported(1_500, None), Vec::<String>::new());
+}
