--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -169,7 +169,7 @@
     /// Refers a node that has no document to another one, which has the document or is about to receive it.
     Referral(Host),
     /// The document with this number was the newest one in the store the given time ago. The receiver relays it to the
-    /// scope if it has the document in force.
+    /// scope, once it has the document in force.
     Confirmation(Scope, Number, Duration),
 }
 
--- a/src/sidecar/freshness.rs
+++ b/src/sidecar/freshness.rs
@@ -70,8 +70,8 @@
     }
 
     /// Returns whether this node reads the store in place of those that should, as none of them confirms the document.
-    /// `rank` returns this node's rank among those that may
-    /// do so ([`replacement_rank`](super::store_readers::replacement_rank)); it is called only if the confirmation is overdue.
+    /// `rank` returns this node's rank among those that may do so
+    /// ([`replacement_rank`](super::store_readers::replacement_rank)); it is called only if the confirmation is overdue.
     #[must_use]
     pub fn replaces_readers(&self, now: Moment, rank: impl FnOnce() -> usize) -> bool {
         let overdue = now.since(self.confirmed_by_peer).checked_sub(STALE_AFTER);
--- a/src/sidecar/peers/broadcast.rs
+++ b/src/sidecar/peers/broadcast.rs
@@ -204,8 +204,8 @@
     }
 }
 
-/// Handles a confirmation of another node: relays it if its document is the one in force, and keeps it if this node is
-/// behind. The nodes that would hear of it from this one have probably missed the same change.
+/// Handles a confirmation of another node: relays it if its document is the one in force, and keeps it until then if this
+/// node is behind. The nodes that would hear of it from this one have probably missed the same change.
 pub(super) fn receive_confirmation(
     core: &Core,
     from: &Host,
