Log: a document that nobody confirms is logged when that is noticed

`document outcome=unconfirmed`, the metric mulberry_document_age_ms and docs/OPERATIONS.md tell of a node whose document may be outdated, but both were updated only when the node stopped: the call had been lost from the periodic work.

They are updated at each tick, and when the node reads the store in place of the readers.

--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -226,6 +226,7 @@
         core.local_upstream.tick(now);
         super::peers::tick(&core, now);
         super::leader::tick(&core, &store, now);
+        core.record_freshness();
         let status = core.status();
         if status.offer != announced.offer || status.reach != announced.reach {
             core.broadcast_status();
--- a/src/sidecar/store_follower.rs
+++ b/src/sidecar/store_follower.rs
@@ -66,6 +66,9 @@
             probe(&core, &store).await;
             continue;
         }
+        if replaces_readers {
+            core.record_freshness();
+        }
         let read_began = core.now();
         let poll_timeout = if core.rank() == 0 || replaces_readers {
             POLL_TIMEOUT
