Store: a position in its history is not used after the store came back from a copy

Callers got 404 at all machines, for as long as was watched, on a route whose configuration was acknowledged after the store had come back from an older copy.

Cause: a reader's position in the store's history is a bare version. After a restore the store gives versions out again; if they have passed the position before the reader asks, the answer holds only what came after it. The reader takes that for "no change" and confirms its document to all nodes, so that none of them reads the store in its place.

Positions now name the epoch that the store states in each answer (Store-Era). An answer of another epoch, also between two pages of a full read, has everything read again. The same pair identifies an order, so that one under a lower version than a lost one is a later order. A store that states no epoch is followed as before.

The logs could not tell this from a document that is read and refused: a full read now logs its position, a new epoch is logged with who told it, and a document of the store that is older than the one in force is logged as kept.

--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -11,6 +11,7 @@
 pub mod frame;
 pub mod freshness;
 pub mod header_names;
+pub mod history;
 pub mod load_balancer;
 pub mod log;
 pub mod neighbours;
--- a/src/sidecar/document.rs
+++ b/src/sidecar/document.rs
@@ -3,6 +3,7 @@
 //! node installs a document as a whole or not at all, and never an older one than it holds.
 
 use {
+    super::history::Position,
     crate::types::{Service, Version},
     serde::{Deserialize, Serialize},
     std::{
@@ -301,7 +302,7 @@
     /// The time within which the rollout is to end.
     pub duration: Duration,
     /// The position of the order in the store's history; a later order has a higher one.
-    pub mark: u64,
+    pub mark: Position,
     /// The service whose traffic is rolled out.
     pub service: Service,
     /// The version that is to receive the traffic.
--- a/src/sidecar/leader.rs
+++ b/src/sidecar/leader.rs
@@ -8,6 +8,7 @@
         dissemination::Scope,
         evidence::{Report, Summary},
         frame::Frame,
+        history::Position,
         node::Core,
         peers,
         rollout::{Phase, Rollout, RolloutState},
@@ -27,7 +28,7 @@
 pub(super) struct Rollouts {
     pub by_service: HashMap<Service, Rollout>,
     /// The order's mark and the phase that the store is known to hold.
-    recorded: HashMap<Service, (u64, Phase)>,
+    recorded: HashMap<Service, (Position, Phase)>,
     /// Whether a record is being written; only one is at a time.
     recording: bool,
     /// The state that was last sent to the other nodes, and when.
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -26,6 +26,8 @@
     registry: Registry,
     retries: IntCounterVec,
     stages: HistogramVec,
+    /// The latest known epoch of the store.
+    pub store_epoch: IntGauge,
 }
 
 impl Metrics {
@@ -70,6 +72,10 @@
                 &["reason"],
             )?,
             stages: HistogramVec::new(stages.buckets(LATENCY_BUCKETS_S.into()), &["stage"])?,
+            store_epoch: IntGauge::new(
+                "mulberry_store_epoch",
+                "Latest known epoch of the store, which rises when it comes back from a copy.",
+            )?,
         };
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.document.clone()))?;
@@ -79,6 +85,7 @@
         registry.register(Box::new(metrics.peers.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
         registry.register(Box::new(metrics.stages.clone()))?;
+        registry.register(Box::new(metrics.store_epoch.clone()))?;
         Ok(metrics)
     }
 
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -3,7 +3,7 @@
 mod core;
 mod stop_periods;
 
-pub(super) use core::Core;
+pub(super) use core::{Core, STORE_SOURCE};
 
 use {
     super::{
@@ -111,6 +111,7 @@
                 Pool::new(settings.upstream, header_names),
                 settings.heartbeat,
             ),
+            epoch: Cell::default(),
             index: RefCell::default(),
             log,
             metrics,
--- a/src/sidecar/node/core.rs
+++ b/src/sidecar/node/core.rs
@@ -10,6 +10,7 @@
             frame::{Contact, Frame, Status},
             freshness::Freshness,
             header_names::HeaderNames,
+            history::{Epoch, Position},
             leader::Rollouts,
             load_balancer::LoadBalancer,
             local_upstream,
@@ -36,6 +37,9 @@
 /// Maximum number of differences between documents kept for nodes that missed some.
 const DELTAS_MAX: usize = 32;
 
+/// Source of what was read from the store, as the log states it.
+pub(in crate::sidecar) const STORE_SOURCE: &str = "store";
+
 /// State shared by the tasks of a node.
 pub(in crate::sidecar) struct Core {
     /// Number of callers' requests in progress.
@@ -58,6 +62,8 @@
     pub document: RefCell<Arc<Document>>,
     /// State of the upstream on this host.
     pub local_upstream: local_upstream::LocalUpstream,
+    /// Latest known epoch of the store, `None` if it has not stated one.
+    pub epoch: Cell<Option<Epoch>>,
     /// Index of the routes of the document in force.
     pub index: RefCell<Index>,
     /// Log of this node.
@@ -176,7 +182,7 @@
 
     /// Returns the node that leads a service's rollout of an order, `None` if it is this one. A rollout stays with its
     /// leader as long as the leader responds, even without the store, as only the leader has the evidence.
-    pub fn remote_leader(&self, service: &Service, mark: u64) -> Option<Host> {
+    pub fn remote_leader(&self, service: &Service, mark: Position) -> Option<Host> {
         let states = self.rollout_states.borrow();
         let running =
             |state: &&RolloutState| state.phase == Phase::Running && state.order.mark >= mark;
@@ -193,7 +199,7 @@
         let mark = {
             let rollouts = self.rollouts.borrow();
             let rollout = rollouts.by_service.get(service);
-            rollout.map_or(0, |rollout| rollout.order().mark)
+            rollout.map_or_else(Position::default, |rollout| rollout.order().mark)
         };
         self.remote_leader(service, mark)
     }
@@ -205,10 +211,38 @@
         (first < own).then_some(first.host)
     }
 
+    /// Records the epoch of the store. `source` is logged: the host that stated it, or the store.
+    pub fn note_epoch(&self, epoch: Option<Epoch>, source: &str) {
+        let before = self.epoch.get();
+        let Some(stated) = epoch.filter(|_| epoch > before) else {
+            return;
+        };
+        self.epoch.set(epoch);
+        self.metrics
+            .store_epoch
+            .set(i64::try_from(stated.0).unwrap_or(i64::MAX));
+        let before = before.map_or_else(|| String::from("none"), |before| before.to_string());
+        self.log.record(
+            self.now(),
+            "store",
+            format_args!("outcome=epoch epoch={stated} before={before} source={source}"),
+        );
+    }
+
     /// Puts a document in force if it is valid and newer than the current one. Returns whether it did. `source` is
     /// logged: the host that sent it, or the store.
     pub fn install_document(&self, document: Document, source: &str) -> bool {
         let current = self.document.borrow().clone();
+        if document.number < current.number && source == STORE_SOURCE {
+            self.log.record(
+                self.now(),
+                "document",
+                format_args!(
+                    "outcome=kept number={} offered={} source={source}",
+                    current.number, document.number
+                ),
+            );
+        }
         if document.number <= current.number {
             return false;
         }
--- a/src/sidecar/rollout/state.rs
+++ b/src/sidecar/rollout/state.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        sidecar::{document::Order, evidence::Totals},
+        sidecar::{document::Order, evidence::Totals, history::Position},
         types::{Host, Permille},
     },
     serde::{Deserialize, Serialize},
@@ -99,7 +99,7 @@
 
     /// Returns the order's mark, the phase and the share. A change of any of them is sent to all nodes at once.
     #[must_use]
-    pub fn routing_key(&self) -> (u64, Phase, Permille) {
+    pub fn routing_key(&self) -> (Position, Phase, Permille) {
         (self.order.mark, self.phase, self.share)
     }
 
--- a/src/sidecar/store.rs
+++ b/src/sidecar/store.rs
@@ -5,6 +5,7 @@
         departure::Departure,
         document::{Document, Order},
         frame::Contact,
+        history::{Epoch, Position},
         rollout::Phase,
     },
     crate::types::{Host, Service, Version},
@@ -36,7 +37,7 @@
     /// Faults of rows that cannot be decoded and were left out.
     pub faults: Vec<Fault>,
     /// Position in the store's history after which the next read continues.
-    pub mark: u64,
+    pub mark: Position,
     /// Orders for rollouts.
     pub orders: Vec<Order>,
     /// Records of rollouts that nodes have written; empty unless everything was read.
@@ -58,7 +59,7 @@
     /// Time since the rollout began.
     pub elapsed: Duration,
     /// Position of the order in the store's history, which identifies the order.
-    pub mark: u64,
+    pub mark: Position,
     /// Phase of the rollout.
     pub phase: Phase,
     /// Service that is rolled out.
@@ -69,13 +70,17 @@
 
 /// Client of a platform's store, implemented by the platform's adapter.
 pub trait Store: 'static {
+    /// Returns the epoch that the last answer belongs to; `None` if the store does not state it.
+    fn epoch(&self) -> Option<Epoch>;
+
     /// Reads all documents and orders, and the records of rollouts.
     fn read_changes(&self) -> impl Future<Output = Result<Changes, Fault>>;
 
-    /// Reads the documents and orders written after `mark`. Waits up to `wait` for the first of them.
+    /// Reads the documents and orders written after `mark`. Waits up to `wait` for the first of them. Returns
+    /// [`Fault::HistoryGone`] if the store is in another epoch than `mark`.
     fn read_changes_after(
         &self,
-        mark: u64,
+        mark: Position,
         wait: Duration,
     ) -> impl Future<Output = Result<Changes, Fault>>;
 
--- a/src/sidecar/store_follower.rs
+++ b/src/sidecar/store_follower.rs
@@ -1,17 +1,20 @@
 //! Follows the store. Two nodes read the operator's documents and orders from it and relay them; all other nodes
 //! receive them from these two.
 
+mod registration;
+
 use {
     super::{
         dissemination::Scope,
         document::Order,
-        node::Core,
+        node::{Core, STORE_SOURCE},
         peers,
         rollout::{Phase, Rollout, RolloutState},
-        store::{Changes, Contacts, Fault, RolloutRecord, Store},
+        store::{Changes, Fault, RolloutRecord, Store},
         store_readers::{self, READERS_MAX, StoreAccess},
     },
     rand::Rng,
+    registration::{merge_contacts, remove_forgotten},
     std::{rc::Rc, time::Duration},
 };
 
@@ -24,8 +27,6 @@
 const READER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Delay after a failed read.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(250);
-/// Delay after a failed registration. Meanwhile the other nodes are asked for contacts.
-const REGISTER_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Time for which a node without a document waits for one from its peers before it reads the store itself.
 const FIRST_DOCUMENT_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Interval at which a node that does not reach the store and is not a reader tries to reach it again.
@@ -36,12 +37,9 @@
 const COLD_START_PUSHES: usize = 3;
 /// Interval between these: two round trips between regions, which a connection and its greeting take.
 const COLD_START_PUSH_INTERVAL: Duration = Duration::from_millis(80);
-/// Maximum answer time of a store in the same region, including processing.
-const NEAR_LATENCY_MAX: Duration = Duration::from_millis(14);
-
 /// Registers this node, finds the others, and follows the store while this node is one of its readers.
 pub(super) async fn run<S: Store>(core: Rc<Core>, store: Rc<S>) {
-    register(&core, &*store).await;
+    registration::register(&core, &*store).await;
     let began = core.now();
     let mut mark = None;
     let mut checks = 0;
@@ -88,10 +86,14 @@
                 continue;
             }
         };
+        core.note_epoch(store.epoch(), STORE_SOURCE);
         match read {
             Ok(changes) => {
                 mark_reachable(&core, &store);
                 let full_read = mark.replace(changes.mark).is_none();
+                if full_read {
+                    log_full_read(&core, &changes);
+                }
                 let is_empty = changes.document.is_none() && changes.orders.is_empty();
                 apply_orders(&core, changes, full_read, replaces_readers);
                 // The store answers a read without changes only once it has waited for them.
@@ -104,8 +106,11 @@
                 remove_forgotten(&core, &*store).await;
             }
             Err(Fault::HistoryGone) => {
-                mark = None;
                 log_fault(&core, "reading-anew", &Fault::HistoryGone);
+                if mark.take().is_none() {
+                    // The store came back from a copy while everything was being read.
+                    tokio::time::sleep(READ_RETRY_DELAY).await;
+                }
             }
             Err(fault) if !should_read && !lacks_document => {
                 mark = None;
@@ -160,49 +165,6 @@
     waited > FIRST_DOCUMENT_TIMEOUT || rand::rng().random_bool(probability)
 }
 
-async fn register<S: Store>(core: &Rc<Core>, store: &S) {
-    let mut fastest = Duration::MAX;
-    loop {
-        let began = core.now();
-        let registered = store.write_contact(&core.contact).await;
-        fastest = fastest.min(core.now().since(began));
-        let began = core.now();
-        let contacts = match registered {
-            Ok(()) => store.read_contacts().await,
-            Err(fault) => Err(fault),
-        };
-        match contacts {
-            Ok(contacts) => {
-                fastest = fastest.min(core.now().since(began));
-                let near = fastest <= NEAR_LATENCY_MAX;
-                core.store_access.set(if near {
-                    StoreAccess::Near
-                } else {
-                    StoreAccess::Far
-                });
-                core.log.record(
-                    core.now(),
-                    "store",
-                    format_args!(
-                        "outcome=registered nodes={} answer_ms={} near={near}",
-                        contacts.nodes.len(),
-                        fastest.as_millis()
-                    ),
-                );
-                merge_contacts(core, contacts);
-                peers::dial(core, core.now());
-                core.broadcast_status();
-                return;
-            }
-            Err(fault) => {
-                log_fault(core, "unregistered", &fault);
-                peers::request_contacts(core);
-                tokio::time::sleep(REGISTER_RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
 /// Waits before the next check of the readers. A node that does not reach the store also tries to reach it again.
 async fn probe<S: Store>(core: &Rc<Core>, store: &Rc<S>) {
     if core.store_access.get() != StoreAccess::Unknown {
@@ -211,18 +173,12 @@
     }
     tokio::time::sleep(PROBE_INTERVAL).await;
     if let Ok(contacts) = store.read_contacts().await {
+        core.note_epoch(store.epoch(), STORE_SOURCE);
         merge_contacts(core, contacts);
         mark_reachable(core, store);
     }
 }
 
-fn merge_contacts(core: &Core, contacts: Contacts) {
-    for fault in &contacts.faults {
-        log_fault(core, "left-out", fault);
-    }
-    core.peers.merge_contacts(contacts.nodes);
-}
-
 /// Records that the store answers. If it did not before, this node registers again, as its row may have been removed
 /// meanwhile.
 fn mark_reachable<S: Store>(core: &Rc<Core>, store: &Rc<S>) {
@@ -241,23 +197,6 @@
     });
 }
 
-/// Removes the rows of forgotten nodes from the store, if this node is the first reader.
-async fn remove_forgotten<S: Store>(core: &Core, store: &S) {
-    for host in core.peers.take_forgotten() {
-        if core.rank() > 0 {
-            continue;
-        }
-        match store.remove_contact(&host).await {
-            Ok(()) => core.log.record(
-                core.now(),
-                "store",
-                format_args!("outcome=removed peer={host}"),
-            ),
-            Err(fault) => log_fault(core, "not-removed", &fault),
-        }
-    }
-}
-
 fn mark_unreachable(core: &Core, fault: &Fault) {
     log_fault(core, "failed", fault);
     if core.store_access.replace(StoreAccess::Unknown) != StoreAccess::Unknown {
@@ -281,6 +220,23 @@
     );
 }
 
+fn log_full_read(core: &Core, changes: &Changes) {
+    let document = changes.document.as_ref();
+    core.log.record(
+        core.now(),
+        "store",
+        format_args!(
+            "outcome=read position={} document={} orders={}",
+            changes.mark,
+            document.map_or_else(
+                || String::from("none"),
+                |document| document.number.to_string()
+            ),
+            changes.orders.len()
+        ),
+    );
+}
+
 fn log_fault(core: &Core, outcome: &str, fault: &Fault) {
     core.log.record(
         core.now(),
@@ -305,7 +261,7 @@
     };
     // Nodes that start together cannot serve until the first one that has read the document relays it.
     let is_cold_start = !core.has_document();
-    if !core.install_document(document, "store") {
+    if !core.install_document(document, STORE_SOURCE) {
         return;
     }
     let is_first_reader = core.rank() == 0;
--- a/tests/sidecar/moves.rs
+++ b/tests/sidecar/moves.rs
@@ -7,6 +7,7 @@
         sidecar::{
             document::Order,
             evidence::{Report, Totals},
+            history::Position,
             load_balancer::{AttemptResult, Load, LoadBalancer, Offer, Request, VersionFilter},
             rollout::{Phase, Rollout, RolloutState},
         },
@@ -133,7 +134,10 @@
     fn run(mut self) -> (Phase, usize) {
         let order = Order {
             duration: DURATION,
-            mark: 7,
+            mark: Position {
+                epoch: None,
+                version: 7,
+            },
             service: desk(),
             to: version("v2"),
         };
--- a/tests/sidecar/rollout.rs
+++ b/tests/sidecar/rollout.rs
@@ -3,6 +3,7 @@
         sidecar::{
             document::Order,
             evidence::{Report, Totals},
+            history::Position,
             rollout::{Leader, Observation, Phase, Rollout, RolloutState},
         },
         types::{Moment, Permille, Service, Version},
@@ -37,7 +38,10 @@
 fn order() -> Order {
     Order {
         duration: DURATION,
-        mark: 7,
+        mark: Position {
+            epoch: None,
+            version: 7,
+        },
         service: desk(),
         to: version("v2"),
     }
