Store: nodes write their own rows again after the store came back from a copy

After a restore from a copy that was older than the rows of the nodes, these stayed lost: a machine that started later knew nobody, and an endpoint that had left was used again after a restart of its node.

Cause: a node takes a row for written once that was acknowledged. Nobody but its writer writes it again, and nodes that do not read the store have no way to notice the restore.

A node now keeps the epoch in which its row, and the departure of its upstream, were written, and writes them again once it knows of a later one.

Ruled out: that the nodes write again by themselves once they regain the store. Only nodes that were seen to lose it do, and these are the readers.

--- a/src/sidecar/departure.rs
+++ b/src/sidecar/departure.rs
@@ -5,7 +5,12 @@
 //! hears of an upstream that had started before it. See docs/design/platform.md.
 
 use {
-    super::{handle::Announcement, node::Core, store::Store},
+    super::{
+        handle::Announcement,
+        history::Epoch,
+        node::{Core, STORE_SOURCE},
+        store::Store,
+    },
     crate::types::Moment,
     serde::{Deserialize, Serialize},
     std::{
@@ -62,6 +67,8 @@
 #[derive(Default)]
 pub(super) struct Record {
     changed: Notify,
+    /// Epoch of the store in which the departure was written or read.
+    held_in: Cell<Option<Epoch>>,
     /// Whether the departure that an earlier process of this node has recorded, if any, was read.
     known: Cell<bool>,
     /// Whether it is to be read. An upstream that has started with its node can't have left before.
@@ -111,17 +118,23 @@
     }
 }
 
-/// Reads what an earlier process has recorded if that is requested, and writes departures for as long as the node runs. Never
-/// returns.
+/// Reads what an earlier process has recorded if that is requested, and writes departures for as long as the node runs, again if
+/// the store has come back from a copy that may not hold them. Never returns.
 pub(super) async fn run<S: Store>(core: Rc<Core>, store: Rc<S>) {
     let record = &core.local_upstream.departure_record;
     loop {
+        if core.epoch.get() > record.held_in.get() && record.unwritten.borrow().is_none() {
+            *record.unwritten.borrow_mut() = core.local_upstream.departure();
+        }
         let unwritten = record.unwritten.borrow().clone();
         let done = match unwritten {
             Some(departure) => write(&core, &*store, departure).await,
             None if record.requested.get() && !record.is_known() => read(&core, &*store).await,
             None => {
-                record.changed.notified().await;
+                tokio::select! {
+                    () = record.changed.notified() => {}
+                    () = core.epoch_changed.notified() => {}
+                }
                 continue;
             }
         };
@@ -150,6 +163,8 @@
     );
     let record = &core.local_upstream.departure_record;
     if written.is_ok() {
+        record.held_in.set(store.epoch());
+        core.note_epoch(store.epoch(), STORE_SOURCE);
         // A departure that was submitted meanwhile is written next.
         record
             .unwritten
@@ -157,7 +172,8 @@
             .take_if(|unwritten| *unwritten == departure);
         record.settled.notify_waiters();
     }
-    written.is_ok()
+    // An answer from before a restore that this node has heard of says nothing about the copy.
+    written.is_ok() && store.epoch() >= core.epoch.get()
 }
 
 async fn read<S: Store>(core: &Core, store: &S) -> bool {
@@ -182,13 +198,13 @@
                 .map_or("none", |departure| &departure.instance)
         ),
     );
-    core.local_upstream.departure_record.known.set(true);
+    let record = &core.local_upstream.departure_record;
+    record.known.set(true);
+    record.held_in.set(store.epoch());
+    core.note_epoch(store.epoch(), STORE_SOURCE);
     if core.local_upstream.restore_departure(core, departure) {
         core.broadcast_status();
     }
-    core.local_upstream
-        .departure_record
-        .settled
-        .notify_waiters();
+    record.settled.notify_waiters();
     true
 }
--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -7,6 +7,7 @@
         document::{Delta, Document, Number},
         evidence::Report,
         handle::Announcement,
+        history::Epoch,
         load_balancer::{Load, Offer},
         queue::Demand,
         rollout::RolloutState,
@@ -118,6 +119,18 @@
     Unknown(Reason),
 }
 
+/// Confirmation that a document is the newest one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Confirmation {
+    /// Time since the store was read.
+    pub age: Duration,
+    /// Latest epoch of the store that the sender knows. A higher one tells the receiver that the store may have lost what
+    /// the receiver wrote.
+    pub epoch: Option<Epoch>,
+    /// Number of the document that was the newest one in the store then.
+    pub number: Number,
+}
+
 /// State of a node that it announces to its peers.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
@@ -168,9 +181,8 @@
     Recall(Announcement),
     /// Refers a node that has no document to another one, which has the document or is about to receive it.
     Referral(Host),
-    /// The document with this number was the newest one in the store the given time ago. The receiver relays it to the
-    /// scope, once it has the document in force.
-    Confirmation(Scope, Number, Duration),
+    /// What a node has read of the store. The receiver relays it to the scope, once it has the document in force.
+    Confirmation(Scope, Confirmation),
 }
 
 /// Encodes a frame, preceded by its length. Documents and their differences are compressed, as configurations are
--- a/src/sidecar/local_upstream.rs
+++ b/src/sidecar/local_upstream.rs
@@ -93,6 +93,11 @@
 }
 
 impl LocalUpstream {
+    /// Returns the last departure of an instance.
+    pub fn departure(&self) -> Option<Departure> {
+        self.departure.borrow().clone()
+    }
+
     pub fn new(queue: Queue, quarantine: Quarantine, pool: Pool, heartbeat: Duration) -> Self {
         Self {
             heartbeat,
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -112,6 +112,7 @@
                 settings.heartbeat,
             ),
             epoch: Cell::default(),
+            epoch_changed: Notify::new(),
             index: RefCell::default(),
             log,
             metrics,
--- a/src/sidecar/node/core.rs
+++ b/src/sidecar/node/core.rs
@@ -64,6 +64,8 @@
     pub local_upstream: local_upstream::LocalUpstream,
     /// Latest known epoch of the store, `None` if it has not stated one.
     pub epoch: Cell<Option<Epoch>>,
+    /// Notified when that rises.
+    pub epoch_changed: Notify,
     /// Index of the routes of the document in force.
     pub index: RefCell<Index>,
     /// Log of this node.
@@ -218,6 +220,7 @@
             return;
         };
         self.epoch.set(epoch);
+        self.epoch_changed.notify_waiters();
         self.metrics
             .store_epoch
             .set(i64::try_from(stated.0).unwrap_or(i64::MAX));
--- a/src/sidecar/peers/broadcast.rs
+++ b/src/sidecar/peers/broadcast.rs
@@ -10,7 +10,7 @@
         sidecar::{
             dissemination::{self, Scope},
             document::Number,
-            frame::{self, Contact, Frame},
+            frame::{self, Confirmation, Contact, Frame},
             node::Core,
             rollout::{Phase, RolloutState},
         },
@@ -197,10 +197,14 @@
 pub(in crate::sidecar) fn push_confirmation(core: &Core, scope: Scope, age: Duration) {
     let mut links = core.peers.responsive_links();
     links.shuffle(&mut *core.peers.rng.borrow_mut());
-    let number = core.number();
+    let confirmation = Confirmation {
+        age,
+        epoch: core.epoch.get(),
+        number: core.number(),
+    };
     for hop in dissemination::next_hops(&core.contact, scope, &Peers::contacts_of(&links)) {
         core.peers
-            .send(&hop.host, &Frame::Confirmation(hop.scope, number, age));
+            .send(&hop.host, &Frame::Confirmation(hop.scope, confirmation));
     }
 }
 
@@ -210,10 +214,10 @@
     core: &Core,
     from: &Host,
     scope: Scope,
-    number: Number,
-    age: Duration,
+    confirmation: Confirmation,
 ) {
     let now = core.now();
+    let Confirmation { age, number, .. } = confirmation;
     if number == core.number() {
         confirm_and_relay(core, from, scope, age);
     } else if number > core.number() {
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -93,9 +93,10 @@
             }
         }
         Frame::Difference(scope, difference) => apply_delta(core, &current, scope, &difference),
-        Frame::Confirmation(scope, number, age) => {
-            record_document(core, &current, number);
-            broadcast::receive_confirmation(core, host, scope, number, age);
+        Frame::Confirmation(scope, confirmation) => {
+            core.note_epoch(confirmation.epoch, host.as_str());
+            record_document(core, &current, confirmation.number);
+            broadcast::receive_confirmation(core, host, scope, confirmation);
         }
         Frame::Evidence(evidence) => record_evidence(core, link, evidence),
         Frame::Ramp(scope, state) => {
--- a/src/sidecar/store_follower.rs
+++ b/src/sidecar/store_follower.rs
@@ -39,7 +39,9 @@
 const COLD_START_PUSH_INTERVAL: Duration = Duration::from_millis(80);
 /// Registers this node, finds the others, and follows the store while this node is one of its readers.
 pub(super) async fn run<S: Store>(core: Rc<Core>, store: Rc<S>) {
-    registration::register(&core, &*store).await;
+    let registered_in = registration::register(&core, &*store).await;
+    let keeping = registration::keep_registered(core.clone(), store.clone(), registered_in);
+    tokio::task::spawn_local(keeping);
     let began = core.now();
     let mut mark = None;
     let mut checks = 0;
