Rollouts: an order that is written again after a restore of the store is the known one, and its record too

The operator never saw how a rollout went on after the store had lost it with its order: no status/rollout/... within 8 s. A version that had been rolled back could be shown again, and an order that the store had again in place of a later, lost one was carried out once more.

Cause: an order is identified by its version in the store, so the same order, written again, was ignored under a lower version and a new rollout under a higher one; and a record that was acknowledged once was believed to stand for good.

rollout::Orders, a state machine without I/O, now tells a new order from a known one. Within an epoch the position decides, as before. Across epochs the first order with the same content repeats the known one, which keeps its identity, so no node has to change what it holds; the next one is new. An order that has outlasted the restore under its old version, or has come back in place of a later one, is recognised by the record that was read with it, or from memory. A record is written again once a later epoch is known, and one whose condition was read in another epoch is not taken for written.

Evidence: on rollout_goes_on_and_is_recorded_under_an_order_that_is_written_again, order_under_a_lower_version_..., rolled_back_version_gets_no_requests_after_its_order_is_written_again and order_that_comes_back_in_place_of_a_later_one_... fail ("not within ten seconds: v2 is recorded as succeeded", and the like); all hold now. Weighed: to give the known order the new position everywhere. A state that is still under way with the old position would then put back a phase that the new one has passed. Not covered: an order with the same content that the operator means as a new one, as the first one after a restore, is answered with the end of the known one; it runs when it is written once more.

--- a/src/sidecar/leader.rs
+++ b/src/sidecar/leader.rs
@@ -8,10 +8,10 @@
         dissemination::Scope,
         evidence::{Report, Summary},
         frame::Frame,
-        history::Position,
-        node::Core,
+        history::{Epoch, Position},
+        node::{Core, STORE_SOURCE},
         peers,
-        rollout::{Phase, Rollout, RolloutState},
+        rollout::{Orders, Phase, Rollout, RolloutState},
         store::{RolloutRecord, Store},
     },
     crate::types::{Moment, Service},
@@ -23,12 +23,24 @@
 /// The delay before the store is tried again after a rollout could not be recorded.
 const RECORD_RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// What the store is known to hold of a rollout.
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct Recorded {
+    /// The epoch of the store in which it was read or written.
+    epoch: Option<Epoch>,
+    /// The order's mark.
+    mark: Position,
+    phase: Phase,
+}
+
 /// The rollouts that this node knows of, whether it leads them or not.
 #[derive(Default)]
 pub(super) struct Rollouts {
     pub by_service: HashMap<Service, Rollout>,
-    /// The order's mark and the phase that the store is known to hold.
-    recorded: HashMap<Service, (Position, Phase)>,
+    /// Which orders are to be carried out.
+    pub orders: Orders,
+    /// What the store is known to hold.
+    recorded: HashMap<Service, Recorded>,
     /// Whether a record is being written; only one is at a time.
     recording: bool,
     /// The state that was last sent to the other nodes, and when.
@@ -36,10 +48,15 @@
 }
 
 impl Rollouts {
-    /// Applies the store's record of a rollout. An end in the store replaces the phase that is held.
-    pub fn apply_record(&mut self, now: Moment, record: &RolloutRecord) {
-        let state = (record.mark, record.phase);
-        self.recorded.insert(record.service.clone(), state);
+    /// Applies the store's record of a rollout, which stands in the given epoch. An end in the store replaces the phase that
+    /// is held.
+    pub fn apply_record(&mut self, now: Moment, record: &RolloutRecord, epoch: Option<Epoch>) {
+        let recorded = Recorded {
+            epoch,
+            mark: record.mark,
+            phase: record.phase,
+        };
+        self.recorded.insert(record.service.clone(), recorded);
         let Some(rollout) = self.by_service.get_mut(&record.service) else {
             return;
         };
@@ -103,7 +120,7 @@
             continue;
         }
         let mark = Some(rollout.order().mark);
-        let known = recorded.get(service).map(|(mark, _)| *mark) == mark;
+        let known = recorded.get(service).map(|recorded| recorded.mark) == mark;
         let published_phase = published_phase(core, rollout);
         // A rollout of which no state has reached this node may have ended already; only the store knows.
         let unknown = !known && published_phase.is_none();
@@ -167,7 +184,10 @@
     let states = core.rollout_states.borrow();
     let mut rollouts = core.rollouts.borrow_mut();
     let Rollouts {
-        by_service, sent, ..
+        by_service,
+        orders,
+        sent,
+        ..
     } = &mut *rollouts;
     for (service, state) in states.iter() {
         let order = |rollout: &Rollout| rollout.order().mark;
@@ -180,7 +200,10 @@
                 }
             }
             _ => {
-                by_service.insert(service.clone(), Rollout::from_state(now, state));
+                let rollout = Rollout::from_state(now, state);
+                if let Some(replaced) = by_service.insert(service.clone(), rollout) {
+                    orders.replace(replaced.order().clone());
+                }
             }
         }
     }
@@ -195,8 +218,14 @@
         }
         rollouts.by_service.values().find_map(|rollout| {
             let order = rollout.order();
-            let state = (order.mark, rollout.phase());
-            let known = rollouts.recorded.get(&order.service) == Some(&state);
+            // What was recorded in an earlier epoch may be lost, and nobody else writes it again.
+            let known = rollouts
+                .recorded
+                .get(&order.service)
+                .is_some_and(|recorded| {
+                    (recorded.mark, recorded.phase) == (order.mark, rollout.phase())
+                        && recorded.epoch >= core.epoch.get()
+                });
             (!known).then(|| RolloutRecord {
                 elapsed: rollout.elapsed(core.now()),
                 mark: order.mark,
@@ -213,7 +242,10 @@
     let (core, store) = (core.clone(), store.clone());
     tokio::task::spawn_local(async move {
         match store.write_record(&record).await {
-            Ok(stored) => apply_record(&core, &stored),
+            Ok(stored) => {
+                core.note_epoch(store.epoch(), STORE_SOURCE);
+                apply_record(&core, &stored, store.epoch());
+            }
             Err(fault) => {
                 core.log.record(
                     core.now(),
@@ -231,7 +263,7 @@
 }
 
 /// Applies what the store holds after a write: an end that was recorded earlier overrides later observations.
-fn apply_record(core: &Core, stored: &RolloutRecord) {
+fn apply_record(core: &Core, stored: &RolloutRecord, epoch: Option<Epoch>) {
     core.log.record(
         core.now(),
         "record",
@@ -240,5 +272,7 @@
             stored.service, stored.to, stored.phase, stored.mark
         ),
     );
-    core.rollouts.borrow_mut().apply_record(core.now(), stored);
+    core.rollouts
+        .borrow_mut()
+        .apply_record(core.now(), stored, epoch);
 }
--- a/src/sidecar/rollout.rs
+++ b/src/sidecar/rollout.rs
@@ -6,9 +6,13 @@
 //! that is bad only under load. The new version's failures and late requests are compared, route by route,
 //! with the old version's in the same window; docs/design/rollouts.md gives the error bounds of the test.
 
+mod orders;
 mod state;
 
-pub use state::{Leader, Observation, Phase, RolloutState};
+pub use {
+    orders::{Orders, Reading},
+    state::{Leader, Observation, Phase, RolloutState},
+};
 
 use {
     super::{
--- a/src/sidecar/store_follower.rs
+++ b/src/sidecar/store_follower.rs
@@ -1,16 +1,15 @@
 //! Follows the store. Two nodes read the operator's documents and orders from it and relay them; all other nodes
 //! receive them from these two.
 
+mod orders;
 mod registration;
 
 use {
     super::{
         dissemination::Scope,
-        document::Order,
         node::{Core, STORE_SOURCE},
         peers,
-        rollout::{Phase, Rollout, RolloutState},
-        store::{Changes, Fault, RolloutRecord, Store},
+        store::{Changes, Fault, Store},
         store_readers::{self, READERS_MAX, StoreAccess},
     },
     rand::Rng,
@@ -254,8 +253,9 @@
         log_fault(core, "left-out", fault);
     }
     for order in changes.orders {
-        if record_order(core, &order) && full_read {
-            restore_rollout(core, order, &changes.records);
+        let taken = orders::take(core, order, &changes.records);
+        if let Some(order) = taken.filter(|_| full_read) {
+            orders::restore_rollout(core, order, &changes.records, changes.mark.epoch);
         }
     }
     let Some(document) = changes.document else {
@@ -290,48 +290,3 @@
         }
     });
 }
-
-/// Records an order. Returns `true` if it is newer than the known order for its service.
-fn record_order(core: &Core, order: &Order) -> bool {
-    let mut rollouts = core.rollouts.borrow_mut();
-    let known = rollouts
-        .by_service
-        .get(&order.service)
-        .is_some_and(|rollout| rollout.order().mark >= order.mark);
-    if known {
-        return false;
-    }
-    let now = core.now();
-    core.log.record(
-        now,
-        "order",
-        format_args!(
-            "service={} to={} duration_ms={} order={}",
-            order.service,
-            order.to,
-            order.duration.as_millis(),
-            order.mark
-        ),
-    );
-    let states = core.rollout_states.borrow();
-    let service = order.service.clone();
-    let rollout = match states.get(&service) {
-        Some(state) if state.order.mark == order.mark => Rollout::from_state(now, state),
-        _ => Rollout::new(now, order.clone()),
-    };
-    rollouts.by_service.insert(service, rollout);
-    true
-}
-
-/// Restores the state of a rollout from its record after a full read of the store, so that no request is routed by the
-/// document alone.
-fn restore_rollout(core: &Core, order: Order, records: &[RolloutRecord]) {
-    let recorded =
-        |record: &&RolloutRecord| record.service == order.service && record.mark == order.mark;
-    let record = records.iter().find(recorded);
-    if let Some(record) = record {
-        core.rollouts.borrow_mut().apply_record(core.now(), record);
-    }
-    let phase = record.map_or(Phase::Running, |record| record.phase);
-    core.install_state(RolloutState::without_leader(order, phase));
-}
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -19,6 +19,8 @@
 mod moves;
 #[path = "sidecar/neighbours.rs"]
 mod neighbours;
+#[path = "sidecar/orders.rs"]
+mod orders;
 #[path = "sidecar/queue.rs"]
 mod queue;
 #[path = "sidecar/queue_load.rs"]
