Soak: the store comes back from a copy, and the operator writes again what was lost

On two of four seeds with faults the store is copied, goes away in silence or with closed connections, and comes back from the last copy, up to 4 s old and several times in a row; up to half a second later the operator writes again what differs from its newest rows. The other steps of a seed stay as they are. At the end of a run the store has to have the rows of all nodes.

--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -16,6 +16,14 @@
 const REPEATED_FAULTS: u32 = 3;
 /// Time between the occurrences of a repeated fault.
 const REPEATED_FAULT_GAP: Duration = Duration::from_millis(300);
+/// Of this many seeds, two have restores of the store in their plan unless it has planned work only.
+const RESTORES_OF: u64 = 4;
+/// Upper bound of the age of the copy that the store comes back from.
+const BACKUP_AGE_MS_MAX: u64 = 4000;
+/// Upper bound of the time for which the store is away before it comes back from a copy.
+const ABSENCE_MS_MAX: u64 = 1500;
+/// Upper bound of the time between two copies.
+const BACKUP_GAP_MS_MAX: u64 = 5000;
 /// One in this many seeds gives a plan with planned work only, in which no request may be lost.
 const PLANNED_ONE_IN: u64 = 3;
 
@@ -36,6 +44,8 @@
 /// unless a variant says otherwise.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
+    /// The store is copied.
+    BackUp,
     /// The operator writes a new configuration.
     Configure,
     /// The endpoint is killed, and restarted after this time.
@@ -65,6 +75,9 @@
     Restart(usize),
     /// All nodes are stopped gracefully, this time apart, and each is restarted once it has ended.
     RestartAll(Duration),
+    /// The store is away for this time and comes back from the last copy. After the second time, the operator writes again
+    /// what was lost.
+    Restore(Mode, Duration, Duration),
     /// The endpoint takes longer to run requests.
     Slow(usize, Duration),
     /// The store misbehaves.
@@ -134,11 +147,40 @@
             }));
             at += Duration::from_millis(random.random_range(50..GAP_MS_MAX));
         }
+        if !planned && matches!(seed % RESTORES_OF, 1 | 2) {
+            add_restores(&mut steps, seed, length);
+        }
         steps.sort_by_key(|step| step.at);
         Self { planned, steps }
     }
 }
 
+/// Adds copies of the store, from each of which it comes back later.
+fn add_restores(steps: &mut Vec<Step>, seed: u64, length: Duration) {
+    // Of its own, so that the other steps of a seed stay as they are.
+    let mut random = StdRng::seed_from_u64(!seed);
+    let mut millis = |max: u64| Duration::from_millis(random.random_range(20..max));
+    let mut at = millis(BACKUP_GAP_MS_MAX);
+    while at < length {
+        steps.push(Step {
+            at,
+            fault: Fault::BackUp,
+        });
+        let restored_at = at + millis(BACKUP_AGE_MS_MAX);
+        let absence = millis(ABSENCE_MS_MAX);
+        let mode = if absence.as_millis().is_multiple_of(3) {
+            Mode::Closes
+        } else {
+            Mode::Silent
+        };
+        steps.push(Step {
+            at: restored_at,
+            fault: Fault::Restore(mode, absence, millis(500)),
+        });
+        at += millis(BACKUP_GAP_MS_MAX);
+    }
+}
+
 fn random_planned_fault(random: &mut StdRng, machines: usize) -> Fault {
     let machine = random.random_range(0..machines);
     match random.random_range(0..17) {
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -9,7 +9,7 @@
         ledger::{Kind, Ledger, Violation},
         plan::Plan,
     },
-    mulberryshelf_standin::{Caller, Mode, configuration},
+    mulberryshelf_standin::{Backup, Caller, Mode, configuration},
     std::{
         cell::{Cell, RefCell},
         io,
@@ -33,6 +33,8 @@
 
 /// Run in progress.
 pub struct Soak {
+    /// Last copy of the store.
+    pub backup: RefCell<Option<Backup>>,
     /// Machines and the store of the run.
     pub fleet: Fleet,
     /// Observations so far.
@@ -92,6 +94,7 @@
 /// Returns an error if the machines can't be started or signalled.
 pub async fn run(ground: &Ground, machines: usize, seed: u64, plan: &Plan) -> io::Result<Report> {
     let soak = Rc::new(Soak {
+        backup: RefCell::default(),
         configuration: Cell::new(0),
         ended: Cell::new(false),
         fleet: Fleet::start(ground, machines).await?,
@@ -117,12 +120,23 @@
     let calm_since = Instant::now();
     tokio::time::sleep(CALM_PERIOD).await;
     soak.ended.set(true);
+    check_rows(&soak);
     for caller in sending {
         caller.await.map_err(io::Error::other)?;
     }
     Ok(build_report(&soak, calm_since))
 }
 
+/// Records a violation for each node whose row the store does not have.
+fn check_rows(soak: &Soak) {
+    let rows = soak.fleet.store.keys("nodes");
+    for machine in &soak.fleet.machines {
+        if !rows.contains(&machine.name) {
+            soak.broken(format!("the store has no row of {}", machine.name));
+        }
+    }
+}
+
 /// Completes the ledger with the runs of the endpoints, and checks it. Every response to a request that was sent after
 /// `calm_since` must have status 200.
 fn build_report(soak: &Soak, calm_since: Instant) -> Report {
--- a/soak/tests/plan.rs
+++ b/soak/tests/plan.rs
@@ -47,6 +47,7 @@
         }
     }
     let all = [
+        "BackUp",
         "Configure",
         "Crash",
         "Drain",
@@ -60,6 +61,7 @@
         "Reset",
         "Restart",
         "RestartAll",
+        "Restore",
         "Slow",
         "Store",
     ];
