Soak: restores after which versions pass the readers' position, from an empty copy as well

The operator writes the next configuration with what was lost, partly before the store answers again, and others write up to 30 rows, so that versions pass the position of the readers before they ask. Some restores are from the copy before the last one, the first of which is empty, so that the nodes' own rows are lost.

--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -98,7 +98,7 @@
         | Fault::Pause(index, _)
         | Fault::Reset(index)
         | Fault::Restart(index) => index..index + 1,
-        Fault::KillAll(_) | Fault::Restore(..) | Fault::RestartAll(_) | Fault::Store(..) => {
+        Fault::KillAll(_) | Fault::Restore { .. } | Fault::RestartAll(_) | Fault::Store(..) => {
             0..count
         }
         Fault::BackUp
@@ -115,7 +115,7 @@
 async fn inject_one(soak: &Rc<Soak>, fault: Fault) -> io::Result<()> {
     let machines = &soak.fleet.machines;
     match fault {
-        Fault::BackUp => *soak.backup.borrow_mut() = Some(soak.fleet.store.back_up()),
+        Fault::BackUp => *soak.backup.borrow_mut() = soak.fleet.store.back_up(),
         Fault::Configure => soak.configure(),
         Fault::Crash(index, time) => crash(&machines[index], time).await,
         Fault::Drain(index) => drain_and_replace(soak, index).await,
@@ -153,7 +153,27 @@
             }
             join_all(all).await?;
         }
-        Fault::Restore(absence, time, delay) => restore_store(soak, absence, time, delay).await,
+        Fault::Restore {
+            absence,
+            time,
+            delay,
+            others,
+        } => {
+            let store = &soak.fleet.store;
+            store.behave(absence);
+            tokio::time::sleep(time).await;
+            store.restore(&soak.backup.borrow());
+            if !delay.is_zero() {
+                store.behave(Mode::Serves);
+                tokio::time::sleep(delay).await;
+            }
+            store.write_again();
+            soak.configure();
+            for _ in 0..others {
+                store.operator("op/other", &serde_json::json!({}));
+            }
+            store.behave(Mode::Serves);
+        }
         Fault::Slow(index, time) => {
             machines[index].endpoint.take(SLOW_RUN_TIME);
             tokio::time::sleep(time).await;
@@ -168,19 +188,6 @@
     Ok(())
 }
 
-/// Has the store go away and come back from the last copy. After `delay` the operator writes again what was lost.
-async fn restore_store(soak: &Soak, absence: Mode, time: Duration, delay: Duration) {
-    let store = &soak.fleet.store;
-    store.behave(absence);
-    tokio::time::sleep(time).await;
-    if let Some(backup) = &*soak.backup.borrow() {
-        store.restore(backup);
-    }
-    store.behave(Mode::Serves);
-    tokio::time::sleep(delay).await;
-    store.write_again();
-}
-
 /// Records that a machine was disturbed from this time until now, with [`CATCH_UP_TIME`] added.
 fn record_disturbance(soak: &Soak, machine: usize, from: Instant) {
     let until = Instant::now() + CATCH_UP_TIME;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -22,6 +22,10 @@
 const BACKUP_AGE_MS_MAX: u64 = 4000;
 /// Upper bound of the time for which the store is away before it comes back from a copy.
 const ABSENCE_MS_MAX: u64 = 1500;
+/// Upper bound of the time after which the operator writes again what was lost.
+const REWRITE_DELAY_MS_MAX: u64 = 500;
+/// Upper bound of the number of rows that others write then.
+const OTHER_ROWS_MAX: u64 = 30;
 /// Upper bound of the time between two copies.
 const BACKUP_GAP_MS_MAX: u64 = 5000;
 /// One in this many seeds gives a plan with planned work only, in which no request may be lost.
@@ -75,9 +79,18 @@
     Restart(usize),
     /// All nodes are stopped gracefully, this time apart, and each is restarted once it has ended.
     RestartAll(Duration),
-    /// The store is away for this time and comes back from the last copy. After the second time, the operator writes again
-    /// what was lost.
-    Restore(Mode, Duration, Duration),
+    /// The store is away, and comes back from the last copy.
+    Restore {
+        /// How it is away.
+        absence: Mode,
+        /// For how long it is away.
+        time: Duration,
+        /// Time after which the operator writes again what was lost, and the next configuration; zero if the store answers
+        /// again only then.
+        delay: Duration,
+        /// Number of rows that others write at the same time.
+        others: u64,
+    },
     /// The endpoint takes longer to run requests.
     Slow(usize, Duration),
     /// The store misbehaves.
@@ -159,25 +172,39 @@
 fn add_restores(steps: &mut Vec<Step>, seed: u64, length: Duration) {
     // Of its own, so that the other steps of a seed stay as they are.
     let mut random = StdRng::seed_from_u64(!seed);
-    let mut millis = |max: u64| Duration::from_millis(random.random_range(20..max));
-    let mut at = millis(BACKUP_GAP_MS_MAX);
+    let millis = |random: &mut StdRng, max| Duration::from_millis(random.random_range(20..max));
+    let mut at = millis(&mut random, BACKUP_GAP_MS_MAX);
     while at < length {
-        steps.push(Step {
-            at,
-            fault: Fault::BackUp,
-        });
-        let restored_at = at + millis(BACKUP_AGE_MS_MAX);
-        let absence = millis(ABSENCE_MS_MAX);
-        let mode = if absence.as_millis().is_multiple_of(3) {
+        // Otherwise the store comes back from the copy before that, the first of which is empty.
+        if random.random_ratio(2, 3) {
+            steps.push(Step {
+                at,
+                fault: Fault::BackUp,
+            });
+        }
+        let restored_at = at + millis(&mut random, BACKUP_AGE_MS_MAX);
+        let absence = if random.random_ratio(1, 3) {
             Mode::Closes
         } else {
             Mode::Silent
         };
+        let time = millis(&mut random, ABSENCE_MS_MAX);
+        let delay = if random.random() {
+            Duration::ZERO
+        } else {
+            millis(&mut random, REWRITE_DELAY_MS_MAX)
+        };
+        let others = random.random_range(0..OTHER_ROWS_MAX);
         steps.push(Step {
             at: restored_at,
-            fault: Fault::Restore(mode, absence, millis(500)),
+            fault: Fault::Restore {
+                absence,
+                time,
+                delay,
+                others,
+            },
         });
-        at += millis(BACKUP_GAP_MS_MAX);
+        at += millis(&mut random, BACKUP_GAP_MS_MAX);
     }
 }
 
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -34,7 +34,7 @@
 /// Run in progress.
 pub struct Soak {
     /// Last copy of the store.
-    pub backup: RefCell<Option<Backup>>,
+    pub backup: RefCell<Backup>,
     /// Machines and the store of the run.
     pub fleet: Fleet,
     /// Observations so far.
@@ -93,11 +93,13 @@
 /// # Errors
 /// Returns an error if the machines can't be started or signalled.
 pub async fn run(ground: &Ground, machines: usize, seed: u64, plan: &Plan) -> io::Result<Report> {
+    let fleet = Fleet::start(ground, machines).await?;
     let soak = Rc::new(Soak {
-        backup: RefCell::default(),
+        // Of the empty store: the nodes have not run yet.
+        backup: RefCell::new(fleet.store.back_up()),
         configuration: Cell::new(0),
         ended: Cell::new(false),
-        fleet: Fleet::start(ground, machines).await?,
+        fleet,
         ledger: RefCell::new(Ledger {
             planned: plan.planned,
             ..Ledger::default()
