Rollouts: evidence and states that a node has missed reach the leader and its failure domain

The only node with runs of the new version never had the state that names the leader, so that its evidence went to the first reader, which kept it, and the leader judged without it.

Causes, both read in the code and shown by a test each: a node that does not lead a rollout recorded evidence from its own region instead of passing it on; and a relay that had a state already, from a new connection, did not pass it on to its failure domain. The relays were the same ones each time, so that one that is silent hid every state from those behind it.

Evidence is now passed on by whoever knows the leader, twice at most, and its sender gets the state that it has missed. A relay passes on what it holds, as for documents, and relays are drawn anew each time, as for confirmations.

Evidence: evidence_that_reaches_another_node_is_passed_on_to_the_leader_and_its_sender_is_told and relay_passes_a_rollout_state_on_that_it_has_already fail before ("assertion failed: receives(...)") and hold now.

--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -163,8 +163,8 @@
     Document(Scope, Arc<Document>),
     /// Difference between two documents, and the scope to which the receiver relays it.
     Difference(Scope, Arc<Delta>),
-    /// Results of requests at the sender's upstream, for the leader of the rollout.
-    Evidence(Report),
+    /// Results of requests at an upstream, for the leader of the rollout, and the number of nodes that have passed them on.
+    Evidence(Report, u8),
     /// State of a rollout, and the scope to which the receiver relays it.
     Ramp(Scope, RolloutState),
     /// Requests that crash upstreams, to be quarantined.
--- a/src/sidecar/leader.rs
+++ b/src/sidecar/leader.rs
@@ -97,7 +97,7 @@
         return;
     };
     match core.remote_leader_of(&evidence.service) {
-        Some(host) => core.peers.send(&host, &Frame::Evidence(evidence)),
+        Some(host) => core.peers.send(&host, &Frame::Evidence(evidence, 0)),
         None => core.rollouts.borrow_mut().record(&evidence),
     }
 }
--- a/src/sidecar/peers/broadcast.rs
+++ b/src/sidecar/peers/broadcast.rs
@@ -268,7 +268,9 @@
             .broadcast(&Frame::Ramp(Scope::Host, state.clone()));
         return;
     }
-    let links = core.peers.responsive_links();
+    // Other relays each time: a running rollout's state is sent again, and nobody acknowledges it.
+    let mut links = core.peers.responsive_links();
+    links.shuffle(&mut *core.peers.rng.borrow_mut());
     for hop in dissemination::next_hops(&core.contact, scope, &Peers::contacts_of(&links)) {
         core.peers
             .send(&hop.host, &Frame::Ramp(hop.scope, state.clone()));
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -22,6 +22,9 @@
     tokio::sync::oneshot,
 };
 
+/// Number of nodes that pass evidence on. Two nodes may each take the other for the leader.
+const EVIDENCE_HOPS_MAX: u8 = 2;
+
 /// Handles one frame. Any frame counts as a sign that the node responds.
 pub(super) fn receive(core: &Rc<Core>, link: &Rc<Link>, frame: Frame) {
     let now = core.now();
@@ -98,14 +101,17 @@
             record_document(core, &current, confirmation.number);
             broadcast::receive_confirmation(core, host, scope, confirmation);
         }
-        Frame::Evidence(evidence) => record_evidence(core, link, evidence),
+        Frame::Evidence(evidence, hops) => record_evidence(core, link, evidence, hops),
         Frame::Ramp(scope, state) => {
-            if core.install_state(state.clone()) {
+            let is_new = core.install_state(state.clone());
+            let is_held = core.rollout_states.borrow().get(&state.order.service) == Some(&state);
+            if is_held {
+                // The nodes that depend on this relay may not have it yet.
                 broadcast::push_state(core, scope, &state);
-                if state.phase != Phase::Running {
-                    let ended = Frame::Ramp(Scope::Host, state);
-                    core.peers.relay_within_region(&link.contact, &ended);
-                }
+            }
+            if is_new && state.phase != Phase::Running {
+                let ended = Frame::Ramp(Scope::Host, state);
+                core.peers.relay_within_region(&link.contact, &ended);
             }
         }
         Frame::Strikes(strikes) => {
@@ -128,18 +134,24 @@
     }
 }
 
-/// Records evidence, or forwards it to the leader of the rollout if it came from another region: its sender may not be
-/// connected to that node.
-fn record_evidence(core: &Core, link: &Link, evidence: Report) {
-    let leader = if core.tier_of(&link.contact) == Tier::Remote {
-        core.remote_leader_of(&evidence.service)
-    } else {
-        None
+/// Records evidence, or passes it on to the leader of the rollout: its sender may not be connected to that node, or may have
+/// missed which one it is. A sender of this region is told then.
+fn record_evidence(core: &Core, link: &Link, evidence: Report, hops: u8) {
+    let leader = core
+        .remote_leader_of(&evidence.service)
+        .filter(|_| hops < EVIDENCE_HOPS_MAX);
+    let Some(leader) = leader else {
+        core.rollouts.borrow_mut().record(&evidence);
+        return;
     };
-    match leader {
-        Some(host) => core.peers.send(&host, &Frame::Evidence(evidence)),
-        None => core.rollouts.borrow_mut().record(&evidence),
+    if hops == 0 && core.tier_of(&link.contact) != Tier::Remote {
+        let states = core.rollout_states.borrow();
+        if let Some(state) = states.get(&evidence.service) {
+            link.send(&Frame::Ramp(Scope::Host, state.clone()), None);
+        }
     }
+    core.peers
+        .send(&leader, &Frame::Evidence(evidence, hops + 1));
 }
 
 /// Records which document a node has in force, and fetches it at once from a nearby node if it is newer.
