Configuration: other contents under a number that the store has lost replace the first ones

An operator whose configuration was lost with a restore of the store, and who gave its number to other contents, had them refused by all nodes, as that number was in force already.

What "never goes back" means is decided by the operator's numbers: a lower one never replaces a higher one, also while the store holds it after a restore. Of two contents of one number the later ones hold, and they are later only if the store has come back from a copy between them: then the reader marks the number as reissued in that epoch, which makes it a higher one for all nodes, so that it is spread, confirmed and fetched like any change. Without a restore the second contents are refused as before. A number that is written again with the contents in force costs nothing.

--- a/src/sidecar/document.rs
+++ b/src/sidecar/document.rs
@@ -3,7 +3,7 @@
 //! node installs a document as a whole or not at all, and never an older one than it holds.
 
 use {
-    super::history::Position,
+    super::history::{Epoch, Position},
     crate::types::{Service, Version},
     serde::{Deserialize, Serialize},
     std::{
@@ -19,11 +19,28 @@
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
-pub struct Number(pub u64);
+pub struct Number {
+    /// The number that the operator has given.
+    pub value: u64,
+    /// The epoch of the store in which the operator gave this number to other contents, after the store had lost the first
+    /// ones; `None` as a rule. The later contents replace the first ones.
+    pub reissued_in: Option<Epoch>,
+}
+
+impl Number {
+    /// Creates the number that the operator has given to a document.
+    #[must_use]
+    pub fn new(value: u64) -> Self {
+        Self {
+            value,
+            reissued_in: None,
+        }
+    }
+}
 
 impl Display for Number {
     fn fmt(&self, f: &mut Formatter) -> fmt::Result {
-        self.0.fmt(f)
+        self.value.fmt(f)
     }
 }
 
@@ -194,6 +211,13 @@
         Ok(())
     }
 
+    /// Returns whether this document says the same as another one, whatever their numbers.
+    #[must_use]
+    pub fn has_contents_of(&self, other: &Self) -> bool {
+        (self.limits, &self.routes, &self.services)
+            == (other.limits, &other.routes, &other.services)
+    }
+
     /// Returns a digest of the content, by which two nodes compare the documents that they hold.
     #[must_use]
     pub fn digest(&self) -> u64 {
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -105,6 +105,7 @@
             freshness: RefCell::default(),
             deltas: RefCell::default(),
             document: RefCell::default(),
+            document_epoch: Cell::default(),
             local_upstream: local_upstream::LocalUpstream::new(
                 Queue::default(),
                 Quarantine::default(),
--- a/src/sidecar/node/core.rs
+++ b/src/sidecar/node/core.rs
@@ -60,6 +60,8 @@
     pub deltas: RefCell<VecDeque<Arc<Delta>>>,
     /// The document in force.
     pub document: RefCell<Arc<Document>>,
+    /// Latest epoch of the store that was known when the document was put in force.
+    pub document_epoch: Cell<Option<Epoch>>,
     /// State of the upstream on this host.
     pub local_upstream: local_upstream::LocalUpstream,
     /// Latest known epoch of the store, `None` if it has not stated one.
@@ -232,6 +234,18 @@
         );
     }
 
+    /// Marks a document that was read from the store as reissued if its number is the one in force, but not its contents,
+    /// and the store has come back from a copy since that was put in force.
+    pub fn mark_reissued(&self, document: &mut Document) {
+        let current = self.document.borrow();
+        let is_reissued = document.number.value == current.number.value
+            && self.epoch.get() > self.document_epoch.get()
+            && !document.has_contents_of(&current);
+        if is_reissued {
+            document.number.reissued_in = self.epoch.get();
+        }
+    }
+
     /// Puts a document in force if it is valid and newer than the current one. Returns whether it did. `source` is
     /// logged: the host that sent it, or the store.
     pub fn install_document(&self, document: Document, source: &str) -> bool {
@@ -265,6 +279,7 @@
         let number = document.number;
         *self.index.borrow_mut() = Index::new(&document);
         *self.document.borrow_mut() = Arc::new(document);
+        self.document_epoch.set(self.epoch.get());
         {
             let mut deltas = self.deltas.borrow_mut();
             deltas.push_back(delta);
@@ -274,7 +289,7 @@
         }
         self.metrics
             .document
-            .set(i64::try_from(number.0).unwrap_or(i64::MAX));
+            .set(i64::try_from(number.value).unwrap_or(i64::MAX));
         self.log.record(
             self.now(),
             "document",
--- a/src/sidecar/store_follower.rs
+++ b/src/sidecar/store_follower.rs
@@ -258,9 +258,10 @@
             orders::restore_rollout(core, order, &changes.records, changes.mark.epoch);
         }
     }
-    let Some(document) = changes.document else {
+    let Some(mut document) = changes.document else {
         return;
     };
+    core.mark_reissued(&mut document);
     // Nodes that start together cannot serve until the first one that has read the document relays it.
     let is_cold_start = !core.has_document();
     if !core.install_document(document, STORE_SOURCE) {
--- a/tests/sidecar/document.rs
+++ b/tests/sidecar/document.rs
@@ -31,7 +31,7 @@
 fn document(number: u64, routes: Vec<Route>) -> Document {
     Document {
         limits: Limits::default(),
-        number: Number(number),
+        number: Number::new(number),
         routes: routes
             .into_iter()
             .map(|route| (route.name.clone(), Arc::new(route)))
@@ -107,7 +107,7 @@
     let elsewhere = document(4, vec![route("b", "/b/", "desk")]);
     assert_eq!(
         elsewhere.apply(&step).unwrap_err(),
-        Fault::Mismatch(Number(5))
+        Fault::Mismatch(Number::new(5))
     );
     let mut altered = first.clone();
     altered
@@ -115,7 +115,7 @@
         .insert("c".into(), Arc::new(route("c", "/c/", "hub")));
     assert_eq!(
         altered.apply(&step).unwrap_err(),
-        Fault::Mismatch(Number(5))
+        Fault::Mismatch(Number::new(5))
     );
 }
 
--- a/tests/sidecar/frame.rs
+++ b/tests/sidecar/frame.rs
@@ -36,7 +36,7 @@
         status: 200,
     };
     let frames = vec![
-        Frame::Ping(Number(12)),
+        Frame::Ping(Number::new(12)),
         Frame::Outcome(StreamId(7), Outcome::Answered(answer), Load::default()),
         Frame::Outcome(
             StreamId(8),
