--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -1,6 +1,7 @@
 //! A running node: binds its ports, starts its tasks, drives periodic work with one timer, and stops.
 
 mod core;
+mod epoch;
 mod stop_periods;
 
 pub(super) use core::{Core, STORE_SOURCE};
--- a/src/sidecar/rollout/orders.rs
+++ b/src/sidecar/rollout/orders.rs
@@ -72,7 +72,9 @@
             self.repeated.insert(order.service.clone(), order.mark);
             order.mark = record.mark;
         }
-        known.iter().for_each(|known| self.replace(known.clone()));
+        for known in known {
+            self.replace(known.clone());
+        }
         Reading::New(order)
     }
 
