Rollouts: a node that read an order after a restore only takes the states of the leader that read it before

Cause: an order keeps the position under which a node has first read it, and a node that knew no earlier order could not tell that it repeats one. Of two states that may be of one order in different epochs, one that a leader has published now replaces one that is known from the store only; and a rollout that was taken with no earlier order known becomes the one that is led. An order that is known to be new stays new.

--- a/src/sidecar/document.rs
+++ b/src/sidecar/document.rs
@@ -332,3 +332,18 @@
     /// The version that is to receive the traffic.
     pub to: Version,
 }
+
+impl Order {
+    /// Returns whether another order says the same, under whatever version.
+    #[must_use]
+    pub fn has_contents_of(&self, other: &Self) -> bool {
+        (&self.service, &self.to, self.duration) == (&other.service, &other.to, other.duration)
+    }
+
+    /// Returns whether another order says the same and was read in another epoch of the store, so that both may be one that
+    /// the operator has written again.
+    #[must_use]
+    pub fn may_repeat(&self, other: &Self) -> bool {
+        self.mark.epoch != other.mark.epoch && self.has_contents_of(other)
+    }
+}
--- a/src/sidecar/leader.rs
+++ b/src/sidecar/leader.rs
@@ -191,7 +191,11 @@
     } = &mut *rollouts;
     for (service, state) in states.iter() {
         let order = |rollout: &Rollout| rollout.order().mark;
+        let is_led = state.leader.is_some();
         match by_service.get_mut(service) {
+            Some(rollout) if is_led && orders.recognise_repeated(rollout.order(), &state.order) => {
+                *rollout = Rollout::from_state(now, state);
+            }
             Some(rollout) if order(rollout) > state.order.mark => (),
             Some(rollout) if order(rollout) == state.order.mark => {
                 if state.leader.as_ref() != Some(&core.own_leader_id()) {
--- a/src/sidecar/rollout/orders.rs
+++ b/src/sidecar/rollout/orders.rs
@@ -31,6 +31,9 @@
 pub struct Orders {
     /// Position at which the known order of a service was written again.
     repeated: HashMap<Service, Position>,
+    /// Position of the order of a service that was taken when no earlier one was known. It may repeat one that only other
+    /// nodes know.
+    unconfirmed: HashMap<Service, Position>,
     /// Orders in whose place later ones were carried out, oldest first.
     replaced: VecDeque<Order>,
 }
@@ -54,8 +57,8 @@
             return Reading::Known;
         }
         let mut earlier = known.iter().rev();
-        let earlier =
-            earlier.find(|known| is_same(&order, known) && known.mark.epoch < order.mark.epoch);
+        let earlier = earlier
+            .find(|known| order.has_contents_of(known) && known.mark.epoch < order.mark.epoch);
         if let Some(earlier) = earlier {
             let repeated = self.repeated.get(&order.service);
             match repeated.filter(|repeated| repeated.epoch == order.mark.epoch) {
@@ -72,12 +75,27 @@
             self.repeated.insert(order.service.clone(), order.mark);
             order.mark = record.mark;
         }
+        if known.is_empty() {
+            self.unconfirmed.insert(order.service.clone(), order.mark);
+        }
         for known in known {
             self.replace(known.clone());
         }
         Reading::New(order)
     }
 
+    /// Returns whether the order `taken`, of which no earlier one was known, repeats one that another node leads, and remembers
+    /// that it does.
+    pub fn recognise_repeated(&mut self, taken: &Order, led: &Order) -> bool {
+        let unconfirmed = self.unconfirmed.get(&taken.service) == Some(&taken.mark);
+        let repeats = unconfirmed && taken.may_repeat(led) && led.mark < taken.mark;
+        if repeats {
+            self.unconfirmed.remove(&taken.service);
+            self.repeated.insert(taken.service.clone(), taken.mark);
+        }
+        repeats
+    }
+
     /// Remembers an order in whose place a later one is carried out.
     pub fn replace(&mut self, order: Order) {
         if self.replaced.len() == REPLACED_MAX {
@@ -97,7 +115,7 @@
         let is_earlier =
             |mark: &Position| mark.version == order.mark.version && mark.epoch < order.mark.epoch;
         let same = self.replaced.iter().chain(known);
-        let same = same.filter(|earlier| is_same(order, earlier));
+        let same = same.filter(|earlier| order.has_contents_of(earlier));
         let recorded = record.filter(|record| record.to == order.to);
         same.map(|earlier| earlier.mark)
             .chain(recorded.map(|record| record.mark))
@@ -105,10 +123,6 @@
     }
 }
 
-fn is_same(order: &Order, other: &Order) -> bool {
-    order.service == other.service && order.to == other.to && order.duration == other.duration
-}
-
 /// Returns whether an order is the recorded one, written again after a restore.
 fn repeats(order: &Order, record: &RolloutRecord) -> bool {
     record.to == order.to && record.mark.epoch < order.mark.epoch
--- a/src/sidecar/rollout/state.rs
+++ b/src/sidecar/rollout/state.rs
@@ -90,13 +90,22 @@
         }
     }
 
-    /// Returns whether this state replaces `held`: it is of a later order, or of a later phase or time of the same.
+    /// Returns whether this state replaces `held`: it is of a later order, or of a later phase or time of the same. If both may
+    /// be of one order that nodes know from different epochs, a state that a leader has published replaces one that is known
+    /// from the store only.
     #[must_use]
     pub fn is_newer_than(&self, held: &Self) -> bool {
+        if self.order.may_repeat(&held.order) && self.is_unled() != held.is_unled() {
+            return held.is_unled();
+        }
         let progress = |state: &Self| (state.order.mark, state.phase, state.elapsed);
         progress(self) > progress(held)
     }
 
+    fn is_unled(&self) -> bool {
+        self.leader.is_none() && self.phase == Phase::Running
+    }
+
     /// Returns the order's mark, the phase and the share. A change of any of them is sent to all nodes at once.
     #[must_use]
     pub fn routing_key(&self) -> (Position, Phase, Permille) {
--- a/tests/sidecar/orders.rs
+++ b/tests/sidecar/orders.rs
@@ -139,3 +139,19 @@
     let reading = orders.identify(order("v2", at(1, 60)), &known, &[]);
     assert_eq!(reading, Reading::Repeated(known[1].clone()));
 }
+
+/// A node that knew no earlier order took one for new that the leader of its rollout knows from before the restore.
+#[test]
+fn order_taken_without_an_earlier_one_repeats_the_one_that_is_led_unless_it_is_another() {
+    let (taken, led) = (order("v2", at(1, 40)), order("v2", at(0, 100)));
+    let mut orders = Orders::default();
+    assert!(!orders.recognise_repeated(&taken, &led));
+    let reading = orders.identify(taken.clone(), &[], &[]);
+    assert_eq!(reading, Reading::New(taken.clone()));
+    assert!(!orders.recognise_repeated(&taken, &order("v3", at(0, 100))));
+    assert!(!orders.recognise_repeated(&taken, &order("v2", at(2, 30))));
+    assert!(orders.recognise_repeated(&taken, &led));
+    let later = order("v2", at(1, 41));
+    let reading = orders.identify(later.clone(), &[led], &[]);
+    assert_eq!(reading, Reading::New(later));
+}
