--- a/src/sidecar/document.rs
+++ b/src/sidecar/document.rs
@@ -2,12 +2,16 @@
 //! whole, indexed by hostname and path prefix, and sent to other nodes as the difference from an earlier document. A
 //! node installs a document as a whole or not at all, and never an older one than it holds.
 
+mod account;
+
+pub use account::{Account, AccountLimit, Key, Rate};
+
 use {
     super::history::{Epoch, Position},
-    crate::types::{Service, Version},
+    crate::types::{AccountName, Region, Service, Version},
     serde::{Deserialize, Serialize},
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         fmt::{self, Display, Formatter},
         sync::Arc,
         time::Duration,
@@ -77,6 +81,10 @@
     pub prefix: String,
     /// The priority among the routes of a service; 0 is the highest.
     pub priority: u32,
+    /// Whether its requests need no key of an account.
+    pub public: bool,
+    /// The regions in which its requests may be served; empty for all.
+    pub regions: BTreeSet<Region>,
     /// The services that receive the route's requests, with their weights.
     pub shares: Vec<Share>,
     /// The latency up to which an answer has its full value to the caller.
@@ -104,6 +112,17 @@
     }
 }
 
+/// Properties of a service's upstreams.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceSpec {
+    /// The requests per second that an upstream bears while it is cold; 0 for no limit.
+    pub cold_rate: u32,
+    /// The maximum number of connections that one upstream accepts.
+    pub connections_max: u32,
+    /// The path of the upstream's health check; `None` if it has none.
+    pub health_path: Option<String>,
+}
+
 /// Limits on the size and the time of what a caller sends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
@@ -169,14 +188,16 @@
 /// A complete configuration.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Document {
+    /// The client accounts, by name; if there are none, requests need no key.
+    pub accounts: BTreeMap<AccountName, Arc<Account>>,
     /// The limits on callers.
     pub limits: Limits,
     /// The document's number.
     pub number: Number,
     /// The routes, by name.
     pub routes: BTreeMap<String, Arc<Route>>,
-    /// The declared services, and the maximum number of connections that one upstream of each accepts.
-    pub services: BTreeMap<Service, u32>,
+    /// The declared services.
+    pub services: BTreeMap<Service, ServiceSpec>,
 }
 
 impl Document {
@@ -214,8 +235,13 @@
     /// Returns whether this document says the same as another one, whatever their numbers.
     #[must_use]
     pub fn has_contents_of(&self, other: &Self) -> bool {
-        (self.limits, &self.routes, &self.services)
-            == (other.limits, &other.routes, &other.services)
+        (&self.accounts, self.limits, &self.routes, &self.services)
+            == (
+                &other.accounts,
+                other.limits,
+                &other.routes,
+                &other.services,
+            )
     }
 
     /// Returns a digest of the content, by which two nodes compare the documents that they hold.
@@ -232,6 +258,7 @@
         let changed =
             |(name, route): &(&String, &Arc<Route>)| self.routes.get(*name) != Some(route);
         Delta {
+            accounts: (self.accounts != later.accounts).then(|| later.accounts.clone()),
             digest: later.digest(),
             from: self.number,
             limits: later.limits,
@@ -265,6 +292,9 @@
         for route in &delta.routes {
             later.routes.insert(route.name.clone(), route.clone());
         }
+        if let Some(accounts) = &delta.accounts {
+            later.accounts.clone_from(accounts);
+        }
         if let Some(services) = &delta.services {
             later.services.clone_from(services);
         }
@@ -279,6 +309,8 @@
 /// The changes from one document to a later one.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Delta {
+    /// All accounts of the later document; `None` if they are unchanged.
+    pub accounts: Option<BTreeMap<AccountName, Arc<Account>>>,
     /// The digest of the later document.
     pub digest: u64,
     /// The number of the earlier document.
@@ -290,7 +322,7 @@
     /// The added and changed routes.
     pub routes: Vec<Arc<Route>>,
     /// All services of the later document; `None` if they are unchanged.
-    pub services: Option<BTreeMap<Service, u32>>,
+    pub services: Option<BTreeMap<Service, ServiceSpec>>,
     /// The number of the later document.
     pub to: Number,
 }
--- a/src/types.rs
+++ b/src/types.rs
@@ -99,6 +99,10 @@
   /// The name of a version of a service.
   Version
 }
+name! {
+  /// The name of a client account.
+  AccountName
+}
 name! {
   /// The name of a resource, unique within its kind.
   Name
--- a/tests/sidecar/document.rs
+++ b/tests/sidecar/document.rs
@@ -1,10 +1,16 @@
 use {
     mulberryshelf::{
-        sidecar::document::{Class, Document, Fault, Index, Limits, Number, Route, Share},
+        sidecar::document::{
+            Class, Document, Fault, Index, Limits, Number, Route, ServiceSpec, Share,
+        },
         types::Service,
     },
     proptest::prelude::*,
-    std::{sync::Arc, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 fn service(name: &str) -> Service {
@@ -19,6 +25,8 @@
         name: name.into(),
         prefix: prefix.into(),
         priority: 1,
+        public: false,
+        regions: BTreeSet::new(),
         shares: vec![Share {
             service: service(to),
             weight: 1,
@@ -29,14 +37,19 @@
 }
 
 fn document(number: u64, routes: Vec<Route>) -> Document {
+    let spec = ServiceSpec {
+        connections_max: 120,
+        ..ServiceSpec::default()
+    };
     Document {
+        accounts: BTreeMap::new(),
         limits: Limits::default(),
         number: Number::new(number),
         routes: routes
             .into_iter()
             .map(|route| (route.name.clone(), Arc::new(route)))
             .collect(),
-        services: [(service("desk"), 120), (service("hub"), 120)].into(),
+        services: [(service("desk"), spec.clone()), (service("hub"), spec)].into(),
     }
 }
 
