Regions: requests run only where their route permits it

Cause: a route can name the regions that may serve it, and nothing obeyed that. Change: the load balancer leaves out upstreams of other regions on every choice, the restriction travels with the request, and the upstream's node declines what the request or its own document does not permit, on arrival and before the run. Without an upstream left, callers get 503 with the reason region and Retry-After. The intersection with an account's regions is a function that the accounts will call.

--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -81,6 +81,8 @@
     OwnerUnreachable => "owner-unreachable", 503;
     /// The request is quarantined because it has crashed upstreams.
     Quarantined => "quarantined", 403;
+    /// No endpoint in the regions that the request may run in accepts requests.
+    Region => "region", 503;
     /// The body is longer than allowed.
     TooLarge => "too-large", 413;
     /// The node of the upstream could not be reached.
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -1,6 +1,6 @@
 //! The node for platforms on which an upstream is reachable only from the node on its own host, and on which the
 //! platform's store accepts the operator's orders. The decision modules ([`body_budget`], [`document`], [`freshness`],
-//! [`queue`], [`load_balancer`], [`retry_budget`], [`rollout`], [`shutdown`], [`store_readers`], [`uploads`]) use no clock, socket or
+//! [`queue`], [`load_balancer`], [`regions`], [`retry_budget`], [`rollout`], [`shutdown`], [`store_readers`], [`uploads`]) use no clock, socket or
 //! task; the other modules do the input and output and call them. See docs/design/platform.md.
 
 pub mod body_budget;
@@ -18,6 +18,7 @@
 pub mod node;
 pub mod queue;
 pub mod refusal_history;
+pub mod regions;
 pub mod retry_budget;
 pub mod rollout;
 pub mod settings;
--- a/src/sidecar/document.rs
+++ b/src/sidecar/document.rs
@@ -94,6 +94,12 @@
 }
 
 impl Route {
+    /// Returns the identifier by which nodes name the route to each other, also if their documents differ.
+    #[must_use]
+    pub fn id(&self) -> u64 {
+        xxh3_64(self.name.as_bytes())
+    }
+
     /// Returns the service for a request's `point` between 0 and 1, or `None` if no share has any weight. Evenly
     /// spread points keep to the weights even for few requests.
     #[must_use]
--- a/src/sidecar/forward.rs
+++ b/src/sidecar/forward.rs
@@ -12,6 +12,7 @@
         local_upstream,
         node::Core,
         peers,
+        regions::Restriction,
         rollout::Phase,
     },
     crate::{
@@ -95,6 +96,8 @@
     failure: Option<Answer>,
     /// Whether the request may have run at an upstream.
     may_have_run: bool,
+    /// Regions in which the request may run.
+    regions: Restriction,
     retry_after: Option<Duration>,
     service: Service,
     attempts: &'a mut Attempts,
@@ -118,6 +121,7 @@
         core,
         failure: None,
         may_have_run: false,
+        regions: Restriction::combine(&call.route.regions, None),
         retry_after: None,
         service,
         attempts,
@@ -168,6 +172,7 @@
                 load_balancer::Request {
                     tried: &self.attempts.hosts,
                     priority: self.call.route.priority,
+                    regions: &self.regions,
                     service: &self.service,
                     version_filter,
                     worth_for: self.call.full_value_until.since(now),
@@ -216,6 +221,7 @@
             time_left: call.deadline.since(now),
             method: call.method.clone(),
             priority: call.route.priority,
+            regions: self.regions.clone(),
             returned: call.returned,
             route: call.route_id,
             service: self.service.clone(),
@@ -298,7 +304,10 @@
     fn unavailable_reply(&mut self, cause: Unavailable) -> Reply {
         match cause {
             Unavailable::NoUpstream if self.attempts.declines == 0 => {
-                self.final_reply(Reason::NoEndpoint)
+                self.final_reply(match self.regions {
+                    Restriction::Unrestricted => Reason::NoEndpoint,
+                    Restriction::Only(_) => Reason::Region,
+                })
             }
             Unavailable::NoUpstream | Unavailable::Declined => self.final_reply(Reason::Overloaded),
         }
--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -10,6 +10,7 @@
         history::Epoch,
         load_balancer::{Load, Offer},
         queue::Demand,
+        regions::Restriction,
         rollout::RolloutState,
         store_readers::StoreAccess,
     },
@@ -67,6 +68,8 @@
     pub method: String,
     /// Priority of the route.
     pub priority: u32,
+    /// Regions in which it may run.
+    pub regions: Restriction,
     /// Whether the caller was refused before and has returned after its retry time.
     pub returned: bool,
     /// Identifier of the route.
--- a/src/sidecar/ingress/handler.rs
+++ b/src/sidecar/ingress/handler.rs
@@ -16,7 +16,6 @@
     },
     bytes::Bytes,
     std::{rc::Rc, time::Duration},
-    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Timeout of a request whose caller states none. The route's timeout applies if it is shorter.
@@ -220,7 +219,7 @@
     let Some(route) = found else {
         return rejected(Reason::NoRoute, 404);
     };
-    let route_id = xxh3_64(route.name.as_bytes());
+    let route_id = route.id();
     let stated_timeout: Option<u64> = http1::field_text(&request.fields, header_names.time_left)
         .and_then(|text| text.trim().parse().ok());
     let stated_timeout = stated_timeout.map_or(DEFAULT_TIMEOUT, Duration::from_millis);
--- a/src/sidecar/load_balancer.rs
+++ b/src/sidecar/load_balancer.rs
@@ -7,10 +7,14 @@
 //! The load of an upstream is what its node reported with its last answer, corrected by the requests that this
 //! node has sent there since.
 
+mod request;
+
+pub use request::{AttemptResult, Choice, Location, Request, Unavailable, VersionFilter};
+
 use {
     crate::{
         traffic::spill::Tier,
-        types::{Host, Moment, Permille, Service, Version},
+        types::{Host, Moment, Permille, Region, Service, Version},
     },
     rand::{SeedableRng, rngs::StdRng, seq::IndexedRandom},
     serde::{Deserialize, Serialize},
@@ -91,6 +95,7 @@
     other_requests: f64,
     own_requests: u32,
     rank: u64,
+    region: Region,
     reported_at: Moment,
     run_time: Option<Duration>,
     tier: Tier,
@@ -145,70 +150,6 @@
     }
 }
 
-/// Selects the upstreams that a request may run on during a rollout from one version to another.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum VersionFilter<'a> {
-    /// Upstreams of the new version, which gets this share of the traffic. Only the same share of its upstreams
-    /// is used, so that each of them has the load that it will have after the rollout: a version that fails only
-    /// under load then does so while few requests are affected.
-    Candidate(&'a Version, Permille),
-    /// All upstreams that do not run the new version.
-    Baseline(&'a Version),
-}
-
-impl VersionFilter<'_> {
-    fn admits(self, version: &Version) -> bool {
-        match self {
-            Self::Candidate(new, _) => version == new,
-            Self::Baseline(new) => version != new,
-        }
-    }
-}
-
-/// Request to choose an upstream for.
-#[derive(Debug, Clone, Copy)]
-pub struct Request<'a> {
-    /// Hosts that were tried already.
-    pub tried: &'a [Host],
-    /// Priority of its route; 0 is the most urgent.
-    pub priority: u32,
-    /// Service that it is for.
-    pub service: &'a Service,
-    /// Upstreams that it may run on during a rollout; `None` allows all.
-    pub version_filter: Option<VersionFilter<'a>>,
-    /// Time from now during which its answer has its full value.
-    pub worth_for: Duration,
-}
-
-/// Upstream chosen for a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Choice {
-    /// Host of the upstream.
-    pub host: Host,
-    /// Version that the upstream runs.
-    pub version: Version,
-}
-
-/// Result of an attempt, as far as it concerns the health of the upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AttemptResult {
-    /// The upstream answered without a failure of its own.
-    Answered,
-    /// The upstream or the connection to it failed.
-    Failed,
-    /// Nothing can be concluded about the upstream: it declined the request or the caller cancelled it.
-    Inconclusive,
-}
-
-/// Reason why no upstream could be chosen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Unavailable {
-    /// No upstream of the service is known, or all of them were tried.
-    NoUpstream,
-    /// All remaining upstreams recently declined a request of the same or a higher priority.
-    Declined,
-}
-
 /// Upstreams that this node can reach, with their last known load.
 #[derive(Debug)]
 pub struct LoadBalancer {
@@ -226,9 +167,20 @@
         }
     }
 
+    /// Removes the upstream of a host that does not respond.
+    pub fn remove(&mut self, host: &Host) {
+        self.endpoints.remove(host);
+    }
+
     /// Records the offer of a host's upstream. `None` removes the upstream, as it accepts no new requests.
     /// Load, failure rate and end of the warm-up are kept while service and version stay the same.
-    pub fn update_offer(&mut self, now: Moment, host: &Host, tier: Tier, offer: Option<Offer>) {
+    pub fn update_offer(
+        &mut self,
+        now: Moment,
+        host: &Host,
+        location: Location,
+        offer: Option<Offer>,
+    ) {
         let Some(offer) = offer else {
             self.endpoints.remove(host);
             return;
@@ -251,9 +203,10 @@
                     other_requests: 0.0,
                     own_requests: 0,
                     rank: xxh3_64(host.as_str().as_bytes()),
+                    region: location.region.clone(),
                     reported_at: now,
                     run_time: None,
-                    tier,
+                    tier: location.tier,
                 };
                 self.endpoints.insert(host.clone(), endpoint);
             }
@@ -277,6 +230,7 @@
         let is_eligible = |host: &Host, endpoint: &Endpoint| {
             endpoint.offer.service == *request.service
                 && !request.tried.contains(host)
+                && request.regions.permits(&endpoint.region)
                 && request
                     .version_filter
                     .is_none_or(|side| side.admits(&endpoint.offer.version))
--- a/src/sidecar/local_upstream/serve.rs
+++ b/src/sidecar/local_upstream/serve.rs
@@ -74,6 +74,9 @@
     if cancelled.try_recv() != Err(TryRecvError::Empty) {
         return decline(core, &request, arrived, Reason::Cut, Duration::ZERO);
     }
+    if !core.permits_here(&request) {
+        return decline(core, &request, arrived, Reason::Region, Duration::ZERO);
+    }
     let demand = request.demand(arrived);
     let fingerprint = Fingerprint::new(
         request.service.as_str(),
@@ -114,6 +117,10 @@
     if let Err((reason, retry_after)) = decided.unwrap_or(Err((Reason::Leaving, Duration::ZERO))) {
         return decline(core, &request, arrived, reason, retry_after);
     }
+    // The document may have changed while the request waited.
+    if !core.permits_here(&request) {
+        return decline(core, &request, arrived, Reason::Region, Duration::ZERO);
+    }
     let started = core.now();
     core.metrics.record_stage("waiting", started.since(arrived));
     state.running.borrow_mut().insert(
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -1,5 +1,6 @@
 //! A running node: binds its ports, starts its tasks, drives periodic work with one timer, and stops.
 
+mod admission;
 mod core;
 mod epoch;
 mod stop_periods;
@@ -120,6 +121,7 @@
             metrics,
             peers: Peers::new(contact.clone()),
             load_balancer: RefCell::new(LoadBalancer::new(rand::random())),
+            restricted_routes: RefCell::default(),
             rollout_states: RefCell::default(),
             offer_withdrawn: Cell::new(false),
             store_access: Cell::default(),
--- a/src/sidecar/node/core.rs
+++ b/src/sidecar/node/core.rs
@@ -12,12 +12,13 @@
             header_names::HeaderNames,
             history::{Epoch, Position},
             leader::Rollouts,
-            load_balancer::LoadBalancer,
+            load_balancer::{LoadBalancer, Location},
             local_upstream,
             log::Log,
             metrics::Metrics,
             peers::Peers,
             refusal_history::RefusalHistory,
+            regions::RestrictedRoutes,
             retry_budget::{Allowance, RetryBudget},
             rollout::{Leader, Phase, RolloutState},
             settings::Settings,
@@ -80,6 +81,8 @@
     pub load_balancer: RefCell<LoadBalancer>,
     /// Time since the document in force was confirmed by a read of the store.
     pub freshness: RefCell<Freshness>,
+    /// Routes of the document in force that are restricted to regions.
+    pub restricted_routes: RefCell<RestrictedRoutes>,
     /// Newest known rollout state of each service; requests are routed by it.
     pub rollout_states: RefCell<HashMap<Service, RolloutState>>,
     /// Connection of this node to the store.
@@ -128,6 +131,14 @@
         }
     }
 
+    /// Returns the location of a node for the load balancer.
+    pub fn location_of<'a>(&self, contact: &'a Contact) -> Location<'a> {
+        Location {
+            region: &contact.region,
+            tier: self.tier_of(contact),
+        }
+    }
+
     /// Returns the status that this node sends to its peers.
     pub fn status(&self) -> Status {
         Status {
@@ -158,9 +169,12 @@
         let status = self.status();
         let now = self.now();
         let offer = status.offer.clone();
-        self.load_balancer
-            .borrow_mut()
-            .update_offer(now, self.host(), Tier::Own, offer);
+        self.load_balancer.borrow_mut().update_offer(
+            now,
+            self.host(),
+            self.location_of(&self.contact),
+            offer,
+        );
         self.peers.broadcast(&Frame::Status(status));
     }
 
@@ -247,6 +261,7 @@
         let delta = Arc::new(current.delta_to(&document));
         let number = document.number;
         *self.index.borrow_mut() = Index::new(&document);
+        *self.restricted_routes.borrow_mut() = RestrictedRoutes::new(&document);
         *self.document.borrow_mut() = Arc::new(document);
         self.document_epoch.set(self.epoch.get());
         {
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -375,10 +375,7 @@
     let host = &link.contact.host;
     core.log
         .record(now, "peer", format_args!("outcome=suspect peer={host}"));
-    let tier = core.tier_of(&link.contact);
-    core.load_balancer
-        .borrow_mut()
-        .update_offer(now, host, tier, None);
+    core.load_balancer.borrow_mut().remove(host);
     core.peers.candidates_changed.notify_waiters();
     let mut pending = link.pending.borrow_mut();
     let repeatable: Vec<StreamId> = pending
--- a/src/sidecar/peers/link.rs
+++ b/src/sidecar/peers/link.rs
@@ -282,10 +282,8 @@
         .is_some_and(|held| Rc::ptr_eq(held, link));
     if current {
         core.peers.links.borrow_mut().remove(host);
-        let (now, tier) = (core.now(), core.tier_of(&link.contact));
-        core.load_balancer
-            .borrow_mut()
-            .update_offer(now, host, tier, None);
+        let now = core.now();
+        core.load_balancer.borrow_mut().remove(host);
         core.log
             .record(now, "peer", format_args!("outcome=lost peer={host}"));
         core.peers.candidates_changed.notify_waiters();
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -176,10 +176,10 @@
 /// Updates the load balancer with the node's last offer.
 pub(super) fn update_offer(core: &Core, link: &Link, now: Moment) {
     let offer = link.status.borrow().offer.clone();
-    let tier = core.tier_of(&link.contact);
+    let location = core.location_of(&link.contact);
     core.load_balancer
         .borrow_mut()
-        .update_offer(now, &link.contact.host, tier, offer);
+        .update_offer(now, &link.contact.host, location, offer);
 }
 
 /// Applies a difference to the document in force and relays it, or fetches what is missing if it does not apply.
@@ -240,15 +240,17 @@
     });
 }
 
-/// Returns the result of an attempt for the load balancer. Refusals for lack of time or slots do not count against the
-/// upstream.
+/// Returns the result of an attempt for the load balancer. Refusals for lack of time or slots, or because of the region, do
+/// not count against the upstream.
 pub(in crate::sidecar) fn attempt_result(outcome: &Outcome) -> AttemptResult {
     match outcome {
         Outcome::Answered(answer) if answer.status >= 500 || answer.not_run => {
             AttemptResult::Failed
         }
         Outcome::Answered(_) => AttemptResult::Answered,
-        Outcome::Declined(Reason::Overloaded | Reason::Deadline, _) => AttemptResult::Inconclusive,
+        Outcome::Declined(Reason::Overloaded | Reason::Deadline | Reason::Region, _) => {
+            AttemptResult::Inconclusive
+        }
         Outcome::Declined(..) | Outcome::Unknown(_) => AttemptResult::Failed,
     }
 }
--- a/src/traffic/retry.rs
+++ b/src/traffic/retry.rs
@@ -86,6 +86,7 @@
             | R::Leaving
             | R::NotOwner
             | R::Overloaded
+            | R::Region
             | R::Unreachable
             | R::WrongVersion,
         )
@@ -135,6 +136,7 @@
             | R::OwnerChanged
             | R::OwnerUnreachable
             | R::Quarantined
+            | R::Region
             | R::TooLarge
             | R::Unreachable
             | R::WrongVersion,
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -27,6 +27,8 @@
 mod queue_load;
 #[path = "sidecar/refusal_history.rs"]
 mod refusal_history;
+#[path = "sidecar/regions.rs"]
+mod regions;
 #[path = "sidecar/retry_budget.rs"]
 mod retry_budget;
 #[path = "sidecar/rollout.rs"]
--- a/tests/sidecar/load_balancer.rs
+++ b/tests/sidecar/load_balancer.rs
@@ -1,12 +1,16 @@
 use {
     mulberryshelf::{
-        sidecar::load_balancer::{
-            AttemptResult, Load, LoadBalancer, Offer, Request, Unavailable, VersionFilter,
+        sidecar::{
+            load_balancer::{
+                AttemptResult, Load, LoadBalancer, Location, Offer, Request, Unavailable,
+                VersionFilter,
+            },
+            regions::Restriction,
         },
         traffic::spill::Tier,
-        types::{Host, Moment, Service, Version},
+        types::{Host, Moment, Region, Service, Version},
     },
-    std::{collections::BTreeMap, time::Duration},
+    std::{collections::BTreeMap, sync::LazyLock, time::Duration},
 };
 
 const RUN: Duration = Duration::from_millis(200);
@@ -32,6 +36,16 @@
     }
 }
 
+/// Returns a location in a region that is named after the distance.
+fn location(tier: Tier) -> Location<'static> {
+    static REGIONS: LazyLock<[Region; 3]> =
+        LazyLock::new(|| ["own", "own", "remote"].map(|name| name.parse().unwrap()));
+    Location {
+        region: &REGIONS[tier as usize],
+        tier,
+    }
+}
+
 fn at(millis: u64) -> Moment {
     Moment(1_000_000_000) + Duration::from_millis(millis)
 }
@@ -53,7 +67,7 @@
     for (tier, domain) in tiers {
         for number in 1..=2 {
             let host = host(&format!("{domain}{number}"));
-            load_balancer.update_offer(at(0), &host, tier, Some(offer("v1")));
+            load_balancer.update_offer(at(0), &host, location(tier), Some(offer("v1")));
             load_balancer.record_result(at(0), &host, AttemptResult::Answered, Some(load(0, 0)));
         }
     }
@@ -64,6 +78,7 @@
     Request {
         tried,
         priority: 1,
+        regions: &Restriction::Unrestricted,
         service,
         version_filter: None,
         worth_for: Duration::from_millis(600),
@@ -150,7 +165,7 @@
 #[test]
 fn only_upstream_is_used_even_if_it_fails() {
     let (mut load_balancer, service) = (LoadBalancer::new(7), desk());
-    load_balancer.update_offer(at(0), &host("a1"), Tier::Own, Some(offer("v1")));
+    load_balancer.update_offer(at(0), &host("a1"), location(Tier::Own), Some(offer("v1")));
     for _ in 0..100 {
         load_balancer.record_result(at(0), &host("a1"), AttemptResult::Failed, None);
     }
@@ -164,7 +179,7 @@
 #[test]
 fn excluded_version_gets_no_requests() {
     let (mut load_balancer, service) = (mesh(), desk());
-    load_balancer.update_offer(at(0), &host("a3"), Tier::Own, Some(offer("v2")));
+    load_balancer.update_offer(at(0), &host("a3"), location(Tier::Own), Some(offer("v2")));
     let new_version = version("v2");
     for _ in 0..40 {
         let mut restricted = request(&service, &[]);
@@ -177,7 +192,7 @@
 #[test]
 fn new_upstream_gets_requests_at_once() {
     let (mut load_balancer, service) = (mesh(), desk());
-    load_balancer.update_offer(at(0), &host("a3"), Tier::Own, Some(offer("v1")));
+    load_balancer.update_offer(at(0), &host("a3"), location(Tier::Own), Some(offer("v1")));
     let chosen: Vec<Host> = (0..6)
         .map(|_| {
             load_balancer
@@ -196,7 +211,7 @@
     let (mut load_balancer, service) = (LoadBalancer::new(7), desk());
     for number in 1..=5 {
         let host = host(&format!("a{number}"));
-        load_balancer.update_offer(at(0), &host, Tier::Own, Some(offer("v1")));
+        load_balancer.update_offer(at(0), &host, location(Tier::Own), Some(offer("v1")));
     }
     let mut placed: BTreeMap<Host, u32> = BTreeMap::new();
     for _ in 0..20 {
--- a/tests/sidecar/moves.rs
+++ b/tests/sidecar/moves.rs
@@ -8,7 +8,10 @@
             document::Order,
             evidence::{Report, Totals},
             history::Position,
-            load_balancer::{AttemptResult, Load, LoadBalancer, Offer, Request, VersionFilter},
+            load_balancer::{
+                AttemptResult, Load, LoadBalancer, Location, Offer, Request, VersionFilter,
+            },
+            regions::Restriction,
             rollout::{Phase, Rollout, RolloutState},
         },
         traffic::spill::Tier,
@@ -59,7 +62,12 @@
                         slots: SLOTS_PER_UPSTREAM,
                         version: version(name),
                     };
-                    placement.update_offer(at(0), &host, tier, Some(offer));
+                    let region = "north".parse().unwrap();
+                    let location = Location {
+                        region: &region,
+                        tier,
+                    };
+                    placement.update_offer(at(0), &host, location, Some(offer));
                 }
             }
         }
@@ -112,6 +120,7 @@
         let request = Request {
             tried: &[],
             priority: 1,
+            regions: &Restriction::Unrestricted,
             service: &desk(),
             version_filter: Some(side),
             worth_for: Duration::from_millis(600),
@@ -203,6 +212,7 @@
                 let request = Request {
                     tried: &[],
                     priority: 1,
+                    regions: &Restriction::Unrestricted,
                     service: &desk(),
                     version_filter: Some(VersionFilter::Candidate(&new, Permille(share))),
                     worth_for: Duration::from_millis(600),
