Accounts: callers are recognised by their key, and the upstream is told the account

The document held accounts, but nothing looked their keys up. The index now finds the account of a key, the ingress refuses a request without a known key with 401 unless its route is public or a running upstream on the same host calls, and the account goes with the request to the upstream, with its priority in place of that of the route. A document whose accounts could all not be used still needs keys (needs_key).

--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -83,6 +83,8 @@
     Quarantined => "quarantined", 403;
     /// The body is longer than allowed.
     TooLarge => "too-large", 413;
+    /// The request needs the key of an account, and has none or an unknown one.
+    Unauthorized => "unauthorized", 401;
     /// The node of the upstream could not be reached.
     Unreachable => "unreachable", 503;
     /// The upstream on this host is of another version or service.
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -1,8 +1,9 @@
 //! The node for platforms on which an upstream is reachable only from the node on its own host, and on which the
-//! platform's store accepts the operator's orders. The decision modules ([`body_budget`], [`document`], [`freshness`],
+//! platform's store accepts the operator's orders. The decision modules ([`authentication`], [`body_budget`], [`document`], [`freshness`],
 //! [`queue`], [`load_balancer`], [`retry_budget`], [`rollout`], [`shutdown`], [`store_readers`], [`uploads`]) use no clock, socket or
 //! task; the other modules do the input and output and call them. See docs/design/platform.md.
 
+pub mod authentication;
 pub mod body_budget;
 pub mod departure;
 pub mod dissemination;
--- a/src/sidecar/document.rs
+++ b/src/sidecar/document.rs
@@ -3,8 +3,12 @@
 //! node installs a document as a whole or not at all, and never an older one than it holds.
 
 mod account;
+mod index;
 
-pub use account::{Account, AccountLimit, Key, Rate};
+pub use {
+    account::{Account, AccountLimit, Key, Rate},
+    index::Index,
+};
 
 use {
     super::history::{Epoch, Position},
@@ -188,8 +192,11 @@
 /// A complete configuration.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Document {
-    /// The client accounts, by name; if there are none, requests need no key.
+    /// The client accounts, by name.
     pub accounts: BTreeMap<AccountName, Arc<Account>>,
+    /// Whether requests need the key of an account. It is set if accounts were declared, also if none of them could be
+    /// used: a mistake in an account must not open the mesh to callers without a key.
+    pub needs_key: bool,
     /// The limits on callers.
     pub limits: Limits,
     /// The document's number.
@@ -235,13 +242,19 @@
     /// Returns whether this document says the same as another one, whatever their numbers.
     #[must_use]
     pub fn has_contents_of(&self, other: &Self) -> bool {
-        (&self.accounts, self.limits, &self.routes, &self.services)
-            == (
-                &other.accounts,
-                other.limits,
-                &other.routes,
-                &other.services,
-            )
+        (
+            &self.accounts,
+            self.limits,
+            self.needs_key,
+            &self.routes,
+            &self.services,
+        ) == (
+            &other.accounts,
+            other.limits,
+            other.needs_key,
+            &other.routes,
+            &other.services,
+        )
     }
 
     /// Returns a digest of the content, by which two nodes compare the documents that they hold.
@@ -262,6 +275,7 @@
             digest: later.digest(),
             from: self.number,
             limits: later.limits,
+            needs_key: later.needs_key,
             removed: self.routes.keys().filter(removed).cloned().collect(),
             routes: later
                 .routes
@@ -286,6 +300,7 @@
         let mut later = self.clone();
         later.number = delta.to;
         later.limits = delta.limits;
+        later.needs_key = delta.needs_key;
         for name in &delta.removed {
             later.routes.remove(name);
         }
@@ -317,6 +332,8 @@
     pub from: Number,
     /// The limits of the later document.
     pub limits: Limits,
+    /// Whether requests need the key of an account in the later document.
+    pub needs_key: bool,
     /// The names of the removed routes.
     pub removed: Vec<String>,
     /// The added and changed routes.
@@ -327,31 +344,6 @@
     pub to: Number,
 }
 
-/// A document's routes, by hostname and prefix.
-#[derive(Debug, Default)]
-pub struct Index(HashMap<String, HashMap<String, Arc<Route>>>);
-
-impl Index {
-    /// Builds the index of a document.
-    #[must_use]
-    pub fn new(document: &Document) -> Self {
-        let mut by_hostname: HashMap<String, HashMap<String, Arc<Route>>> = HashMap::new();
-        for route in document.routes.values() {
-            let prefixes = by_hostname.entry(route.hostname.clone()).or_default();
-            prefixes.insert(route.prefix.clone(), route.clone());
-        }
-        Self(by_hostname)
-    }
-
-    /// Returns the hostname's route with the longest prefix of the path, or `None` if no route matches.
-    #[must_use]
-    pub fn find_route(&self, hostname: &str, path: &str) -> Option<&Arc<Route>> {
-        let prefixes = self.0.get(hostname)?;
-        path.rmatch_indices('/')
-            .find_map(|(slash, _)| prefixes.get(&path[..=slash]))
-    }
-}
-
 /// An operator's order to roll a service's traffic out to another version.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Order {
--- a/src/sidecar/document/account.rs
+++ b/src/sidecar/document/account.rs
@@ -4,6 +4,7 @@
     crate::types::{AccountName, Region},
     serde::{Deserialize, Serialize},
     std::{
+        borrow::Borrow,
         collections::BTreeSet,
         fmt::{self, Debug, Display, Formatter},
     },
@@ -27,6 +28,13 @@
     }
 }
 
+/// Permits the lookup of a key by the text that a caller has sent.
+impl Borrow<str> for Key {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
 impl Debug for Key {
     fn fmt(&self, f: &mut Formatter) -> fmt::Result {
         f.write_str("Key(..)")
--- a/src/sidecar/forward.rs
+++ b/src/sidecar/forward.rs
@@ -6,7 +6,7 @@
 
 use {
     super::{
-        document::{Class, Route},
+        document::{Account, Class, Route},
         frame::{Answer, Outcome, Request},
         load_balancer::{self, AttemptResult, Choice, Load, Unavailable, VersionFilter},
         local_upstream,
@@ -47,6 +47,8 @@
 
 /// A caller's request and its route.
 pub(super) struct Call {
+    /// Account of the caller; `None` if the request needs no key and has none.
+    pub account: Option<Arc<Account>>,
     pub body: Bytes,
     pub deadline: Moment,
     pub fields: Vec<Field>,
@@ -64,6 +66,15 @@
     pub caller_deadline: Moment,
 }
 
+impl Call {
+    /// Returns the priority of the request: that of its account, or that of its route if the account has none.
+    pub fn priority(&self) -> u32 {
+        let account = self.account.as_ref();
+        let of_account = account.and_then(|account| account.priority);
+        of_account.unwrap_or(self.route.priority)
+    }
+}
+
 /// Result for the caller.
 pub(super) enum Reply {
     /// An upstream has answered.
@@ -167,7 +178,7 @@
                 now,
                 load_balancer::Request {
                     tried: &self.attempts.hosts,
-                    priority: self.call.route.priority,
+                    priority: self.call.priority(),
                     service: &self.service,
                     version_filter,
                     worth_for: self.call.full_value_until.since(now),
@@ -208,6 +219,7 @@
         let now = self.core.now();
         let call = self.call;
         let request = Request {
+            account: call.account.as_ref().map(|account| account.name.clone()),
             body: call.body.clone(),
             caller: self.core.settings.borrow().service.clone(),
             repeatable: call.route.class == Class::Repeatable,
@@ -215,7 +227,7 @@
             id: call.id.clone(),
             time_left: call.deadline.since(now),
             method: call.method.clone(),
-            priority: call.route.priority,
+            priority: call.priority(),
             returned: call.returned,
             route: call.route_id,
             service: self.service.clone(),
@@ -261,7 +273,7 @@
                 .map_or(retry_after, |known| known.min(retry_after));
             self.retry_after = Some(soonest);
             let now = self.core.now();
-            let priority = self.call.route.priority;
+            let priority = self.call.priority();
             let mut load_balancer = self.core.load_balancer.borrow_mut();
             load_balancer.record_decline(now, &place.host, priority, retry_after);
         }
--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -17,7 +17,7 @@
         http1::Field,
         refusal::Reason,
         traffic::quarantine::Strike,
-        types::{Domain, Host, Moment, Region, Service, Version},
+        types::{AccountName, Domain, Host, Moment, Region, Service, Version},
     },
     bytes::{Bytes, BytesMut},
     serde::{Deserialize, Serialize},
@@ -50,6 +50,8 @@
 /// Request to the node on an upstream's host.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Request {
+    /// Account of the caller, which the upstream is told.
+    pub account: Option<AccountName>,
     /// Body.
     pub body: Bytes,
     /// Service on whose host the request originated.
@@ -65,7 +67,7 @@
     pub time_left: Duration,
     /// Request method.
     pub method: String,
-    /// Priority of the route.
+    /// Priority of the account, or of the route if the account has none.
     pub priority: u32,
     /// Whether the caller was refused before and has returned after its retry time.
     pub returned: bool,
--- a/src/sidecar/ingress.rs
+++ b/src/sidecar/ingress.rs
@@ -6,7 +6,7 @@
 mod handler;
 
 use {
-    super::{body_budget::Reservation, document::Limits, node::Core},
+    super::{authentication::Origin, body_budget::Reservation, document::Limits, node::Core},
     crate::http1::{self, Error, Reader, Request},
     bytes::Bytes,
     handler::{error_response, handle},
@@ -29,12 +29,25 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 struct Connection {
+    /// Whether the caller is on the same host, as the calls of this host's upstream are.
+    from_own_host: bool,
     /// Whether a response that closes the connection is being written; requests read after that are ignored.
     closing: Cell<bool>,
     /// Number of requests that were read.
     request_count: Cell<u64>,
 }
 
+impl Connection {
+    /// Returns who may have sent a request that was just read.
+    fn origin(&self, core: &Core) -> Origin {
+        if self.from_own_host && core.local_upstream.runs_request() {
+            Origin::RunningUpstream
+        } else {
+            Origin::Caller
+        }
+    }
+}
+
 /// Output to a caller, queued in the order of writing.
 enum Item {
     /// The response to a request, as soon as it is available.
@@ -88,9 +101,11 @@
 }
 
 async fn serve_connection(core: Rc<Core>, stream: TcpStream) {
+    let from_own_host = is_from_own_host(&core, &stream);
     let (reader, writer) = stream.into_split();
     let connection = Rc::new(Connection {
         closing: Cell::new(false),
+        from_own_host,
         request_count: Cell::new(0),
     });
     let (responses, items) = mpsc::channel(PIPELINE_MAX);
@@ -121,6 +136,18 @@
     let _ = writing.await;
 }
 
+/// Returns whether a connection comes from the host of this node: from a loopback address, from the address at which it
+/// was accepted, or from that of the upstream.
+fn is_from_own_host(core: &Core, stream: &TcpStream) -> bool {
+    let Ok(peer) = stream.peer_addr() else {
+        return false;
+    };
+    let peer = peer.ip().to_canonical();
+    let accepted_at = stream.local_addr().map(|local| local.ip().to_canonical());
+    let upstream = core.settings.borrow().upstream.ip().to_canonical();
+    peer.is_loopback() || accepted_at.is_ok_and(|local| local == peer) || upstream == peer
+}
+
 /// Reads and starts requests until no more are to be read. Returns whether the caller has closed the connection, so
 /// that its unanswered requests can be aborted.
 async fn read_requests(
@@ -162,9 +189,10 @@
         match read {
             Ok(request) => {
                 let last = request.close;
+                let origin = connection.origin(core);
                 let core = core.clone();
                 running.spawn_local(async move {
-                    let encoded = handle(&core, request, arrived).await;
+                    let encoded = handle(&core, request, arrived, origin).await;
                     drop(room);
                     // The writer has ended if the caller has gone.
                     let _ = sender.send(encoded);
--- a/src/sidecar/ingress/handler.rs
+++ b/src/sidecar/ingress/handler.rs
@@ -7,6 +7,7 @@
         http1::{self, Error, Field, Request},
         refusal::Reason,
         sidecar::{
+            authentication::{self, KEY_FIELD, Origin},
             body_budget,
             forward::{self, Attempts, Call, Reply},
             node::Core,
@@ -56,12 +57,18 @@
     })
 }
 
-/// Handles a request and returns the encoded response. `arrived` is the time at which the head began.
-pub(super) async fn handle(core: &Rc<Core>, request: Request, arrived: Moment) -> EncodedResponse {
+/// Handles a request and returns the encoded response. `arrived` is the time at which the head began, `origin` says who
+/// may have sent the request.
+pub(super) async fn handle(
+    core: &Rc<Core>,
+    request: Request,
+    arrived: Moment,
+    origin: Origin,
+) -> EncodedResponse {
     let close = request.close;
     let id = http1::field_text(&request.fields, core.header_names.request_id).map(String::from);
     let mut attempts = Attempts::default();
-    let admitted = admit(core, request, arrived);
+    let admitted = admit(core, request, arrived, origin);
     let response = match &admitted {
         Ok(call) => {
             let reply = forward::send(core, call, &mut attempts).await;
@@ -179,6 +186,7 @@
             _ => STARTING_RETRY_AFTER,
         };
         let fields = match self.status {
+            401 => vec![Field::new("WWW-Authenticate", "Bearer")],
             503 => vec![retry_after(forward::with_jitter(after))],
             _ => Vec::new(),
         };
@@ -194,7 +202,12 @@
 
 /// Returns the call to forward: the request with its route, its deadlines and without the header fields that this
 /// node sets itself. Rejects requests that have no route or ID, and all while the node is not configured or closing.
-fn admit(core: &Core, request: Request, arrived: Moment) -> Result<Call, Rejection> {
+fn admit(
+    core: &Core,
+    request: Request,
+    arrived: Moment,
+    origin: Origin,
+) -> Result<Call, Rejection> {
     let rejected = |reason, status| Err(Rejection { reason, status });
     if !core.has_document() {
         return rejected(Reason::NoRoute, 503);
@@ -220,6 +233,11 @@
     let Some(route) = found else {
         return rejected(Reason::NoRoute, 404);
     };
+    let account =
+        authentication::authenticate(&core.index.borrow(), &request.fields, route.public, origin);
+    let Ok(account) = account else {
+        return rejected(Reason::Unauthorized, 401);
+    };
     let route_id = xxh3_64(route.name.as_bytes());
     let stated_timeout: Option<u64> = http1::field_text(&request.fields, header_names.time_left)
         .and_then(|text| text.trim().parse().ok());
@@ -238,12 +256,15 @@
     let mut fields = request.fields;
     http1::strip_hop_by_hop(&mut fields);
     let own_fields = [
+        KEY_FIELD,
+        header_names.account,
         header_names.caller_service,
         header_names.expected_instance,
         header_names.time_left,
     ];
     fields.retain(|field| !own_fields.iter().any(|name| field.is(name)));
     Ok(Call {
+        account,
         body: request.body,
         deadline,
         fields,
@@ -269,7 +290,7 @@
             "route={} class={:?} priority={} left_ms={} worth_for_ms={} returned={}",
             call.route.name,
             call.route.class,
-            call.route.priority,
+            call.priority(),
             call.deadline.since(self.arrived).as_millis(),
             call.full_value_until.since(self.arrived).as_millis(),
             call.returned
--- a/src/sidecar/local_upstream.rs
+++ b/src/sidecar/local_upstream.rs
@@ -146,6 +146,11 @@
         self.running.borrow().is_empty() && self.waiting.borrow().is_empty()
     }
 
+    /// Returns whether the upstream runs at least one request, so that it may make calls of its own.
+    pub fn runs_request(&self) -> bool {
+        !self.running.borrow().is_empty()
+    }
+
     pub fn strikes(&self) -> Vec<Strike> {
         self.quarantine.borrow().strikes()
     }
--- a/src/sidecar/local_upstream/serve.rs
+++ b/src/sidecar/local_upstream/serve.rs
@@ -209,6 +209,9 @@
 async fn run(core: &Rc<Core>, request: &Request, instance: &str, left: Duration) -> Outcome {
     let header_names = core.header_names;
     let mut fields = request.fields.clone();
+    if let Some(account) = &request.account {
+        fields.push(Field::new(header_names.account, account.as_str()));
+    }
     fields.push(Field::new(
         header_names.caller_service,
         request.caller.as_str(),
--- a/src/traffic/retry.rs
+++ b/src/traffic/retry.rs
@@ -110,7 +110,8 @@
             | R::OwnerChanged
             | R::OwnerUnreachable
             | R::Quarantined
-            | R::TooLarge,
+            | R::TooLarge
+            | R::Unauthorized,
         )
         // No time is left, the caller has gone, or another endpoint is no more likely to
         // succeed.
@@ -136,6 +137,7 @@
             | R::OwnerUnreachable
             | R::Quarantined
             | R::TooLarge
+            | R::Unauthorized
             | R::Unreachable
             | R::WrongVersion,
         )
--- a/tests/sidecar/document.rs
+++ b/tests/sidecar/document.rs
@@ -44,6 +44,7 @@
     Document {
         accounts: BTreeMap::new(),
         limits: Limits::default(),
+        needs_key: false,
         number: Number::new(number),
         routes: routes
             .into_iter()
