--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -18,7 +18,7 @@
         http1::Field,
         refusal::Reason,
         traffic::quarantine::Strike,
-        types::{Domain, Host, Moment, Region, Service, Version},
+        types::{AccountName, Domain, Host, Moment, Region, Service, Version},
     },
     bytes::{Bytes, BytesMut},
     serde::{Deserialize, Serialize},
@@ -51,6 +51,8 @@
 /// Request to the node on an upstream's host.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Request {
+    /// Account of the caller, which the upstream is told.
+    pub account: Option<AccountName>,
     /// Body.
     pub body: Bytes,
     /// Service on whose host the request originated.
@@ -66,7 +68,7 @@
     pub time_left: Duration,
     /// Request method.
     pub method: String,
-    /// Priority of the route.
+    /// Priority of the account, or of the route if the account has none.
     pub priority: u32,
     /// Regions in which it may run.
     pub regions: Restriction,
