Pace of upstreams: read with each response, expected in run times, logged

Cause: an upstream that shares its host takes up to 2.5 times as long for about 0.6 s; the averages of run times followed such a change too late and kept it too long. Change: the fourth figure of the upstream's load header is its pace. The load that goes back with each outcome carries it; the choice does not use it yet. The lines run and decline have the field pace, in percent. Without the figure, expected times are as before.

--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -16,6 +16,7 @@
 pub mod log;
 pub mod neighbours;
 pub mod node;
+pub mod pace;
 pub mod queue;
 pub mod refusal_history;
 pub mod retry_budget;
--- a/src/sidecar/forward.rs
+++ b/src/sidecar/forward.rs
@@ -366,7 +366,7 @@
         let _ = done.send(outcome);
     });
     let outcome = outcome.await.unwrap_or(Outcome::Unknown(Reason::Lost));
-    (outcome, Some(core.local_upstream.load()))
+    (outcome, Some(core.local_upstream.load(core.now())))
 }
 
 /// Returns a uniformly distributed number from 0 to 1 (exclusive) that depends only on the request ID and the seed.
--- a/src/sidecar/load_balancer.rs
+++ b/src/sidecar/load_balancer.rs
@@ -8,6 +8,7 @@
 //! node has sent there since.
 
 use {
+    super::pace::Pace,
     crate::{
         traffic::spill::Tier,
         types::{Host, Moment, Permille, Service, Version},
@@ -57,9 +58,11 @@
 /// Load of the node at an upstream, as reported with each of its answers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
+    /// Present pace; `None` if the upstream has never reported one.
+    pub pace: Option<Pace>,
     /// Number of requests that wait for a slot.
     pub queued: u32,
-    /// Average run time.
+    /// Average run time at the usual pace.
     #[serde(rename = "run")]
     pub run_time: Duration,
     /// Number of requests that are running.
--- a/src/sidecar/local_upstream.rs
+++ b/src/sidecar/local_upstream.rs
@@ -18,6 +18,7 @@
         handle::Announcement,
         load_balancer::{Load, Offer},
         node::Core,
+        pace::Pace,
         queue::{Action, Queue},
         rollout::RolloutState,
         upstream_pool::Pool,
@@ -136,9 +137,13 @@
         Some(current.last_announcement.offer.clone())
     }
 
-    /// Returns the numbers of running and waiting requests, and the average run time.
-    pub fn load(&self) -> Load {
-        self.queue.borrow().load()
+    /// Returns the numbers of running and waiting requests, the average run time and the present pace.
+    pub fn load(&self, now: Moment) -> Load {
+        self.queue.borrow().load(now)
+    }
+
+    fn record_pace(&self, now: Moment, pace: Pace) {
+        self.queue.borrow_mut().record_pace(now, pace);
     }
 
     /// Returns whether no request runs or waits.
--- a/src/sidecar/local_upstream/serve.rs
+++ b/src/sidecar/local_upstream/serve.rs
@@ -12,6 +12,7 @@
         sidecar::{
             frame::{Answer, Frame, Outcome, Request},
             node::Core,
+            pace::Pace,
             upstream_pool::{Failure, Outgoing},
         },
         traffic::{admission::Ticket, quarantine::Fingerprint},
@@ -141,14 +142,16 @@
     slot.answered = matches!(&outcome, Outcome::Answered(answer) if !answer.not_run);
     state.record_result(now, ticket, has_failed(&outcome));
     handle_outcome(core, ticket, &outcome).await;
+    let pace = state.load(now).pace.unwrap_or(Pace::USUAL);
     core.log.record(
         now,
         "run",
         format_args!(
-            "id={} instance={instance} waited_ms={} took_ms={} {}",
+            "id={} instance={instance} waited_ms={} took_ms={} pace={} {}",
             request.id,
             started.since(arrived).as_millis(),
             now.since(started).as_millis(),
+            pace.percent(),
             Summary(&outcome)
         ),
     );
@@ -187,19 +190,21 @@
     reason: Reason,
     retry_after: Duration,
 ) -> Outcome {
-    let load = core.local_upstream.load();
+    let now = core.now();
+    let load = core.local_upstream.load(now);
     core.log.record(
-        core.now(),
+        now,
         "decline",
         format_args!(
-            "id={} reason={reason} waited_ms={} left_ms={} running={} queued={} slots={} run_ms={} room_in_ms={}",
+            "id={} reason={reason} waited_ms={} left_ms={} running={} queued={} slots={} run_ms={} pace={} room_in_ms={}",
             request.id,
-            core.now().since(arrived).as_millis(),
+            now.since(arrived).as_millis(),
             request.time_left.as_millis(),
             load.running,
             load.queued,
             load.slots,
             load.run_time.as_millis(),
+            load.pace.unwrap_or(Pace::USUAL).percent(),
             retry_after.as_millis()
         ),
     );
@@ -222,12 +227,18 @@
         bytes: http1::encode_request(&request.method, &request.target, &fields, &request.body),
         id: &request.id,
         timeout: left + DEADLINE_GRACE,
-        body_bytes_max: BODY_BYTES_TOTAL_MAX / u64::from(core.local_upstream.load().slots.max(1)),
+        body_bytes_max: BODY_BYTES_TOTAL_MAX
+            / u64::from(core.local_upstream.load(core.now()).slots.max(1)),
         repeatable: request.repeatable,
         is_head_request: request.method == "HEAD",
     };
     match core.local_upstream.pool.send(&outgoing).await {
         Ok(response) => {
+            // Failures report the pace too.
+            let load = http1::field_text(&response.fields, header_names.load);
+            if let Some(pace) = load.and_then(Pace::parse) {
+                core.local_upstream.record_pace(core.now(), pace);
+            }
             let not_run = http1::field_text(&response.fields, header_names.not_run).is_some();
             let misdirected = response.status == MISDIRECTED;
             if misdirected {
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -223,7 +223,7 @@
     if !room.try_grow(request.body.len() as u64) {
         let outcome = Outcome::Declined(Reason::Overloaded, body_budget::RETRY_AFTER);
         link.send(
-            &Frame::Outcome(stream, outcome, core.local_upstream.load()),
+            &Frame::Outcome(stream, outcome, core.local_upstream.load(core.now())),
             None,
         );
         return;
@@ -235,7 +235,7 @@
         let outcome = local_upstream::serve(&core, request, cancelled).await;
         drop(room);
         link.serving.borrow_mut().remove(&stream);
-        let load = core.local_upstream.load();
+        let load = core.local_upstream.load(core.now());
         link.send(&Frame::Outcome(stream, outcome, load), None);
     });
 }
--- a/src/sidecar/queue.rs
+++ b/src/sidecar/queue.rs
@@ -9,7 +9,10 @@
 //! within a priority, requests that can still meet their target go first, in the order of arrival.
 
 use {
-    super::load_balancer::Load,
+    super::{
+        load_balancer::Load,
+        pace::{Estimate, Pace},
+    },
     crate::{refusal::Reason, traffic::admission::Ticket, types::Moment},
     std::{collections::BTreeMap, time::Duration},
 };
@@ -84,8 +87,11 @@
 /// Slots of one upstream, and the requests that run on them or wait for them.
 #[derive(Debug, Default)]
 pub struct Queue {
+    /// Average run time of all routes at the usual pace.
     overall_run_time_s: Option<f64>,
+    pace: Estimate,
     running: BTreeMap<Ticket, Moment>,
+    /// Average run times at the usual pace.
     route_run_times_s: BTreeMap<u64, f64>,
     slots: u32,
     usage: BTreeMap<u32, Usage>,
@@ -98,12 +104,24 @@
         self.slots = slots;
     }
 
-    /// Returns the numbers of running and waiting requests, and the average run time over all routes.
+    /// Records the pace that the upstream has reported with a response.
+    pub fn record_pace(&mut self, now: Moment, pace: Pace) {
+        self.pace.record(now, pace);
+    }
+
+    /// Returns the numbers of running and waiting requests, the average run time over all routes at the usual pace, and
+    /// the present pace.
     #[must_use]
-    pub fn load(&self) -> Load {
+    pub fn load(&self, now: Moment) -> Load {
         Load {
+            pace: self.pace.at(now),
             queued: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
-            run_time: self.run_time(None),
+            run_time: expected_run_time(
+                &self.route_run_times_s,
+                self.overall_run_time_s,
+                None,
+                Pace::USUAL.factor(),
+            ),
             running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
             slots: self.slots,
         }
@@ -113,7 +131,7 @@
     /// that can no longer be on time are declined first.
     pub fn arrive(&mut self, now: Moment, ticket: Ticket, demand: Demand) -> Vec<Action> {
         let mut actions = self.decline_late(now);
-        let run_time = self.run_time(Some(demand.route));
+        let run_time = self.run_time(now, Some(demand.route));
         if self.slots == 0 {
             actions.push(Action::Decline(ticket, Reason::NoEndpoint, RETRY_AFTER_MIN));
             return actions;
@@ -155,7 +173,8 @@
         if let Some(started_at) = self.running.remove(&ticket)
             && answered
         {
-            self.record_run_time(route, now.since(started_at));
+            let run_time_s = now.since(started_at).as_secs_f64() / self.pace.factor(now);
+            self.record_run_time(route, run_time_s);
         }
         self.start_waiting(now)
     }
@@ -191,7 +210,7 @@
 
     fn start(&mut self, now: Moment, ticket: Ticket, demand: &Demand) {
         self.running.insert(ticket, now);
-        let run_time = self.run_time(Some(demand.route));
+        let run_time = self.run_time(now, Some(demand.route));
         let usage = self.usage.entry(demand.priority).or_default();
         usage.add(now, run_time);
     }
@@ -215,15 +234,17 @@
     /// Returns the sort key of a request; the lowest goes first. It orders by the priority of the route, then by
     /// whether the target is missed.
     fn sort_key(&self, now: Moment, demand: &Demand) -> (u32, bool) {
-        let run_time = self.run_time(Some(demand.route));
+        let run_time = self.run_time(now, Some(demand.route));
         (demand.priority, now + run_time > demand.target)
     }
 
     fn decline_late(&mut self, now: Moment) -> Vec<Action> {
         let mut actions = Vec::new();
         let (route_run_times_s, overall) = (&self.route_run_times_s, self.overall_run_time_s);
+        let pace = self.pace.factor(now);
         self.waiting.retain(|waiting| {
-            let run_time = average_run_time(route_run_times_s, overall, Some(waiting.demand.route));
+            let route = Some(waiting.demand.route);
+            let run_time = expected_run_time(route_run_times_s, overall, route, pace);
             let demand = &waiting.demand;
             let latest = if demand.returned {
                 demand.deadline
@@ -250,18 +271,20 @@
         let ahead = self.waiting.iter();
         let ahead = ahead.filter(|waiting| self.sort_key(now, &waiting.demand) <= key);
         let work: Duration = ahead
-            .map(|waiting| self.run_time(Some(waiting.demand.route)))
+            .map(|waiting| self.run_time(now, Some(waiting.demand.route)))
             .sum();
-        let wait = (work + self.run_time(None)) / self.slots.max(1);
+        let wait = (work + self.run_time(now, None)) / self.slots.max(1);
         wait.div_f64(1.0 - self.urgent_share(now, demand.priority))
     }
 
-    fn run_time(&self, route: Option<u64>) -> Duration {
-        average_run_time(&self.route_run_times_s, self.overall_run_time_s, route)
+    /// Returns the run time expected at the present pace.
+    fn run_time(&self, now: Moment, route: Option<u64>) -> Duration {
+        let (route_run_times_s, overall) = (&self.route_run_times_s, self.overall_run_time_s);
+        expected_run_time(route_run_times_s, overall, route, self.pace.factor(now))
     }
 
-    fn record_run_time(&mut self, route: u64, run_time: Duration) {
-        let seconds = run_time.as_secs_f64();
+    /// Adds a run time at the usual pace to the averages.
+    fn record_run_time(&mut self, route: u64, seconds: f64) {
         let average = self.route_run_times_s.entry(route).or_insert(seconds);
         *average += RUN_TIME_SMOOTHING * (seconds - *average);
         let overall = self.overall_run_time_s.get_or_insert(seconds);
@@ -269,13 +292,16 @@
     }
 }
 
-fn average_run_time(
+/// Returns the average run time of a route, or of all routes, multiplied by `pace`.
+fn expected_run_time(
     route_run_times_s: &BTreeMap<u64, f64>,
     overall: Option<f64>,
     route: Option<u64>,
+    pace: f64,
 ) -> Duration {
-    route
+    let average_s = route
         .and_then(|route| route_run_times_s.get(&route).copied())
         .or(overall)
-        .map_or(DEFAULT_RUN_TIME, Duration::from_secs_f64)
+        .unwrap_or(DEFAULT_RUN_TIME.as_secs_f64());
+    Duration::from_secs_f64(average_s * pace)
 }
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -21,6 +21,8 @@
 mod neighbours;
 #[path = "sidecar/orders.rs"]
 mod orders;
+#[path = "sidecar/pace.rs"]
+mod pace;
 #[path = "sidecar/queue.rs"]
 mod queue;
 #[path = "sidecar/queue_load.rs"]
--- a/tests/sidecar/load_balancer.rs
+++ b/tests/sidecar/load_balancer.rs
@@ -38,6 +38,7 @@
 
 fn load(running: u32, queued: u32) -> Load {
     Load {
+        pace: None,
         queued,
         run_time: RUN,
         running,
--- a/tests/sidecar/queue.rs
+++ b/tests/sidecar/queue.rs
@@ -128,7 +128,7 @@
         actions[..],
         [Action::Decline(Ticket(1), Reason::Leaving, _)]
     ));
-    assert_eq!(queue.load().running, 1);
+    assert_eq!(queue.load(at(1)).running, 1);
 }
 
 /// Offers three times the capacity for ten seconds, half of it urgent. Only requests that can still be on time may
@@ -223,8 +223,8 @@
                 }
             }
             prop_assert!(running.len() <= slots as usize);
-            prop_assert_eq!(queue.load().running as usize, running.len());
-            prop_assert_eq!(queue.load().queued as usize, waiting.len());
+            prop_assert_eq!(queue.load(at(now)).running as usize, running.len());
+            prop_assert_eq!(queue.load(at(now)).queued as usize, waiting.len());
         }
     }
 }
