Load balancer: expected times at the present pace

Cause: the choice compared run times at the usual pace, so slowed upstreams kept their share. Change: the pace goes into the expected time of each upstream, and fades there as it does beside the upstream.

--- a/src/sidecar/load_balancer.rs
+++ b/src/sidecar/load_balancer.rs
@@ -8,7 +8,7 @@
 //! node has sent there since.
 
 use {
-    super::pace::Pace,
+    super::pace::{Estimate, Pace},
     crate::{
         traffic::spill::Tier,
         types::{Host, Moment, Permille, Service, Version},
@@ -93,6 +93,7 @@
     offer: Offer,
     other_requests: f64,
     own_requests: u32,
+    pace: Estimate,
     rank: u64,
     reported_at: Moment,
     run_time: Option<Duration>,
@@ -101,7 +102,8 @@
 
 impl Endpoint {
     fn expected_run_time(&self, now: Moment, typical: Duration) -> f64 {
-        let run_time = self.run_time.unwrap_or(typical).as_secs_f64();
+        let usual = self.run_time.unwrap_or(typical).as_secs_f64();
+        let run_time = usual * self.pace.factor(now);
         if now < self.cold_until && self.run_time.is_none() {
             run_time * COLD_FACTOR
         } else {
@@ -253,6 +255,7 @@
                     offer,
                     other_requests: 0.0,
                     own_requests: 0,
+                    pace: Estimate::default(),
                     rank: xxh3_64(host.as_str().as_bytes()),
                     reported_at: now,
                     run_time: None,
@@ -352,6 +355,9 @@
             endpoint.other_requests = (total - f64::from(endpoint.own_requests)).max(0.0);
             endpoint.reported_at = now;
             endpoint.run_time = Some(load.run_time);
+            if let Some(pace) = load.pace {
+                endpoint.pace.record(now, pace);
+            }
         }
     }
 
