--- a/src/sidecar/load_balancer.rs
+++ b/src/sidecar/load_balancer.rs
@@ -12,6 +12,7 @@
 pub use request::{AttemptResult, Choice, Location, Request, Unavailable, VersionFilter};
 
 use {
+    super::pace::{Estimate, Pace},
     crate::{
         traffic::spill::Tier,
         types::{Host, Moment, Permille, Region, Service, Version},
@@ -61,9 +62,11 @@
 /// Load of the node at an upstream, as reported with each of its answers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
+    /// Present pace; `None` if the upstream has never reported one.
+    pub pace: Option<Pace>,
     /// Number of requests that wait for a slot.
     pub queued: u32,
-    /// Average run time.
+    /// Average run time at the usual pace.
     #[serde(rename = "run")]
     pub run_time: Duration,
     /// Number of requests that are running.
@@ -94,6 +97,7 @@
     offer: Offer,
     other_requests: f64,
     own_requests: u32,
+    pace: Estimate,
     rank: u64,
     region: Region,
     reported_at: Moment,
@@ -103,7 +107,8 @@
 
 impl Endpoint {
     fn expected_run_time(&self, now: Moment, typical: Duration) -> f64 {
-        let run_time = self.run_time.unwrap_or(typical).as_secs_f64();
+        let usual = self.run_time.unwrap_or(typical).as_secs_f64();
+        let run_time = usual * self.pace.factor(now);
         if now < self.cold_until && self.run_time.is_none() {
             run_time * COLD_FACTOR
         } else {
@@ -202,6 +207,7 @@
                     offer,
                     other_requests: 0.0,
                     own_requests: 0,
+                    pace: Estimate::default(),
                     rank: xxh3_64(host.as_str().as_bytes()),
                     region: location.region.clone(),
                     reported_at: now,
@@ -303,6 +309,9 @@
             endpoint.other_requests = (total - f64::from(endpoint.own_requests)).max(0.0);
             endpoint.reported_at = now;
             endpoint.run_time = Some(load.run_time);
+            if let Some(pace) = load.pace {
+                endpoint.pace.record(now, pace);
+            }
         }
     }
 
