Evacuation: no request reaches an upstream of a failure domain that the operator has evacuated

Cause: the operator evacuates a domain by a row of the store, and nothing read it. Change: the readers of the store read the rows, also removed ones, and announce the set with its position in the store's history, at once along the tree and with each confirmation. A node adopts a set of a later position. The node beside an upstream enforces it: it offers nothing and declines new and waiting requests. The set precedes a node's first document, and a node offers its upstream only once it has a document.

--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -1,5 +1,5 @@
 //! The node for platforms on which an upstream is reachable only from the node on its own host, and on which the
-//! platform's store accepts the operator's orders. The decision modules ([`body_budget`], [`document`], [`freshness`],
+//! platform's store accepts the operator's orders. The decision modules ([`body_budget`], [`document`], [`evacuation`], [`freshness`],
 //! [`queue`], [`load_balancer`], [`regions`], [`retry_budget`], [`rollout`], [`shutdown`], [`store_readers`], [`uploads`]) use no clock, socket or
 //! task; the other modules do the input and output and call them. See docs/design/platform.md.
 
@@ -7,6 +7,7 @@
 pub mod departure;
 pub mod dissemination;
 pub mod document;
+pub mod evacuation;
 pub mod evidence;
 pub mod frame;
 pub mod freshness;
--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -5,6 +5,7 @@
     super::{
         dissemination::Scope,
         document::{Delta, Document, Number},
+        evacuation::Evacuations,
         evidence::Report,
         handle::Announcement,
         history::Epoch,
@@ -123,13 +124,15 @@
 }
 
 /// Confirmation that a document is the newest one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Confirmation {
     /// Time since the store was read.
     pub age: Duration,
     /// Latest epoch of the store that the sender knows. A higher one tells the receiver that the store may have lost what
     /// the receiver wrote.
     pub epoch: Option<Epoch>,
+    /// Evacuated domains that the sender knows.
+    pub evacuations: Evacuations,
     /// Number of the document that was the newest one in the store then.
     pub number: Number,
 }
@@ -186,6 +189,8 @@
     Referral(Host),
     /// What a node has read of the store. The receiver relays it to the scope, once it has the document in force.
     Confirmation(Scope, Confirmation),
+    /// Evacuated domains. The receiver relays them to the scope.
+    Evacuations(Scope, Evacuations),
 }
 
 /// Encodes a frame, preceded by its length. Documents and their differences are compressed, as configurations are
--- a/src/sidecar/local_upstream.rs
+++ b/src/sidecar/local_upstream.rs
@@ -167,7 +167,7 @@
         }
     }
 
-    fn decline_waiting(&self, core: &Core, outcome: Arguments) {
+    pub(super) fn decline_waiting(&self, core: &Core, outcome: Arguments) {
         core.log
             .record(core.now(), "upstream", format_args!("outcome={outcome}"));
         let actions = self.queue.borrow_mut().decline_waiting(Reason::Leaving);
--- a/src/sidecar/local_upstream/serve.rs
+++ b/src/sidecar/local_upstream/serve.rs
@@ -77,6 +77,9 @@
     if !core.permits_here(&request) {
         return decline(core, &request, arrived, Reason::Region, Duration::ZERO);
     }
+    if !core.admits_requests() {
+        return decline(core, &request, arrived, Reason::Leaving, Duration::ZERO);
+    }
     let demand = request.demand(arrived);
     let fingerprint = Fingerprint::new(
         request.service.as_str(),
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -19,6 +19,8 @@
     pub document: IntGauge,
     /// The time since the document in force was the newest one in the store, in milliseconds.
     pub document_age: IntGauge,
+    /// 1 while the failure domain of this node is evacuated, otherwise 0.
+    pub evacuated: IntGauge,
     latency: HistogramVec,
     outcomes: IntCounterVec,
     /// The number of connected nodes.
@@ -51,6 +53,10 @@
                 "mulberry_document_age_ms",
                 "Milliseconds since a read of the store confirmed the document in force.",
             )?,
+            evacuated: IntGauge::new(
+                "mulberry_evacuated",
+                "Whether the failure domain of this node is evacuated: 1, otherwise 0.",
+            )?,
             latency: HistogramVec::new(
                 latency.buckets(LATENCY_BUCKETS_S.into()),
                 &["route", "outcome"],
@@ -80,6 +86,7 @@
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.document.clone()))?;
         registry.register(Box::new(metrics.document_age.clone()))?;
+        registry.register(Box::new(metrics.evacuated.clone()))?;
         registry.register(Box::new(metrics.latency.clone()))?;
         registry.register(Box::new(metrics.outcomes.clone()))?;
         registry.register(Box::new(metrics.peers.clone()))?;
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod core;
 mod epoch;
+mod location;
 mod stop_periods;
 
 pub(super) use core::{Core, STORE_SOURCE};
@@ -116,6 +117,7 @@
             ),
             epoch: Cell::default(),
             epoch_changed: Notify::new(),
+            evacuations: RefCell::default(),
             index: RefCell::default(),
             log,
             metrics,
--- a/src/sidecar/node/core.rs
+++ b/src/sidecar/node/core.rs
@@ -7,12 +7,13 @@
             body_budget::BodyBudget,
             dissemination::Scope,
             document::{Delta, Document, Index, Number},
+            evacuation::Evacuations,
             frame::{Contact, Frame, Status},
             freshness::Freshness,
             header_names::HeaderNames,
             history::{Epoch, Position},
             leader::Rollouts,
-            load_balancer::{LoadBalancer, Location},
+            load_balancer::LoadBalancer,
             local_upstream,
             log::Log,
             metrics::Metrics,
@@ -24,7 +25,6 @@
             settings::Settings,
             store_readers::{self, Candidate, StoreAccess},
         },
-        traffic::spill::Tier,
         types::{Host, Moment, Service},
     },
     std::{
@@ -69,6 +69,8 @@
     pub epoch: Cell<Option<Epoch>>,
     /// Notified when that rises.
     pub epoch_changed: Notify,
+    /// Failure domains that the operator has evacuated.
+    pub evacuations: RefCell<Evacuations>,
     /// Index of the routes of the document in force.
     pub index: RefCell<Index>,
     /// Log of this node.
@@ -121,33 +123,11 @@
         &self.contact.host
     }
 
-    pub fn tier_of(&self, contact: &Contact) -> Tier {
-        if contact.domain == self.contact.domain {
-            Tier::Own
-        } else if contact.region == self.contact.region {
-            Tier::Region
-        } else {
-            Tier::Remote
-        }
-    }
-
-    /// Returns the location of a node for the load balancer.
-    pub fn location_of<'a>(&self, contact: &'a Contact) -> Location<'a> {
-        Location {
-            region: &contact.region,
-            tier: self.tier_of(contact),
-        }
-    }
-
     /// Returns the status that this node sends to its peers.
     pub fn status(&self) -> Status {
         Status {
             document: self.number(),
-            offer: if self.offer_withdrawn.get() {
-                None
-            } else {
-                self.local_upstream.offer(self.now())
-            },
+            offer: self.offer(),
             reach: self.candidate().reach,
         }
     }
@@ -255,7 +235,8 @@
             );
             return false;
         }
-        if !self.has_document() {
+        let is_first = !self.has_document();
+        if is_first {
             self.freshness.borrow_mut().begin(self.now());
         }
         let delta = Arc::new(current.delta_to(&document));
@@ -282,6 +263,10 @@
                 current.number
             ),
         );
+        if is_first && self.offer().is_some() {
+            // Without a document the upstream was not offered.
+            self.broadcast_status();
+        }
         true
     }
 
@@ -307,7 +292,8 @@
     }
 
     /// Returns the frames that bring a node from the document `from` to the one in force, to be relayed to `scope`. A
-    /// node without a document gets the rollout states first, as it routes as soon as it has a document.
+    /// node without a document gets the rollout states and the evacuated domains first, as it routes requests and offers its
+    /// upstream as soon as it has a document.
     pub fn frames_since(&self, from: Number, scope: Scope) -> Vec<Frame> {
         let document = self.document.borrow().clone();
         if document.number <= from {
@@ -325,6 +311,8 @@
             let states = self.rollout_states.borrow();
             let states = states.values().cloned();
             frames.extend(states.map(|state| Frame::Ramp(Scope::Host, state)));
+            let evacuations = self.evacuations.borrow().clone();
+            frames.push(Frame::Evacuations(Scope::Host, evacuations));
         }
         frames.push(Frame::Document(scope, document));
         frames
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -3,12 +3,14 @@
 
 mod broadcast;
 mod confirmation;
+mod evacuations;
 mod first_document;
 mod link;
 mod recall;
 mod receive;
 
 pub(super) use broadcast::{push_confirmation, push_document, push_state, request_contacts};
+pub(super) use evacuations::push as push_evacuations;
 pub(super) use link::send_request;
 pub(super) use receive::attempt_result;
 
--- a/src/sidecar/peers/broadcast.rs
+++ b/src/sidecar/peers/broadcast.rs
@@ -84,7 +84,7 @@
 }
 
 impl Peers {
-    fn contacts_of(links: &[Rc<Link>]) -> Vec<Contact> {
+    pub(super) fn contacts_of(links: &[Rc<Link>]) -> Vec<Contact> {
         links.iter().map(|link| link.contact.clone()).collect()
     }
 
@@ -200,11 +200,12 @@
     let confirmation = Confirmation {
         age,
         epoch: core.epoch.get(),
+        evacuations: core.evacuations.borrow().clone(),
         number: core.number(),
     };
     for hop in dissemination::next_hops(&core.contact, scope, &Peers::contacts_of(&links)) {
-        core.peers
-            .send(&hop.host, &Frame::Confirmation(hop.scope, confirmation));
+        let frame = Frame::Confirmation(hop.scope, confirmation.clone());
+        core.peers.send(&hop.host, &frame);
     }
 }
 
@@ -214,10 +215,10 @@
     core: &Core,
     from: &Host,
     scope: Scope,
-    confirmation: Confirmation,
+    confirmation: &Confirmation,
 ) {
     let now = core.now();
-    let Confirmation { age, number, .. } = confirmation;
+    let (age, number) = (confirmation.age, confirmation.number);
     if number == core.number() {
         confirm_and_relay(core, from, scope, age);
     } else if number > core.number() {
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -1,13 +1,13 @@
 //! Handles the frames received from other nodes.
 
 use {
-    super::{Link, broadcast, dial, first_document},
+    super::{Link, broadcast, dial, evacuations, first_document},
     crate::{
         refusal::Reason,
         sidecar::{
             body_budget,
             dissemination::Scope,
-            document::{Delta, Number},
+            document::{Delta, Document, Number},
             evidence::Report,
             frame::{Frame, Outcome, Request, StreamId},
             load_balancer::AttemptResult,
@@ -80,26 +80,17 @@
             }
         }
         Frame::Document(scope, document) => {
-            let number = document.number;
-            current.status.borrow_mut().document = number;
-            let is_first = !core.has_document();
-            if core.install_document(Arc::unwrap_or_clone(document), host.as_str()) {
-                broadcast::acknowledge_and_relay(core, link, scope);
-                broadcast::relay_pending_confirmation(core, host);
-                if is_first && scope == Scope::Host {
-                    // The sender counts its uploads in progress.
-                    link.send(&Frame::Status(core.status()), None);
-                    first_document::send_to_waiting(core);
-                }
-            } else if number <= core.number() {
-                broadcast::acknowledge_and_relay(core, link, scope);
-            }
+            install(core, link, &current, scope, Arc::unwrap_or_clone(document));
         }
         Frame::Difference(scope, difference) => apply_delta(core, &current, scope, &difference),
         Frame::Confirmation(scope, confirmation) => {
             core.note_epoch(confirmation.epoch, host.as_str());
             record_document(core, &current, confirmation.number);
-            broadcast::receive_confirmation(core, host, scope, confirmation);
+            core.adopt_evacuations(&confirmation.evacuations, host.as_str());
+            broadcast::receive_confirmation(core, host, scope, &confirmation);
+        }
+        Frame::Evacuations(scope, known) => {
+            evacuations::receive(core, host.as_str(), scope, &known);
         }
         Frame::Evidence(evidence, hops) => record_evidence(core, link, evidence, hops),
         Frame::Ramp(scope, state) => {
@@ -182,6 +173,24 @@
         .update_offer(now, &link.contact.host, location, offer);
 }
 
+/// Puts a whole document in force if it is newer than the current one, and relays it.
+fn install(core: &Rc<Core>, link: &Rc<Link>, current: &Link, scope: Scope, document: Document) {
+    let (host, number) = (&link.contact.host, document.number);
+    current.status.borrow_mut().document = number;
+    let is_first = !core.has_document();
+    if core.install_document(document, host.as_str()) {
+        broadcast::acknowledge_and_relay(core, link, scope);
+        broadcast::relay_pending_confirmation(core, host);
+        if is_first && scope == Scope::Host {
+            // The sender counts its uploads in progress.
+            link.send(&Frame::Status(core.status()), None);
+            first_document::send_to_waiting(core);
+        }
+    } else if number <= core.number() {
+        broadcast::acknowledge_and_relay(core, link, scope);
+    }
+}
+
 /// Applies a difference to the document in force and relays it, or fetches what is missing if it does not apply.
 fn apply_delta(core: &Rc<Core>, link: &Rc<Link>, scope: Scope, difference: &Delta) {
     let host = &link.contact.host;
--- a/src/sidecar/store.rs
+++ b/src/sidecar/store.rs
@@ -4,6 +4,7 @@
     super::{
         departure::Departure,
         document::{Document, Order},
+        evacuation,
         frame::Contact,
         history::{Epoch, Position},
         rollout::Phase,
@@ -34,6 +35,8 @@
 pub struct Changes {
     /// Newest document, `None` if it has not been written since the last read.
     pub document: Option<Document>,
+    /// Changes of the evacuated domains. After a read of everything, each evacuated domain.
+    pub evacuations: Vec<evacuation::Change>,
     /// Faults of rows that cannot be decoded and were left out.
     pub faults: Vec<Fault>,
     /// Position in the store's history after which the next read continues.
--- a/src/sidecar/store_follower.rs
+++ b/src/sidecar/store_follower.rs
@@ -7,6 +7,7 @@
 use {
     super::{
         dissemination::Scope,
+        evacuation::Evacuations,
         node::{Core, STORE_SOURCE},
         peers,
         store::{Changes, Fault, Store},
@@ -95,7 +96,9 @@
                 if full_read {
                     log_full_read(&core, &changes);
                 }
-                let is_empty = changes.document.is_none() && changes.orders.is_empty();
+                let is_empty = changes.document.is_none()
+                    && changes.orders.is_empty()
+                    && changes.evacuations.is_empty();
                 apply_orders(&core, changes, full_read, replaces_readers);
                 // The store answers a read without changes only once it has waited for them.
                 let waited = if full_read || !is_empty {
@@ -246,12 +249,27 @@
     );
 }
 
+/// Puts the evacuated domains in force as of a read, and announces them to all nodes if they have changed. A read of
+/// everything replaces the known ones.
+fn adopt_evacuations(core: &Core, changes: &Changes, full_read: bool) {
+    let read = if full_read {
+        Evacuations::read(changes.mark, &changes.evacuations)
+    } else {
+        let known = core.evacuations.borrow();
+        known.with(changes.mark, &changes.evacuations)
+    };
+    if core.adopt_evacuations(&read, STORE_SOURCE) {
+        peers::push_evacuations(core, Scope::Mesh);
+    }
+}
+
 /// Puts what was read from the store in force and relays it. `replaces_readers` states that this node has read it because
 /// the readers don't confirm the document any more, so that it does not wait for one of them to relay it.
 fn apply_orders(core: &Rc<Core>, changes: Changes, full_read: bool, replaces_readers: bool) {
     for fault in &changes.faults {
         log_fault(core, "left-out", fault);
     }
+    adopt_evacuations(core, &changes, full_read);
     for order in changes.orders {
         let taken = orders::take(core, order, &changes.records);
         if let Some(order) = taken.filter(|_| full_read) {
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -7,6 +7,8 @@
 mod dissemination;
 #[path = "sidecar/document.rs"]
 mod document;
+#[path = "sidecar/evacuation.rs"]
+mod evacuation;
 #[path = "sidecar/frame.rs"]
 mod frame;
 #[path = "sidecar/freshness.rs"]
