--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,10 +2,11 @@
 //! traffic shares and deadlines. Every node applies an accepted change within seconds, and never returns
 //! to an older revision.
 //!
-//! The state machines ([`control`], [`source`], [`traffic`], [`member`], [`snapshot`], [`spread`]) have
+//! The state machines ([`accounts`], [`control`], [`source`], [`traffic`], [`member`], [`snapshot`], [`spread`]) have
 //! no clock, socket or thread. The modules that do I/O ([`link`], [`proxy`], [`api`], [`platform`])
 //! make no decisions. See docs/design.md.
 
+pub mod accounts;
 pub mod admin;
 pub mod api;
 pub mod body;
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -5,6 +5,7 @@
 #[path = "../examples/standin/mod.rs"]
 mod standin;
 
+mod accounts;
 mod admission;
 mod api;
 mod caller;
