Accounts: permits for callers' requests, leases between nodes

The state machines of src/accounts had no shell. The ingress now asks for a permit after it has recognised the account, and refuses with 429 and Retry-After (reason account-limit) before a body leaves the node.

--- a/src/accounts/borrower.rs
+++ b/src/accounts/borrower.rs
@@ -138,7 +138,8 @@
     /// Returns whether nothing is stored that later requests depend on.
     #[must_use]
     pub fn is_idle(&self, now: Moment) -> bool {
-        self.in_flight.is_none()
+        self.in_flight
+            .is_none_or(|query| now.since(query.sent) >= QUERY_TIMEOUT)
             && now >= self.refused_until
             && self.stock.iter().all(|permit| now >= permit.0)
     }
--- a/src/accounts/limiter.rs
+++ b/src/accounts/limiter.rs
@@ -114,6 +114,12 @@
         self.holdings.count(now)
     }
 
+    /// Returns the number of known nodes of the region, including this one.
+    #[must_use]
+    pub fn known_count(&self) -> usize {
+        self.known.len()
+    }
+
     /// Hands out permits to another node or to this one.
     pub fn hand_out(
         &mut self,
--- a/src/accounts/quota.rs
+++ b/src/accounts/quota.rs
@@ -33,11 +33,19 @@
     pub window: Duration,
 }
 
+impl Terms {
+    /// Returns the time over which handed-out permits are counted: the window and the validity of a permit, as a permit
+    /// may be used that much later.
+    #[must_use]
+    pub fn horizon(&self) -> Duration {
+        self.window + PERMIT_VALIDITY
+    }
+}
+
 /// The region's part of an account's limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Quota {
-    /// The time over which handed-out permits are counted: the window and the validity of a permit, as a permit may be
-    /// used that much later.
+    /// The time over which handed-out permits are counted, see [`Terms::horizon`].
     pub horizon: Duration,
     /// The part of `total` by which a new holder of a part may use more in each second.
     refill: f64,
@@ -61,7 +69,7 @@
         let whole = rate * terms.window.as_secs_f64() + f64::from(limit.burst);
         let tolerance = (whole * terms.over + terms.slack) / regions;
         let total = whole / regions + tolerance * OWNER_TOLERANCE;
-        let horizon = terms.window + PERMIT_VALIDITY;
+        let horizon = terms.horizon();
         let refill = REFILL_RATIO * rate / regions / total;
         Some(Self {
             horizon,
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -41,6 +41,8 @@
 }
 
 reasons! {
+    /// The account has reached its limit.
+    AccountLimit => "account-limit", 429;
     /// The request with this idempotency key has run, and its answer is no longer stored.
     AlreadyRan => "already-ran", 409;
     /// The caller's request is malformed.
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -35,6 +35,7 @@
 mod local_upstream;
 mod metrics;
 mod peers;
+mod permits;
 mod store_follower;
 mod upstream_pool;
 
--- a/src/sidecar/forward.rs
+++ b/src/sidecar/forward.rs
@@ -79,6 +79,8 @@
 pub(super) enum Reply {
     /// An upstream has answered.
     Answer(Answer),
+    /// The account has reached its limit, so the request was not sent; there is room after the given time.
+    Limited(Duration),
     /// The request has not run; the caller may return after the given time.
     Refused(Reason, Duration),
     /// The request may have run, and there is no answer.
--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -14,6 +14,10 @@
         store_readers::StoreAccess,
     },
     crate::{
+        accounts::{
+            borrower::{self, QueryId},
+            lease::Lease,
+        },
         http1::Field,
         refusal::Reason,
         traffic::quarantine::Strike,
@@ -185,6 +189,12 @@
     Referral(Host),
     /// What a node has read of the store. The receiver relays it to the scope, once it has the document in force.
     Confirmation(Scope, Confirmation),
+    /// Leases the sender's part of the accounts' limits to the receiver.
+    Lease(Lease),
+    /// Asks the owner of an account for a number of permits.
+    PermitQuery(QueryId, AccountName, u32),
+    /// Answers a query for permits of an account.
+    PermitAnswer(QueryId, AccountName, borrower::Answer),
 }
 
 /// Encodes a frame, preceded by its length. Documents and their differences are compressed, as configurations are
--- a/src/sidecar/handle.rs
+++ b/src/sidecar/handle.rs
@@ -90,6 +90,7 @@
     #[must_use]
     pub fn encode_metrics(&self) -> Vec<u8> {
         self.core.peers.update_metrics(&self.core.metrics);
+        self.core.permits.update_metrics(&self.core.metrics);
         self.core.metrics.encode().unwrap_or_else(|error| {
             let now = self.core.now();
             let log = &self.core.log;
--- a/src/sidecar/ingress/handler.rs
+++ b/src/sidecar/ingress/handler.rs
@@ -11,6 +11,7 @@
             body_budget,
             forward::{self, Attempts, Call, Reply},
             node::Core,
+            permits,
         },
         traffic::quarantine::Fingerprint,
         types::{Host, Moment},
@@ -71,7 +72,7 @@
     let admitted = admit(core, request, arrived, origin);
     let response = match &admitted {
         Ok(call) => {
-            let reply = forward::send(core, call, &mut attempts).await;
+            let reply = permits::forward(core, call, &mut attempts).await;
             if let Reply::Refused(_, after) = reply {
                 let mut refusal_history = core.refusal_history.borrow_mut();
                 refusal_history.record(core.now(), call.fingerprint, call.caller_deadline, after);
@@ -145,6 +146,10 @@
             status: answer.status,
         },
         Reply::Refused(reason, after) => empty(503, "refused", reason, vec![retry_after(after)]),
+        Reply::Limited(after) => {
+            let reason = Reason::AccountLimit;
+            empty(reason.status(), "refused", reason, vec![retry_after(after)])
+        }
         Reply::Unknown(Reason::Deadline) => empty(504, "unknown", Reason::Deadline, Vec::new()),
         Reply::Unknown(reason) => empty(502, "unknown", reason, Vec::new()),
     }
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -2,8 +2,10 @@
 //! docs/metrics.md.
 
 use {
+    crate::accounts::usage::Count,
     prometheus::{
-        Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+        Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+        TextEncoder,
     },
     std::time::Duration,
 };
@@ -15,6 +17,7 @@
 
 /// Metrics of a node.
 pub struct Metrics {
+    accounts: IntGaugeVec,
     /// The number of the document in force.
     pub document: IntGauge,
     /// The time since the document in force was the newest one in the store, in milliseconds.
@@ -46,6 +49,13 @@
             "Time that requests spent waiting for a slot and running at the upstream.",
         );
         let metrics = Self {
+            accounts: IntGaugeVec::new(
+                Opts::new(
+                    "mulberry_account_requests",
+                    "Requests of the accounts with the most requests, and of all others together.",
+                ),
+                &["account", "outcome"],
+            )?,
             document: IntGauge::new("mulberry_document", "Number of the document in force.")?,
             document_age: IntGauge::new(
                 "mulberry_document_age_ms",
@@ -78,6 +88,7 @@
             )?,
         };
         let registry = &metrics.registry;
+        registry.register(Box::new(metrics.accounts.clone()))?;
         registry.register(Box::new(metrics.document.clone()))?;
         registry.register(Box::new(metrics.document_age.clone()))?;
         registry.register(Box::new(metrics.latency.clone()))?;
@@ -89,6 +100,20 @@
         Ok(metrics)
     }
 
+    /// Sets the number of requests of each account.
+    pub fn set_accounts<'a>(&self, counts: impl Iterator<Item = (&'a str, Count)>) {
+        // Accounts that no longer have a figure of their own are left out.
+        self.accounts.reset();
+        for (account, count) in counts {
+            let set = |outcome, value| {
+                let gauge = self.accounts.with_label_values(&[account, outcome]);
+                gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+            };
+            set("admitted", count.admitted);
+            set("refused", count.refused);
+        }
+    }
+
     /// Records the outcome and latency of a caller's request. `route` is empty if none was found.
     pub fn outcome(&self, route: &str, outcome: &str, reason: &str, took: Duration) {
         self.outcomes.with_label_values(&[outcome, reason]).inc();
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -19,6 +19,7 @@
         log::{FLUSH_INTERVAL, Log},
         metrics::Metrics,
         peers::Peers,
+        permits::Permits,
         queue::Queue,
         retry_budget::RetryBudget,
         settings::Settings,
@@ -119,6 +120,7 @@
             log,
             metrics,
             peers: Peers::new(contact.clone()),
+            permits: Permits::new(contact.host.clone(), clock.now()),
             load_balancer: RefCell::new(LoadBalancer::new(rand::random())),
             rollout_states: RefCell::default(),
             offer_withdrawn: Cell::new(false),
@@ -229,6 +231,7 @@
         let now = core.now();
         core.local_upstream.tick(now);
         super::peers::tick(&core, now);
+        super::permits::tick(&core, now);
         super::leader::tick(&core, &store, now);
         core.record_freshness();
         let status = core.status();
--- a/src/sidecar/node/core.rs
+++ b/src/sidecar/node/core.rs
@@ -17,6 +17,7 @@
             log::Log,
             metrics::Metrics,
             peers::Peers,
+            permits::Permits,
             refusal_history::RefusalHistory,
             retry_budget::{Allowance, RetryBudget},
             rollout::{Leader, Phase, RolloutState},
@@ -76,6 +77,8 @@
     pub metrics: Metrics,
     /// Connections to the other nodes.
     pub peers: Peers,
+    /// Permits of the accounts' requests.
+    pub permits: Permits,
     /// Load balancer over all known upstreams.
     pub load_balancer: RefCell<LoadBalancer>,
     /// Time since the document in force was confirmed by a read of the store.
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -7,6 +7,7 @@
 mod link;
 mod recall;
 mod receive;
+mod region;
 
 pub(super) use broadcast::{push_confirmation, push_document, push_state, request_contacts};
 pub(super) use link::send_request;
--- a/src/sidecar/peers/link.rs
+++ b/src/sidecar/peers/link.rs
@@ -249,6 +249,7 @@
             link.contact.incarnation
         ),
     );
+    core.permits.reconnect(&host);
     if let Some(announcement) = core.peers.kept_registration(&host) {
         link.send(&Frame::Recall(announcement), None);
     }
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -13,6 +13,7 @@
             load_balancer::AttemptResult,
             local_upstream,
             node::Core,
+            permits,
             rollout::Phase,
         },
         traffic::spill::Tier,
@@ -121,6 +122,13 @@
                     .relay_within_region(&link.contact, &Frame::Strikes(new_strikes));
             }
         }
+        Frame::Lease(lease) => permits::receive_lease(core, &link.contact, lease),
+        Frame::PermitQuery(id, account, wanted) => {
+            link.send(&permits::answer_query(core, id, account, wanted), None);
+        }
+        Frame::PermitAnswer(id, account, answer) => {
+            permits::receive_answer(core, id, &account, answer);
+        }
         Frame::Request(stream, request) => serve(core, link, stream, *request),
         Frame::Cancel(stream) => {
             link.serving.borrow_mut().remove(&stream);
--- a/src/traffic/retry.rs
+++ b/src/traffic/retry.rs
@@ -95,7 +95,8 @@
         (
             _,
             Stage::Unsent,
-            R::AlreadyRan
+            R::AccountLimit
+            | R::AlreadyRan
             | R::BadRequest
             | R::Crashed
             | R::Cut
@@ -118,7 +119,8 @@
         | (
             Class::Idempotent,
             Stage::Sent,
-            R::AlreadyRan
+            R::AccountLimit
+            | R::AlreadyRan
             | R::BadRequest
             | R::Connections
             | R::Cut
