--- a/src/accounts/owner.rs
+++ b/src/accounts/owner.rs
@@ -13,7 +13,7 @@
 /// window late.
 const BATCHES_PER_WINDOW: u32 = 64;
 
-/// Shortest and longest time after which a caller is asked to return.
+/// Shortest time after which a node asks again for permits of an account that has reached its limit.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
 
 /// The parts of a limit that are leased to this node.
@@ -62,8 +62,9 @@
 
     /// Returns by how much the capacity grows in each second.
     fn refill_per_second(&self, quota: &Quota) -> f64 {
-        let parts = f64::from(self.settled) + self.recent.len() as f64;
-        self.share * parts * quota.refill_per_second()
+        let recent = u32::try_from(self.recent.len()).unwrap_or(u32::MAX);
+        let parts = self.settled.saturating_add(recent);
+        self.share * f64::from(parts) * quota.refill_per_second()
     }
 }
 
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -7,7 +7,7 @@
         sidecar::{
             body_budget,
             dissemination::Scope,
-            document::{Delta, Number},
+            document::{Delta, Document, Number},
             evidence::Report,
             frame::{Frame, Outcome, Request, StreamId},
             load_balancer::AttemptResult,
@@ -81,20 +81,8 @@
             }
         }
         Frame::Document(scope, document) => {
-            let number = document.number;
-            current.status.borrow_mut().document = number;
-            let is_first = !core.has_document();
-            if core.install_document(Arc::unwrap_or_clone(document), host.as_str()) {
-                broadcast::acknowledge_and_relay(core, link, scope);
-                broadcast::relay_pending_confirmation(core, host);
-                if is_first && scope == Scope::Host {
-                    // The sender counts its uploads in progress.
-                    link.send(&Frame::Status(core.status()), None);
-                    first_document::send_to_waiting(core);
-                }
-            } else if number <= core.number() {
-                broadcast::acknowledge_and_relay(core, link, scope);
-            }
+            current.status.borrow_mut().document = document.number;
+            install_document(core, link, scope, document);
         }
         Frame::Difference(scope, difference) => apply_delta(core, &current, scope, &difference),
         Frame::Confirmation(scope, confirmation) => {
@@ -190,6 +178,24 @@
         .update_offer(now, &link.contact.host, tier, offer);
 }
 
+/// Puts a whole document in force and relays it.
+fn install_document(core: &Rc<Core>, link: &Rc<Link>, scope: Scope, document: Arc<Document>) {
+    let host = &link.contact.host;
+    let number = document.number;
+    let is_first = !core.has_document();
+    if core.install_document(Arc::unwrap_or_clone(document), host.as_str()) {
+        broadcast::acknowledge_and_relay(core, link, scope);
+        broadcast::relay_pending_confirmation(core, host);
+        if is_first && scope == Scope::Host {
+            // The sender counts its uploads in progress.
+            link.send(&Frame::Status(core.status()), None);
+            first_document::send_to_waiting(core);
+        }
+    } else if number <= core.number() {
+        broadcast::acknowledge_and_relay(core, link, scope);
+    }
+}
+
 /// Applies a difference to the document in force and relays it, or fetches what is missing if it does not apply.
 fn apply_delta(core: &Rc<Core>, link: &Rc<Link>, scope: Scope, difference: &Delta) {
     let host = &link.contact.host;
--- a/src/sidecar/permits.rs
+++ b/src/sidecar/permits.rs
@@ -29,6 +29,9 @@
     tokio::{sync::oneshot, time::timeout},
 };
 
+/// Minimum time after which a refused caller may return. A shorter one costs more than the wait that it saves.
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
+
 /// Maximum time after which a caller may return that was refused without an answer of the account's owner: by then the
 /// next owner is known.
 const RETRY_AFTER_MAX: Duration = lease::HOLD;
@@ -126,15 +129,16 @@
     advance(core, account, quota);
     let verdict = timeout(QUERY_TIMEOUT, verdict).await;
     let now = core.now();
+    let refuse = |after: Duration| Err(with_jitter(after.max(RETRY_AFTER_MIN)));
     match verdict {
         Ok(Ok(Verdict::Granted(permit))) if now < permit.0 => Ok(Some(permit)),
-        Ok(Ok(Verdict::Refused(after))) => Err(with_jitter(after)),
+        Ok(Ok(Verdict::Refused(after))) => refuse(after),
         // There was no answer in time, no owner, or the permit expired while this process was paused.
         _ => {
             let mut limiter = core.permits.limiter.borrow_mut();
             match limiter.take_local(now, account, quota) {
                 Ok(()) => Ok(None),
-                Err(after) => Err(with_jitter(after.min(RETRY_AFTER_MAX))),
+                Err(after) => refuse(after.min(RETRY_AFTER_MAX)),
             }
         }
     }
@@ -229,8 +233,8 @@
     let mut limiter = core.permits.limiter.borrow_mut();
     // Also without limits, as requests may be the first that need the number of nodes once there are some.
     limiter.set_known(core.peers.region_hosts());
-    let limited = |account: &Arc<Account>| account.limit.is_some();
-    if !core.document.borrow().accounts.values().any(limited) {
+    let has_limit = |account: &Arc<Account>| account.limit.is_some();
+    if !core.document.borrow().accounts.values().any(has_limit) {
         return;
     }
     for host in core.peers.connected_region_hosts() {
--- a/tests/accounts.rs
+++ b/tests/accounts.rs
@@ -89,8 +89,8 @@
         uses.sort_unstable();
         let whole = rate * 5.0 + f64::from(burst);
         let bound = whole * 1.1 + slack;
-        let peak = peak(&uses, terms.window);
-        prop_assert!(peak as f64 <= bound, "{peak} in a window, {bound} allowed");
+        let peak = u32::try_from(peak(&uses, terms.window)).unwrap();
+        prop_assert!(f64::from(peak) <= bound, "{peak} in a window, {bound} allowed");
     }
 }
 
@@ -108,7 +108,7 @@
         let started = |at: &&Moment| at.since(Moment(0)) > HOLD + 1500 * MS;
         let late = run.refused.iter().filter(started).count();
         let requests = run.uses.len() + run.refused.len();
-        assert!(late * 50 < requests, "seed {seed}: {} of {requests}", late);
+        assert!(late * 50 < requests, "seed {seed}: {late} of {requests}");
         assert!(
             run.refused.len() < 150,
             "seed {seed}: {}",
--- a/tests/accounts/nodes.rs
+++ b/tests/accounts/nodes.rs
@@ -153,11 +153,12 @@
         for (at, fault) in schedule.faults {
             self.push(at, Event::Fault(fault));
         }
-        let mut at = 0.0;
-        while at < until_ms as f64 {
+        let mut at = Duration::ZERO;
+        while to_ms(at) < until_ms {
             let node = self.rng.random_range(0..self.nodes.len());
-            self.push(at as u64, Event::Request(node));
-            at += -self.rng.random::<f64>().max(1e-9).ln() * 1000.0 / schedule.rate;
+            self.push(to_ms(at), Event::Request(node));
+            let gap = -self.rng.random::<f64>().max(1e-9).ln() / schedule.rate;
+            at += Duration::from_secs_f64(gap);
         }
         while let Some(((at, _), event)) = self.events.pop_first() {
             if at > until_ms {
@@ -182,7 +183,7 @@
         }
         let moment = at(now);
         match event {
-            Event::Fault(fault) => self.begin(now, fault),
+            Event::Fault(fault) => self.begin(now, &fault),
             Event::Message {
                 from,
                 to,
@@ -221,7 +222,7 @@
         let limiter = &mut self.nodes[to].limiter;
         match message {
             Message::Lease(lease) => {
-                limiter.receive_lease(moment, &host(from), lease, quota.horizon)
+                limiter.receive_lease(moment, &host(from), lease, quota.horizon);
             }
             Message::Query(id, wanted) => {
                 let answer = limiter.hand_out(moment, &account(0), quota, wanted);
@@ -292,9 +293,9 @@
         }
     }
 
-    fn begin(&mut self, now: u64, fault: Fault) {
+    fn begin(&mut self, now: u64, fault: &Fault) {
         let count = self.nodes.len();
-        match fault {
+        match *fault {
             Fault::Cut(from, to) => {
                 self.cut.insert((from, to));
             }
