Slow readers: a budget for held answers, bounded connections

Cause: answers that wait for their callers were held without a bound, at the ingress, beside the upstream and in the queues between nodes; connections were not bounded, and an idle one was kept for as long as any request ran at the node.

Change: answers take their share of a budget (answer_budget) before they are read, until they are written. While it is exhausted, the connections whose callers have read nothing for longest are closed (connections), and reading from the upstream and from other nodes waits for a bounded time. Stalled, slow, idle and surplus connections are closed, also at the ports for announcements, readiness and metrics. Bodies are no longer copied into the response, and buffers don't keep the memory of the last body. An outcome without room in the queue to a node is reported as unknown instead of dropped.

--- a/src/http1.rs
+++ b/src/http1.rs
@@ -10,7 +10,7 @@
 
 pub use {
     reader::{Limits, Reader},
-    write::{encode_request, encode_response},
+    write::{encode_request, encode_response, encode_response_head},
 };
 
 use {
--- a/src/http1/reader.rs
+++ b/src/http1/reader.rs
@@ -15,6 +15,8 @@
 
 /// Minimum buffer space for each read, in bytes; a response of the usual size is read in one call.
 const READ_BYTES: usize = 4096;
+/// Maximum buffer space for a read within a chunk, in bytes. The chunk is copied from there, so it is not held twice.
+const CHUNK_READ_BYTES: usize = 64 * 1024;
 /// Maximum length of the line with a chunk's size, in bytes; chunk extensions are rare and short.
 const CHUNK_LINE_BYTES_MAX: usize = 256;
 /// Maximum number of responses read, including interim ones, until the final one.
@@ -109,8 +111,13 @@
             send_continue().await?;
         }
         let body = match head.framing {
-            Framing::Chunked => self.read_chunked(limits, reserve).await?,
-            framing => self.read_body(framing, limits).await?,
+            Framing::Length(length) => self.read_sized(length, limits).await?,
+            Framing::Chunked => {
+                let reserve = async |bytes| reserve(bytes);
+                self.read_chunked(limits, reserve).await?
+            }
+            // A request never ends with its connection.
+            Framing::UntilClose => Bytes::new(),
         };
         Ok(Request {
             body,
@@ -130,6 +137,22 @@
         &mut self,
         limits: Limits,
         is_head_request: bool,
+    ) -> Result<Response, Error> {
+        self.read_response_within(limits, is_head_request, async |_| true)
+            .await
+    }
+
+    /// Reads a final response as [`read_response`](Self::read_response) does. `reserve` is called with the size of the
+    /// body as far as it is known, in bytes, before that much of it is read. Nothing is read until it returns whether
+    /// there is room for it.
+    ///
+    /// # Errors
+    /// Returns [`Error::NoRoom`] if there is no room for the body, and the errors of `read_response`.
+    pub async fn read_response_within(
+        &mut self,
+        limits: Limits,
+        is_head_request: bool,
+        mut reserve: impl AsyncFnMut(u64) -> bool,
     ) -> Result<Response, Error> {
         for _ in 0..RESPONSES_MAX {
             let head = self
@@ -140,7 +163,19 @@
             if (100..200).contains(&head.status) {
                 continue;
             }
-            let body = self.read_body(head.framing, limits).await?;
+            let body = match head.framing {
+                Framing::Length(length) => {
+                    if length > limits.body_bytes {
+                        return Err(Error::BodyTooLarge);
+                    }
+                    if !reserve(length).await {
+                        return Err(Error::NoRoom);
+                    }
+                    self.read_sized(length, limits).await?
+                }
+                Framing::Chunked => self.read_chunked(limits, reserve).await?,
+                Framing::UntilClose => self.read_until_close(limits, reserve).await?,
+            };
             return Ok(Response {
                 body,
                 close: head.close,
@@ -186,29 +221,31 @@
         }
     }
 
-    async fn read_body(&mut self, framing: Framing, limits: Limits) -> Result<Bytes, Error> {
-        match framing {
-            Framing::Length(length) => self.read_sized(length, limits).await,
-            Framing::Chunked => self.read_chunked(limits, |_| true).await,
-            Framing::UntilClose => self.read_until_close(limits).await,
-        }
-    }
-
     async fn read_sized(&mut self, length: u64, limits: Limits) -> Result<Bytes, Error> {
         if length > limits.body_bytes {
             return Err(Error::BodyTooLarge);
         }
         let length = usize::try_from(length).map_err(|_| Error::BodyTooLarge)?;
+        if length > self.buffer.len() {
+            // Growing step by step would reserve up to twice the length.
+            let missing = length - self.buffer.len();
+            self.buffer.reserve(missing + READ_BYTES);
+        }
         while self.buffer.len() < length {
             self.read_more_timed(limits).await?;
         }
-        Ok(self.buffer.split_to(length).freeze())
+        let body = self.buffer.split_to(length).freeze();
+        if length > READ_BYTES && self.buffer.is_empty() {
+            // The empty buffer would keep the memory of the body.
+            self.buffer = BytesMut::new();
+        }
+        Ok(body)
     }
 
     async fn read_chunked(
         &mut self,
         limits: Limits,
-        mut reserve: impl FnMut(u64) -> bool,
+        mut reserve: impl AsyncFnMut(u64) -> bool,
     ) -> Result<Bytes, Error> {
         let mut body = BytesMut::new();
         loop {
@@ -221,18 +258,27 @@
             if body_bytes > limits.body_bytes {
                 return Err(Error::BodyTooLarge);
             }
-            if !reserve(body_bytes) {
+            if !reserve(body_bytes).await {
                 return Err(Error::NoRoom);
             }
-            let size = usize::try_from(size).map_err(|_| Error::BodyTooLarge)?;
-            while self.buffer.len() < size + 2 {
+            let mut missing = usize::try_from(size).map_err(|_| Error::BodyTooLarge)?;
+            while missing > 0 {
+                if self.buffer.is_empty() {
+                    self.buffer.reserve(missing.min(CHUNK_READ_BYTES));
+                    self.read_more_timed(limits).await?;
+                }
+                let part = missing.min(self.buffer.len());
+                body.extend_from_slice(&self.buffer[..part]);
+                self.buffer.advance(part);
+                missing -= part;
+            }
+            while self.buffer.len() < 2 {
                 self.read_more_timed(limits).await?;
             }
-            body.extend_from_slice(&self.buffer[..size]);
-            if &self.buffer[size..size + 2] != b"\r\n" {
+            if &self.buffer[..2] != b"\r\n" {
                 return Err(Error::Malformed("end of a chunk"));
             }
-            self.buffer.advance(size + 2);
+            self.buffer.advance(2);
         }
     }
 
@@ -270,13 +316,23 @@
         }
     }
 
-    async fn read_until_close(&mut self, limits: Limits) -> Result<Bytes, Error> {
-        while self.fill().await? > 0 {
-            if self.buffer.len() as u64 > limits.body_bytes {
+    async fn read_until_close(
+        &mut self,
+        limits: Limits,
+        mut reserve: impl AsyncFnMut(u64) -> bool,
+    ) -> Result<Bytes, Error> {
+        loop {
+            let body_bytes = self.buffer.len() as u64;
+            if body_bytes > limits.body_bytes {
                 return Err(Error::BodyTooLarge);
             }
+            if !reserve(body_bytes).await {
+                return Err(Error::NoRoom);
+            }
+            if self.fill().await? == 0 {
+                return Ok(std::mem::take(&mut self.buffer).freeze());
+            }
         }
-        Ok(self.buffer.split().freeze())
     }
 
     async fn read_more_timed(&mut self, limits: Limits) -> Result<(), Error> {
--- a/src/http1/write.rs
+++ b/src/http1/write.rs
@@ -26,26 +26,50 @@
     bytes.freeze()
 }
 
+/// Returns the encoded head of a response with a body of the given length, in bytes. `fields` must not contain the
+/// framing, which is added by that length; `close` adds `Connection: close`.
+#[must_use]
+pub fn encode_response_head(
+    status: u16,
+    fields: &[Field],
+    body_length: usize,
+    close: bool,
+) -> Bytes {
+    let mut bytes = BytesMut::with_capacity(HEAD_CAPACITY_BYTES);
+    put_response_head(&mut bytes, status, fields, body_length, close);
+    bytes.freeze()
+}
+
 /// Returns an encoded response. `fields` must not contain the framing, which is added by the body's length; `close`
 /// adds `Connection: close`.
 #[must_use]
 pub fn encode_response(status: u16, fields: &[Field], body: &[u8], close: bool) -> Bytes {
     let mut bytes = BytesMut::with_capacity(HEAD_CAPACITY_BYTES + body.len());
+    put_response_head(&mut bytes, status, fields, body.len(), close);
+    bytes.put_slice(body);
+    bytes.freeze()
+}
+
+fn put_response_head(
+    bytes: &mut BytesMut,
+    status: u16,
+    fields: &[Field],
+    body_length: usize,
+    close: bool,
+) {
     let reason = hyper::StatusCode::from_u16(status)
         .ok()
         .and_then(|status| status.canonical_reason())
         .unwrap_or("Unknown");
     bytes.put_slice(format!("HTTP/1.1 {status} {reason}\r\n").as_bytes());
-    put_fields(&mut bytes, fields);
+    put_fields(bytes, fields);
     if !matches!(status, 204 | 304) {
-        put_content_length(&mut bytes, body.len());
+        put_content_length(bytes, body_length);
     }
     if close {
         bytes.put_slice(b"Connection: close\r\n");
     }
     bytes.put_slice(b"\r\n");
-    bytes.put_slice(body);
-    bytes.freeze()
 }
 
 fn put_content_length(bytes: &mut BytesMut, length: usize) {
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -1,9 +1,12 @@
 //! The node for platforms on which an upstream is reachable only from the node on its own host, and on which the
-//! platform's store accepts the operator's orders. The decision modules ([`body_budget`], [`document`], [`freshness`],
+//! platform's store accepts the operator's orders. The decision modules ([`answer_budget`], [`body_budget`], [`connections`], [`document`], [`freshness`],
 //! [`queue`], [`load_balancer`], [`retry_budget`], [`rollout`], [`shutdown`], [`store_readers`], [`uploads`]) use no clock, socket or
 //! task; the other modules do the input and output and call them. See docs/design/platform.md.
 
+pub mod answer_budget;
 pub mod body_budget;
+pub mod connection_set;
+pub mod connections;
 pub mod departure;
 pub mod dissemination;
 pub mod document;
@@ -27,6 +30,7 @@
 pub mod timeline;
 pub mod uploads;
 
+mod answer_room;
 mod forward;
 mod handle;
 mod ingress;
--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -223,6 +223,9 @@
 /// Length of a frame's header in bytes: a length of 4 bytes, and a flag for compression.
 const HEADER_BYTES: usize = 5;
 
+/// Length in bytes from which a frame is announced before it is read.
+pub const LARGE_FRAME_BYTES: usize = 64 * 1024;
+
 /// Reads a frame, `None` if the connection closes between two frames.
 ///
 /// # Errors
@@ -232,6 +235,20 @@
     io: &mut R,
     buffer: &mut BytesMut,
 ) -> std::io::Result<Option<Frame>> {
+    read_within(io, buffer, async |_| {}).await
+}
+
+/// Reads a frame as [`read`] does. `reserve` is called with the length of a large frame, in bytes, and nothing more is read
+/// until it returns.
+///
+/// # Errors
+/// Returns the errors of [`read`].
+pub async fn read_within<R: AsyncRead + Unpin>(
+    io: &mut R,
+    buffer: &mut BytesMut,
+    mut reserve: impl AsyncFnMut(u64),
+) -> std::io::Result<Option<Frame>> {
+    let mut reserved = false;
     let malformed = |text: &str| std::io::Error::new(std::io::ErrorKind::InvalidData, text);
     loop {
         if buffer.len() >= HEADER_BYTES {
@@ -242,10 +259,18 @@
             let total = HEADER_BYTES + length;
             if buffer.len() >= total {
                 let bytes = buffer.split_to(total);
+                if total > LARGE_FRAME_BYTES && buffer.is_empty() {
+                    // The empty buffer would keep the memory of the frame.
+                    *buffer = BytesMut::new();
+                }
                 return decode(bytes[4], &bytes[HEADER_BYTES..])
                     .map(Some)
                     .ok_or_else(|| malformed("frame cannot be decoded"));
             }
+            if total > LARGE_FRAME_BYTES && !reserved {
+                reserved = true;
+                reserve(total as u64).await;
+            }
             buffer.reserve(total - buffer.len());
         } else {
             buffer.reserve(READ_BYTES);
--- a/src/sidecar/handle.rs
+++ b/src/sidecar/handle.rs
@@ -2,10 +2,13 @@
 
 use {
     super::{
+        connection_set::ConnectionSet,
+        connections::CloseReason,
         load_balancer::Offer,
         node::Core,
         settings::{Error, Settings},
     },
+    crate::types::Moment,
     serde::{Deserialize, Serialize},
     std::{path::Path, rc::Rc},
 };
@@ -90,6 +93,7 @@
     #[must_use]
     pub fn encode_metrics(&self) -> Vec<u8> {
         self.core.peers.update_metrics(&self.core.metrics);
+        self.core.update_held_metrics();
         self.core.metrics.encode().unwrap_or_else(|error| {
             let now = self.core.now();
             let log = &self.core.log;
@@ -102,6 +106,23 @@
         })
     }
 
+    /// Returns the current time of the node.
+    #[must_use]
+    pub fn now(&self) -> Moment {
+        self.core.now()
+    }
+
+    /// Returns an empty set for the connections to one of the platform's ports, with the limits of the settings.
+    #[must_use]
+    pub fn control_connections(&self) -> Rc<ConnectionSet> {
+        ConnectionSet::new(self.core.settings.borrow().control_limits())
+    }
+
+    /// Records that a connection to one of the platform's ports was closed.
+    pub fn record_closed(&self, reason: CloseReason) {
+        self.core.record_closed("control", reason, 1);
+    }
+
     /// Writes a line to the node's log on behalf of the adapter.
     pub fn log(&self, event: &str, fields: std::fmt::Arguments) {
         self.core.log.record(self.core.now(), event, fields);
--- a/src/sidecar/ingress.rs
+++ b/src/sidecar/ingress.rs
@@ -1,19 +1,29 @@
 //! HTTP/1.1 server for the callers on this host.
 //!
+//! The number of connections is bounded, and a connection is closed when it has been idle for too long, when its caller
+//! reads too slowly, or when its memory or its place is needed (see [`connections`](super::connections)).
+//!
 //! Pipelined requests run concurrently and are answered in the order in which they were sent. When a caller closes
 //! its connection, its unanswered requests are aborted.
 
 mod handler;
+mod writer;
 
 use {
-    super::{body_budget::Reservation, document::Limits, node::Core},
-    crate::http1::{self, Error, Reader, Request},
+    super::{
+        answer_budget::Share, answer_room, body_budget::Reservation,
+        connection_set::OpenConnection, connections::CloseReason, document::Limits, node::Core,
+    },
+    crate::{
+        http1::{self, Error, Reader, Request},
+        types::Moment,
+    },
     bytes::Bytes,
     handler::{error_response, handle},
+    socket2::SockRef,
     std::{cell::Cell, rc::Rc, time::Duration},
     tokio::{
-        io::AsyncWriteExt,
-        net::{TcpListener, TcpStream, tcp::OwnedReadHalf, tcp::OwnedWriteHalf},
+        net::{TcpListener, TcpStream, tcp::OwnedReadHalf},
         sync::{mpsc, oneshot},
         task::JoinSet,
     },
@@ -28,7 +38,12 @@
 /// Delay before the next attempt after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Bytes that the system buffers of an answer to a caller; it doubles the number for its own use. On loopback it would
+/// buffer about 2.5 MB for each caller that does not read, and its memory is the host's as well.
+const SEND_BUFFER_BYTES: usize = 128 * 1024;
+
 struct Connection {
+    open: OpenConnection,
     /// Whether a response that closes the connection is being written; requests read after that are ignored.
     closing: Cell<bool>,
     /// Number of requests that were read.
@@ -43,26 +58,36 @@
     Continue,
 }
 
-const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
-
+/// Response to a caller. The body counts as held until it is dropped, and `_share` counts the head.
 struct EncodedResponse {
-    bytes: Bytes,
+    body: Bytes,
     close: bool,
+    head: Bytes,
+    _share: Share,
 }
 
-/// Guard that counts a request as in flight at this node until it is dropped.
-struct RequestGuard(Rc<Core>);
+/// Guard that counts a request as in flight at this node, and on its connection, until it is dropped.
+struct RequestGuard {
+    connection: Rc<Connection>,
+    core: Rc<Core>,
+}
 
 impl RequestGuard {
-    fn new(core: &Rc<Core>) -> Self {
+    fn new(core: &Rc<Core>, connection: &Rc<Connection>) -> Self {
         core.active_requests.set(core.active_requests.get() + 1);
-        Self(core.clone())
+        connection.open.begin();
+        Self {
+            connection: connection.clone(),
+            core: core.clone(),
+        }
     }
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.0.active_requests.set(self.0.active_requests.get() - 1);
+        let active = &self.core.active_requests;
+        active.set(active.get() - 1);
+        self.connection.open.finish(self.core.now());
     }
 }
 
@@ -71,7 +96,18 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) if stream.set_nodelay(true).is_ok() => {
-                tokio::task::spawn_local(serve_connection(core.clone(), stream));
+                // With a larger buffer, slow readers are noticed later.
+                let _ = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES);
+                let receive_timeout = core.document.borrow().limits.head_timeout;
+                let (open, reason) = core.callers.admit(core.now(), receive_timeout);
+                if let Some(open) = open {
+                    tokio::task::spawn_local(serve_connection(core.clone(), stream, open));
+                }
+                if let Some(reason) = reason {
+                    core.record_closed("callers", reason, 1);
+                    // Connections are closed by their own tasks.
+                    tokio::task::yield_now().await;
+                }
             }
             Ok(_) => {}
             Err(error) => {
@@ -87,19 +123,24 @@
     }
 }
 
-async fn serve_connection(core: Rc<Core>, stream: TcpStream) {
+/// Closes the connections of callers that read too slowly, and updates the gauges.
+pub(super) fn tick(core: &Core, now: Moment) {
+    for reason in core.callers.tick(now) {
+        core.record_closed("callers", reason, 1);
+    }
+    core.update_held_metrics();
+}
+
+async fn serve_connection(core: Rc<Core>, stream: TcpStream, open: OpenConnection) {
     let (reader, writer) = stream.into_split();
     let connection = Rc::new(Connection {
+        open,
         closing: Cell::new(false),
         request_count: Cell::new(0),
     });
     let (responses, items) = mpsc::channel(PIPELINE_MAX);
-    let writing = tokio::task::spawn_local(write_responses(
-        core.clone(),
-        connection.clone(),
-        writer,
-        items,
-    ));
+    let writing =
+        tokio::task::spawn_local(writer::run(core.clone(), connection.clone(), writer, items));
     let mut running = JoinSet::new();
     let reading = read_requests(
         &core,
@@ -108,12 +149,24 @@
         &responses,
         &mut running,
     );
-    let caller_gone = reading.await;
-    if caller_gone {
-        // The caller no longer waits for any response.
-        running.abort_all();
-        writing.abort();
-        return;
+    let ended = tokio::select! {
+        biased;
+        () = connection.open.closed() => None,
+        caller_gone = reading => Some(caller_gone),
+    };
+    match ended {
+        Some(false) => {}
+        Some(true) => {
+            // The caller no longer waits for any response.
+            running.abort_all();
+            writing.abort();
+            return;
+        }
+        None => {
+            // The writer resets the connection.
+            running.abort_all();
+            return;
+        }
     }
     drop(responses);
     // Running requests finish on their own; the writer ends after the last response.
@@ -132,22 +185,30 @@
 ) -> bool {
     loop {
         let limits = core.document.borrow().limits;
-        let begun = tokio::time::timeout(limits.idle_timeout, reader.wait_message()).await;
+        let idle_left = connection.open.idle_left(core.now(), limits.idle_timeout);
+        let begun = tokio::time::timeout(idle_left, reader.wait_message()).await;
         match begun {
             Ok(Ok(true)) => {}
             Ok(_) => return true,
-            Err(_) if core.active_requests.get() > 0 => continue,
-            Err(_) => return false,
+            Err(_) => {
+                let idle_left = connection.open.idle_left(core.now(), limits.idle_timeout);
+                if !idle_left.is_zero() {
+                    continue;
+                }
+                core.record_closed("callers", CloseReason::Idle, 1);
+                return false;
+            }
         }
         while running.try_join_next().is_some() {}
         let arrived = core.now();
+        connection.open.receive(arrived);
         let mut room = core.body_budget.open();
         let read = read_request(&mut reader, limits, &mut room, responses).await;
         if connection.closing.get() {
             // The connection closes with an earlier response, so this request is ignored.
             return reader.discard_until_close(limits.idle_timeout).await;
         }
-        let guard = RequestGuard::new(core);
+        let guard = RequestGuard::new(core, connection);
         connection
             .request_count
             .set(connection.request_count.get() + 1);
@@ -162,10 +223,14 @@
         match read {
             Ok(request) => {
                 let last = request.close;
-                let core = core.clone();
+                let (core, connection) = (core.clone(), connection.clone());
                 running.spawn_local(async move {
                     let encoded = handle(&core, request, arrived).await;
                     drop(room);
+                    connection
+                        .open
+                        .hold(encoded.head.len() + encoded.body.len());
+                    answer_room::relieve_excess(&core);
                     // The writer has ended if the caller has gone.
                     let _ = sender.send(encoded);
                 });
@@ -206,52 +271,3 @@
         .read_request_within(limits, reserve, send_continue)
         .await
 }
-
-async fn write_responses(
-    core: Rc<Core>,
-    connection: Rc<Connection>,
-    mut writer: OwnedWriteHalf,
-    mut items: mpsc::Receiver<Item>,
-) {
-    let mut response_count = 0;
-    while let Some(item) = items.recv().await {
-        let Item::Response(response, guard) = item else {
-            if writer.write_all(CONTINUE_RESPONSE).await.is_err() {
-                return;
-            }
-            continue;
-        };
-        let Ok(encoded) = response.await else {
-            return;
-        };
-        response_count += 1;
-        let last = connection.request_count.get() == response_count;
-        let stopping = core.stopping.get().is_some();
-        let mut bytes = encoded.bytes;
-        let close = encoded.close || (stopping && last);
-        if close {
-            connection.closing.set(true);
-            bytes = with_connection_close(&bytes);
-        }
-        let written = writer.write_all(&bytes).await;
-        drop(guard);
-        if written.is_err() || close {
-            // The connection ends even if the shutdown fails.
-            let _ = writer.shutdown().await;
-            return;
-        }
-    }
-}
-
-/// Returns an encoded response with a `Connection: close` header added.
-fn with_connection_close(bytes: &[u8]) -> Bytes {
-    let head = bytes.windows(4).position(|part| part == b"\r\n\r\n");
-    let Some(head) = head else {
-        return Bytes::copy_from_slice(bytes);
-    };
-    let mut changed = Vec::with_capacity(bytes.len() + 32);
-    changed.extend_from_slice(&bytes[..head]);
-    changed.extend_from_slice(b"\r\nConnection: close");
-    changed.extend_from_slice(&bytes[head..]);
-    changed.into()
-}
--- a/src/sidecar/ingress/handler.rs
+++ b/src/sidecar/ingress/handler.rs
@@ -50,10 +50,7 @@
         Error::NoRoom => vec![retry_after(forward::with_jitter(body_budget::RETRY_AFTER))],
         _ => Vec::new(),
     };
-    Some(EncodedResponse {
-        bytes: http1::encode_response(status, &fields, b"", false),
-        close: true,
-    })
+    Some(encode(core, status, &fields, Bytes::new(), true))
 }
 
 /// Handles a request and returns the encoded response. `arrived` is the time at which the head began.
@@ -106,9 +103,17 @@
     {
         fields.push(Field::new(core.header_names.request_id, id));
     }
+    encode(core, response.status, &fields, response.body, close)
+}
+
+/// Encodes a response. The body is not copied.
+fn encode(core: &Core, status: u16, fields: &[Field], body: Bytes, close: bool) -> EncodedResponse {
+    let head = http1::encode_response_head(status, fields, body.len(), false);
     EncodedResponse {
-        bytes: http1::encode_response(response.status, &fields, &response.body, false),
+        _share: core.answer_budget.hold(head.len() as u64),
+        body,
         close,
+        head,
     }
 }
 
--- a/src/sidecar/local_upstream/serve.rs
+++ b/src/sidecar/local_upstream/serve.rs
@@ -10,6 +10,8 @@
         http1::{self, Field},
         refusal::Reason,
         sidecar::{
+            answer_budget::OVERHEAD_BYTES,
+            answer_room::{self, UPSTREAM_WAIT},
             frame::{Answer, Frame, Outcome, Request},
             node::Core,
             upstream_pool::{Failure, Outgoing},
@@ -24,10 +26,13 @@
 /// Time that the upstream has after the deadline that it was given to report the outcome of a request.
 const DEADLINE_GRACE: Duration = Duration::from_millis(80);
 
-/// Maximum size of all answers that are being received at once, in bytes. Each slot may use an equal part of it, so that
-/// upstreams whose answers do not end cannot use up the memory of their node.
+/// Size in bytes that is divided by the slots of the upstream for the maximum size of one answer, so that a few answers that
+/// do not end cannot use up the budget for all of them.
 const BODY_BYTES_TOTAL_MAX: u64 = 32 * 1024 * 1024;
 
+/// Maximum size of one answer in bytes at an upstream with many slots. The budget bounds all of them together.
+const BODY_BYTES_MAX: u64 = 8 * 1024 * 1024;
+
 /// Interval at which a waiting request has the queue apply decisions that are due.
 const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -159,8 +164,9 @@
 fn has_failed(outcome: &Outcome) -> bool {
     match outcome {
         Outcome::Answered(answer) => answer.status >= 500 && !answer.not_run,
+        // The node had no room for the answer, which says nothing about the upstream.
+        Outcome::Unknown(Reason::TooLarge) | Outcome::Declined(..) => false,
         Outcome::Unknown(_) => true,
-        Outcome::Declined(..) => false,
     }
 }
 
@@ -222,11 +228,17 @@
         bytes: http1::encode_request(&request.method, &request.target, &fields, &request.body),
         id: &request.id,
         timeout: left + DEADLINE_GRACE,
-        body_bytes_max: BODY_BYTES_TOTAL_MAX / u64::from(core.local_upstream.load().slots.max(1)),
+        body_bytes_max: BODY_BYTES_MAX
+            .max(BODY_BYTES_TOTAL_MAX / u64::from(core.local_upstream.load().slots.max(1))),
         repeatable: request.repeatable,
         is_head_request: request.method == "HEAD",
     };
-    match core.local_upstream.pool.send(&outgoing).await {
+    let mut share = core.answer_budget.open();
+    let reserve = async |body_bytes: u64| {
+        let bytes = body_bytes + OVERHEAD_BYTES;
+        answer_room::reserve(core, &mut share, bytes, UPSTREAM_WAIT).await
+    };
+    match core.local_upstream.pool.send(&outgoing, reserve).await {
         Ok(response) => {
             let not_run = http1::field_text(&response.fields, header_names.not_run).is_some();
             let misdirected = response.status == MISDIRECTED;
@@ -236,7 +248,7 @@
             let mut fields = response.fields;
             http1::strip_hop_by_hop(&mut fields);
             Outcome::Answered(Answer {
-                body: response.body,
+                body: share.attach(response.body),
                 fields,
                 not_run: not_run || misdirected,
                 status: response.status,
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -15,6 +15,11 @@
 
 /// Metrics of a node.
 pub struct Metrics {
+    /// The size of the answers that are held for callers and other nodes, in bytes.
+    pub answer_bytes: IntGauge,
+    /// The number of connections of callers.
+    pub callers: IntGauge,
+    connections_closed: IntCounterVec,
     /// The number of the document in force.
     pub document: IntGauge,
     /// The time since the document in force was the newest one in the store, in milliseconds.
@@ -46,6 +51,18 @@
             "Time that requests spent waiting for a slot and running at the upstream.",
         );
         let metrics = Self {
+            answer_bytes: IntGauge::new(
+                "mulberry_answer_bytes",
+                "Bytes of answers that are held for callers and other nodes.",
+            )?,
+            callers: IntGauge::new("mulberry_callers", "Connections of callers.")?,
+            connections_closed: IntCounterVec::new(
+                Opts::new(
+                    "mulberry_connections_closed_total",
+                    "Connections that this node closed, by port and reason.",
+                ),
+                &["port", "reason"],
+            )?,
             document: IntGauge::new("mulberry_document", "Number of the document in force.")?,
             document_age: IntGauge::new(
                 "mulberry_document_age_ms",
@@ -78,6 +95,9 @@
             )?,
         };
         let registry = &metrics.registry;
+        registry.register(Box::new(metrics.answer_bytes.clone()))?;
+        registry.register(Box::new(metrics.callers.clone()))?;
+        registry.register(Box::new(metrics.connections_closed.clone()))?;
         registry.register(Box::new(metrics.document.clone()))?;
         registry.register(Box::new(metrics.document_age.clone()))?;
         registry.register(Box::new(metrics.latency.clone()))?;
@@ -96,6 +116,12 @@
         latency.observe(took.as_secs_f64());
     }
 
+    /// Counts connections to `port`, `callers` or `control`, that this node closed.
+    pub fn count_closed(&self, port: &str, reason: &str, count: usize) {
+        let closed = self.connections_closed.with_label_values(&[port, reason]);
+        closed.inc_by(count as u64);
+    }
+
     /// Counts an attempt after the first, also one after a declined request.
     pub fn record_retry(&self, reason: &str) {
         self.retries.with_label_values(&[reason]).inc();
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -1,5 +1,6 @@
 //! A running node: binds its ports, starts its tasks, drives periodic work with one timer, and stops.
 
+mod connections;
 mod core;
 mod epoch;
 mod stop_periods;
@@ -8,7 +9,9 @@
 
 use {
     super::{
+        answer_budget::AnswerBudget,
         body_budget::BodyBudget,
+        connection_set::ConnectionSet,
         departure,
         frame::Contact,
         handle::Handle,
@@ -98,6 +101,8 @@
         );
         let core = Rc::new(Core {
             active_requests: Cell::new(0),
+            answer_budget: AnswerBudget::new(settings.answer_bytes_max()),
+            callers: ConnectionSet::new(settings.caller_limits()),
             body_budget: BodyBudget::default(),
             clock,
             rollouts: RefCell::default(),
@@ -229,6 +234,7 @@
         let now = core.now();
         core.local_upstream.tick(now);
         super::peers::tick(&core, now);
+        ingress::tick(&core, now);
         super::leader::tick(&core, &store, now);
         core.record_freshness();
         let status = core.status();
--- a/src/sidecar/node/core.rs
+++ b/src/sidecar/node/core.rs
@@ -4,7 +4,9 @@
     crate::{
         node::Clock,
         sidecar::{
+            answer_budget::AnswerBudget,
             body_budget::BodyBudget,
+            connection_set::ConnectionSet,
             dissemination::Scope,
             document::{Delta, Document, Index, Number},
             frame::{Contact, Frame, Status},
@@ -29,6 +31,7 @@
     std::{
         cell::{Cell, RefCell},
         collections::{HashMap, VecDeque},
+        rc::Rc,
         sync::Arc,
     },
     tokio::sync::Notify,
@@ -44,6 +47,10 @@
 pub(in crate::sidecar) struct Core {
     /// Number of callers' requests in progress.
     pub active_requests: Cell<usize>,
+    /// Memory for the answers that are held for callers and for other nodes.
+    pub answer_budget: AnswerBudget,
+    /// Connections of callers.
+    pub callers: Rc<ConnectionSet>,
     /// Memory for the bodies of requests, of callers and of other nodes.
     pub body_budget: BodyBudget,
     /// Source of the current time.
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -5,6 +5,7 @@
 mod confirmation;
 mod first_document;
 mod link;
+mod outcome;
 mod recall;
 mod receive;
 
--- a/src/sidecar/peers/link.rs
+++ b/src/sidecar/peers/link.rs
@@ -1,10 +1,13 @@
 //! One connection to a node, from its greeting until it closes.
 
+mod writer;
+
 use {
     super::{CONNECT_TIMEOUT, first_document, receive},
     crate::{
         refusal::Reason,
         sidecar::{
+            answer_room::{self, LINK_WAIT},
             dissemination::Scope,
             frame::{self, Contact, Frame, Outcome, Request, Status, StreamId},
             load_balancer::Load,
@@ -23,7 +26,7 @@
     },
     tokio::{
         io::AsyncWriteExt,
-        net::{TcpStream, tcp::OwnedReadHalf, tcp::OwnedWriteHalf},
+        net::{TcpStream, tcp::OwnedReadHalf},
         sync::{mpsc, oneshot},
         time::timeout,
     },
@@ -32,11 +35,8 @@
 /// Maximum number of bytes queued for writing to one connection; frames beyond it are not sent.
 const QUEUED_BYTES_MAX: usize = 8 * 1024 * 1024;
 
-/// Maximum number of frames written with one call.
-const WRITE_FRAMES_MAX: usize = 64;
-
-/// Maximum size in bytes of a frame that is joined with others for one call.
-const JOINED_BYTES_MAX: usize = 64 * 1024;
+/// Additional room in the queue for small frames that must not be lost, in bytes.
+const SMALL_BYTES_MAX: usize = 256 * 1024;
 
 /// Encoded frame waiting to be written. `stream` is set for a request, which is skipped if it is cancelled before.
 pub(super) struct Outgoing {
@@ -72,6 +72,8 @@
     pub(super) status: RefCell<Status>,
     pub(super) suspect: Cell<bool>,
     pub(super) queued_bytes: Cell<usize>,
+    /// Notified when bytes of the queue were written.
+    pub(super) dequeued: tokio::sync::Notify,
 }
 
 impl Link {
@@ -89,13 +91,30 @@
 
     /// Sends an encoded frame. Returns whether it was queued.
     pub(super) fn send_encoded(&self, bytes: Bytes, stream: Option<StreamId>) -> bool {
-        if self.queued_bytes.get() + bytes.len() > QUEUED_BYTES_MAX {
+        let queued = self.queued_bytes.get();
+        // An outcome that is larger than the queue is sent alone.
+        let fits_alone = queued == 0 && stream.is_none();
+        if !fits_alone && queued + bytes.len() > QUEUED_BYTES_MAX {
             return false;
         }
         self.queued_bytes.set(self.queued_bytes.get() + bytes.len());
         self.outgoing.send(Outgoing { bytes, stream }).is_ok()
     }
 
+    /// Sends a small frame that must not be lost, for which the queue has additional room. Returns whether it was queued.
+    pub(super) fn send_small(&self, frame: &Frame) -> bool {
+        let Ok(bytes) = frame::encode(frame) else {
+            return false;
+        };
+        let queued = self.queued_bytes.get();
+        if queued + bytes.len() > QUEUED_BYTES_MAX + SMALL_BYTES_MAX {
+            return false;
+        }
+        self.queued_bytes.set(queued + bytes.len());
+        let stream = None;
+        self.outgoing.send(Outgoing { bytes, stream }).is_ok()
+    }
+
     /// Sends a ping. The time that the node has to answer counts from the first ping without an answer.
     pub(super) fn ping(&self, core: &Core, now: Moment) {
         if self.ping_sent_at.get().is_none() {
@@ -213,10 +232,11 @@
         status: RefCell::default(),
         suspect: Cell::new(false),
         queued_bytes: Cell::new(0),
+        dequeued: tokio::sync::Notify::new(),
     });
     register(&core, &link);
     tokio::select! {
-        () = write(&link, writer, queue) => {}
+        () = writer::run(&link, writer, queue) => {}
         () = read(&core, &link, reader, buffer) => {}
         () = link.closing.notified() => {}
     }
@@ -304,50 +324,16 @@
     }
 }
 
-async fn write(
-    link: &Link,
-    mut writer: OwnedWriteHalf,
-    mut queue: mpsc::UnboundedReceiver<Outgoing>,
-) {
-    let mut batch = Vec::new();
-    let mut bytes = BytesMut::new();
-    loop {
-        if queue.recv_many(&mut batch, WRITE_FRAMES_MAX).await == 0 {
-            return;
-        }
-        bytes.clear();
-        let dequeued: usize = batch.iter().map(|outgoing| outgoing.bytes.len()).sum();
-        for outgoing in batch.drain(..) {
-            if let Some(stream) = outgoing.stream {
-                match link.pending.borrow_mut().get_mut(&stream) {
-                    Some(pending) => pending.sent = true,
-                    // The request was cancelled before any byte of it was written.
-                    None => continue,
-                }
-            }
-            if outgoing.bytes.len() <= JOINED_BYTES_MAX {
-                bytes.extend_from_slice(&outgoing.bytes);
-                continue;
-            }
-            // A large frame is written from where it is, as a copy would double its memory.
-            for part in [&bytes[..], &outgoing.bytes[..]] {
-                if writer.write_all(part).await.is_err() {
-                    return;
-                }
-            }
-            bytes.clear();
-        }
-        if writer.write_all(&bytes).await.is_err() {
-            return;
-        }
-        link.queued_bytes
-            .set(link.queued_bytes.get().saturating_sub(dequeued));
-    }
-}
-
 async fn read(core: &Rc<Core>, link: &Rc<Link>, mut reader: OwnedReadHalf, mut buffer: BytesMut) {
     loop {
-        match frame::read(&mut reader, &mut buffer).await {
+        // An answer is counted twice for a moment, as it is copied out of its frame.
+        let mut share = core.answer_budget.open();
+        let reserve = async |bytes| {
+            if !answer_room::reserve(core, &mut share, bytes, LINK_WAIT).await {
+                share.grow(bytes);
+            }
+        };
+        match frame::read_within(&mut reader, &mut buffer, reserve).await {
             Ok(Some(frame)) => receive::receive(core, link, frame),
             Ok(None) => return,
             Err(error) => {
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -1,7 +1,7 @@
 //! Handles the frames received from other nodes.
 
 use {
-    super::{Link, broadcast, dial, first_document},
+    super::{Link, broadcast, dial, first_document, outcome},
     crate::{
         refusal::Reason,
         sidecar::{
@@ -126,10 +126,7 @@
             link.serving.borrow_mut().remove(&stream);
         }
         Frame::Outcome(stream, outcome, load) => {
-            if let Some(pending) = link.pending.borrow_mut().remove(&stream) {
-                // Sending fails only if the caller has gone and nobody waits for the outcome.
-                let _ = pending.outcome_sender.send((outcome, Some(load)));
-            }
+            outcome::receive(core, link, stream, outcome, load);
         }
     }
 }
@@ -221,11 +218,11 @@
 fn serve(core: &Rc<Core>, link: &Rc<Link>, stream: StreamId, request: Request) {
     let mut room = core.body_budget.open();
     if !room.try_grow(request.body.len() as u64) {
-        let outcome = Outcome::Declined(Reason::Overloaded, body_budget::RETRY_AFTER);
-        link.send(
-            &Frame::Outcome(stream, outcome, core.local_upstream.load()),
-            None,
-        );
+        let declined = Outcome::Declined(Reason::Overloaded, body_budget::RETRY_AFTER);
+        let (core, link) = (core.clone(), link.clone());
+        tokio::task::spawn_local(async move {
+            outcome::send(&core, &link, stream, declined).await;
+        });
         return;
     }
     let (cancel, cancelled) = oneshot::channel();
@@ -235,8 +232,7 @@
         let outcome = local_upstream::serve(&core, request, cancelled).await;
         drop(room);
         link.serving.borrow_mut().remove(&stream);
-        let load = core.local_upstream.load();
-        link.send(&Frame::Outcome(stream, outcome, load), None);
+        outcome::send(&core, &link, stream, outcome).await;
     });
 }
 
@@ -248,7 +244,9 @@
             AttemptResult::Failed
         }
         Outcome::Answered(_) => AttemptResult::Answered,
-        Outcome::Declined(Reason::Overloaded | Reason::Deadline, _) => AttemptResult::Inconclusive,
+        // Also if a node had no room for the answer, which says nothing about the upstream.
+        Outcome::Declined(Reason::Overloaded | Reason::Deadline, _)
+        | Outcome::Unknown(Reason::TooLarge) => AttemptResult::Inconclusive,
         Outcome::Declined(..) | Outcome::Unknown(_) => AttemptResult::Failed,
     }
 }
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a node on a platform, read from a JSON file. The whole file is checked before any value is used.
 
 use {
+    super::{answer_budget, connections},
     crate::types::{Domain, Host, Region, Service},
     serde::{Deserialize, Deserializer},
     std::{collections::BTreeSet, net::SocketAddr, path::Path, time::Duration},
@@ -35,6 +36,9 @@
     /// The tolerance of the rate that a cold upstream bears; absent if upstreams bear any rate while they are cold.
     #[serde(default)]
     pub cold_start: Option<ColdStart>,
+    /// Limits on connections and on answers that are not read; the defaults apply to what is absent.
+    #[serde(default)]
+    pub connections: ConnectionLimits,
     /// The listen address for announcements of the upstream on this host.
     pub control: SocketAddr,
     /// The maximum number of descriptors that the process may have open; absent if it is not known.
@@ -98,6 +102,45 @@
     pub slack: f64,
 }
 
+/// Limits on connections and on answers that are not read.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ConnectionLimits {
+    /// The maximum size of all answers that are held, in MiB, above 0; absent for a part of `memory_mb`.
+    pub answers_mb: Option<u32>,
+    /// The maximum number of connections of callers, above 0; absent for two thirds of `descriptors_max`.
+    pub callers_max: Option<u32>,
+    /// The maximum number of connections to each of the other HTTP ports, above 0; absent for a part of
+    /// `descriptors_max`.
+    pub control_max: Option<u32>,
+    /// The minimum rate at which a caller reads an answer, in bytes per second on average over the stall limit; 0 for none.
+    pub rate_min: u64,
+    /// The maximum time in which a caller may read nothing of an answer; in seconds, above 0.
+    #[serde(rename = "stall_s", deserialize_with = "seconds")]
+    pub stall: Duration,
+}
+
+impl Default for ConnectionLimits {
+    fn default() -> Self {
+        Self {
+            answers_mb: None,
+            callers_max: None,
+            control_max: None,
+            rate_min: 1024,
+            stall: Duration::from_secs(10),
+        }
+    }
+}
+
+/// Connections to each of the HTTP ports other than that for callers, if the descriptors are not known.
+const CONTROL_CONNECTIONS_MAX: u32 = 64;
+
+/// Fewest connections to each of these ports, enough for the upstream, the platform and an operator.
+const CONTROL_CONNECTIONS_MIN: u32 = 4;
+
+/// Part of the descriptors that these connections may use, for each port.
+const CONTROL_DESCRIPTORS_DIVISOR: u32 = 32;
+
 /// Retry budget of a service, shared by all nodes.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -112,6 +155,44 @@
 }
 
 impl Settings {
+    /// Returns the maximum size of all answers that are held, in bytes.
+    #[must_use]
+    pub fn answer_bytes_max(&self) -> u64 {
+        let stated = self.connections.answers_mb.map(|mb| u64::from(mb) << 20);
+        let derived = self
+            .memory_mb
+            .map(|mb| (u64::from(mb) << 20) / answer_budget::MEMORY_DIVISOR);
+        stated.or(derived).unwrap_or(answer_budget::DEFAULT_BYTES)
+    }
+
+    /// Returns the limits on the connections of callers. Their number is not limited if neither it nor that of the
+    /// descriptors is given.
+    #[must_use]
+    pub fn caller_limits(&self) -> connections::Limits {
+        let descriptors = self.descriptors_max.map(|max| (max / 3 * 2).max(1));
+        let connections_max = self.connections.callers_max.or(descriptors);
+        self.limits(connections_max.unwrap_or(u32::MAX))
+    }
+
+    /// Returns the limits on the connections to each of the other HTTP ports.
+    #[must_use]
+    pub fn control_limits(&self) -> connections::Limits {
+        let descriptors = self.descriptors_max.map(|max| {
+            (max / CONTROL_DESCRIPTORS_DIVISOR)
+                .clamp(CONTROL_CONNECTIONS_MIN, CONTROL_CONNECTIONS_MAX)
+        });
+        let connections_max = self.connections.control_max.or(descriptors);
+        self.limits(connections_max.unwrap_or(CONTROL_CONNECTIONS_MAX))
+    }
+
+    fn limits(&self, connections_max: u32) -> connections::Limits {
+        connections::Limits {
+            connections_max: connections_max as usize,
+            rate_min: self.connections.rate_min,
+            stall: self.connections.stall,
+        }
+    }
+
     /// Reads and checks a settings file.
     ///
     /// # Errors
@@ -168,6 +249,22 @@
                     .is_some_and(|cold| !(0.0..=1e6).contains(&cold.slack)),
                 "cold_start.slack is not within 0 and 1e6",
             ),
+            (
+                settings.connections.answers_mb == Some(0),
+                "connections.answers_mb is 0",
+            ),
+            (
+                settings.connections.callers_max == Some(0),
+                "connections.callers_max is 0",
+            ),
+            (
+                settings.connections.control_max == Some(0),
+                "connections.control_max is 0",
+            ),
+            (
+                settings.connections.stall.is_zero(),
+                "connections.stall_s is 0",
+            ),
             (settings.memory_mb == Some(0), "memory_mb is 0"),
             (settings.descriptors_max == Some(0), "descriptors_max is 0"),
         ];
--- a/src/sidecar/upstream_pool.rs
+++ b/src/sidecar/upstream_pool.rs
@@ -93,12 +93,17 @@
         self.idle.borrow_mut().clear();
     }
 
-    /// Sends a request and returns the response to it.
+    /// Sends a request and returns the response to it. `reserve` is called with the size of the body as far as it is known,
+    /// in bytes, before that much of it is read, and returns whether there is room for it.
     ///
     /// # Errors
     /// Returns [`Failure::Unsent`] if no connection was possible, and [`Failure::Sent`] if the connection was lost or
-    /// the response did not arrive in time.
-    pub async fn send(&self, outgoing: &Outgoing<'_>) -> Result<Response, Failure> {
+    /// the response did not arrive in time or had no room.
+    pub async fn send(
+        &self,
+        outgoing: &Outgoing<'_>,
+        reserve: impl AsyncFnMut(u64) -> bool,
+    ) -> Result<Response, Failure> {
         let mut connection = match self.take_idle(outgoing.repeatable) {
             Some(connection) => connection,
             None => self.dial().await.map_err(Failure::Unsent)?,
@@ -109,9 +114,9 @@
             .write_all(&outgoing.bytes)
             .await
             .map_err(|_| lost)?;
-        let reading = self.read_response(&mut connection, outgoing);
+        let reading = self.read_response(&mut connection, outgoing, reserve);
         let response = match timeout(outgoing.timeout, reading).await {
-            Ok(response) => response.ok_or(lost)?,
+            Ok(response) => response.map_err(Failure::Sent)?,
             Err(_) => return Err(Failure::Sent(Reason::Deadline)),
         };
         self.store_idle(connection, &response, outgoing.id);
@@ -131,17 +136,23 @@
         &self,
         connection: &mut Connection,
         outgoing: &Outgoing<'_>,
-    ) -> Option<Response> {
+        mut reserve: impl AsyncFnMut(u64) -> bool,
+    ) -> Result<Response, Reason> {
         let limits = http1::Limits {
             body_bytes: outgoing.body_bytes_max,
             head_bytes: HEAD_BYTES_MAX,
             read_timeout: outgoing.timeout,
         };
         for _ in 0..RESPONSES_MAX {
-            let reading = connection
-                .reader
-                .read_response(limits, outgoing.is_head_request);
-            let response = reading.await.ok()?;
+            let is_head_request = outgoing.is_head_request;
+            let reading =
+                connection
+                    .reader
+                    .read_response_within(limits, is_head_request, &mut reserve);
+            let response = reading.await.map_err(|error| match error {
+                http1::Error::NoRoom => Reason::TooLarge,
+                _ => Reason::Lost,
+            })?;
             let id = http1::field_text(&response.fields, self.header_names.request_id);
             let signed = http1::field_text(&response.fields, self.header_names.signature).is_some();
             let success = (200..300).contains(&response.status);
@@ -149,15 +160,15 @@
                 // A response to an earlier request that no longer has a caller.
                 Some(id) if id != outgoing.id => {
                     if response.close {
-                        return None;
+                        return Err(Reason::Lost);
                     }
                 }
-                None if success => return None,
-                _ if success && !signed => return None,
-                _ => return Some(response),
+                None if success => return Err(Reason::Lost),
+                _ if success && !signed => return Err(Reason::Lost),
+                _ => return Ok(response),
             }
         }
-        None
+        Err(Reason::Lost)
     }
 
     fn take_idle(&self, repeatable: bool) -> Option<Connection> {
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -1,8 +1,12 @@
 //! Tests of the sidecar's decision modules and of its frames. Whole nodes are tested together with the adapter, in
 //! platform/tests.
 
+#[path = "sidecar/answer_budget.rs"]
+mod answer_budget;
 #[path = "sidecar/body_budget.rs"]
 mod body_budget;
+#[path = "sidecar/connections.rs"]
+mod connections;
 #[path = "sidecar/dissemination.rs"]
 mod dissemination;
 #[path = "sidecar/document.rs"]
--- a/tests/sidecar/settings.rs
+++ b/tests/sidecar/settings.rs
@@ -29,6 +29,29 @@
     insta::assert_snapshot!(fault.to_string());
 }
 
+/// Without the memory and the descriptors of the process, callers are served as before there were limits.
+#[test]
+fn limits_derive_from_the_memory_and_the_descriptors_unless_stated() {
+    let limits = |edit: fn(&mut serde_json::Value)| {
+        let settings = Settings::parse(&settings_json(edit)).unwrap();
+        let callers = settings.caller_limits().connections_max;
+        let control = settings.control_limits().connections_max;
+        (settings.answer_bytes_max() >> 20, callers, control)
+    };
+    assert_eq!(limits(|_| {}), (32, u32::MAX as usize, 64));
+    let derived = limits(|value| {
+        value["memory_mb"] = 160.into();
+        value["descriptors_max"] = 4100.into();
+    });
+    assert_eq!(derived, (32, 2732, 64));
+    let stated = limits(|value| {
+        value["memory_mb"] = 160.into();
+        value["descriptors_max"] = 128.into();
+        value["connections"] = serde_json::json!({ "answers_mb": 3, "callers_max": 7 });
+    });
+    assert_eq!(stated, (3, 7, 4));
+}
+
 #[test]
 fn unknown_and_negative_values_are_refused() {
     assert!(Settings::parse(&settings_json(|value| value["speed"] = 1.into())).is_err());
