Responses with invalid numbers in their heads are lost ones

Cause: any three digits of an upstream's response were passed on as its status; a chunk whose line has no digits was taken for the last one, so that a response was passed on without the rest of its body; a transfer coding in HTTP/1.0, where it is not defined, was followed; and an interim response with a body or 101 was skipped like any other.

Change: the parser accepts statuses from 100 to 599 and checks the framing of every response. What it rejects counts as a lost response: 502, not repeated if it must run once.

--- a/src/http1/parse.rs
+++ b/src/http1/parse.rs
@@ -46,7 +46,7 @@
     };
     let fields = fields(parsed.headers);
     let version = parsed.version.unwrap_or(1);
-    let framing = framing(&fields)?.unwrap_or(Framing::Length(0));
+    let framing = framing(version, &fields)?.unwrap_or(Framing::Length(0));
     let head = RequestHead {
         close: closes_connection(version, &fields),
         framing,
@@ -72,15 +72,23 @@
     };
     let status = parsed.code.unwrap_or_default();
     let fields = fields(parsed.headers);
+    let version = parsed.version.unwrap_or(1);
+    let stated = framing(version, &fields)?;
+    match status {
+        // No request asks for another protocol, and an interim response has no body: it would be a final one.
+        101 => return Err(Error::Malformed("a change of the protocol")),
+        100..=199 if stated.is_some() => return Err(Error::Malformed("an interim body")),
+        100..=599 => {}
+        _ => return Err(Error::Malformed("status")),
+    }
     let empty = is_head_request || matches!(status, 100..=199 | 204 | 304);
     let framing = if empty {
         Framing::Length(0)
     } else {
-        framing(&fields)?.unwrap_or(Framing::UntilClose)
+        stated.unwrap_or(Framing::UntilClose)
     };
     let head = ResponseHead {
-        close: closes_connection(parsed.version.unwrap_or(1), &fields)
-            || framing == Framing::UntilClose,
+        close: closes_connection(version, &fields) || framing == Framing::UntilClose,
         fields,
         framing,
         status,
@@ -102,13 +110,16 @@
 
 /// Returns the framing that a head states, or `None` if it states none. Any framing that two implementations could
 /// interpret differently is rejected, to prevent request smuggling.
-fn framing(fields: &[Field]) -> Result<Option<Framing>, Error> {
+fn framing(version: u8, fields: &[Field]) -> Result<Option<Framing>, Error> {
     let mut lengths = fields.iter().filter(|field| field.is("content-length"));
     let mut codings = fields.iter().filter(|field| field.is("transfer-encoding"));
     match (lengths.next(), codings.next()) {
         (None, None) => Ok(None),
         (Some(_), Some(_)) => Err(Error::Malformed("both a length and a transfer coding")),
         (None, Some(coding)) => {
+            if version == 0 {
+                return Err(Error::Malformed("a transfer coding in HTTP/1.0"));
+            }
             if codings.next().is_some() || !coding.value.eq_ignore_ascii_case(b"chunked") {
                 return Err(Error::Malformed("transfer coding"));
             }
--- a/src/http1/reader.rs
+++ b/src/http1/reader.rs
@@ -284,6 +284,14 @@
 
     async fn read_chunk_size(&mut self, limits: Limits) -> Result<u64, Error> {
         loop {
+            // The parser takes a line without digits for the last chunk.
+            if self
+                .buffer
+                .first()
+                .is_some_and(|byte| !byte.is_ascii_hexdigit())
+            {
+                return Err(Error::Malformed("size of a chunk"));
+            }
             match httparse::parse_chunk_size(&self.buffer) {
                 Ok(httparse::Status::Complete((length, size))) => {
                     self.buffer.advance(length);
