--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -1,11 +1,14 @@
 //! The node for platforms on which an upstream is reachable only from the node on its own host, and on which the
-//! platform's store accepts the operator's orders. The decision modules ([`authentication`], [`body_budget`],
-//! [`document`], [`evacuation`], [`freshness`], [`load_balancer`], [`queue`], [`regions`], [`retry_budget`],
-//! [`rollout`], [`shutdown`], [`store_readers`], [`uploads`]) use no clock, socket or task; the other modules do the
-//! input and output and call them. See docs/design/platform.md.
+//! platform's store accepts the operator's orders. The decision modules ([`answer_budget`], [`authentication`],
+//! [`body_budget`], [`connections`], [`document`], [`evacuation`], [`freshness`], [`load_balancer`], [`queue`],
+//! [`regions`], [`retry_budget`], [`rollout`], [`shutdown`], [`store_readers`], [`uploads`]) use no clock, socket or
+//! task; the other modules do the input and output and call them. See docs/design/platform.md.
 
+pub mod answer_budget;
 pub mod authentication;
 pub mod body_budget;
+pub mod connection_set;
+pub mod connections;
 pub mod departure;
 pub mod dissemination;
 pub mod document;
@@ -32,6 +35,7 @@
 pub mod timeline;
 pub mod uploads;
 
+mod answer_room;
 mod forward;
 mod handle;
 mod ingress;
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -6,6 +6,7 @@
 mod evacuations;
 mod first_document;
 mod link;
+mod outcome;
 mod recall;
 mod receive;
 mod region;
