Cold upstreams: a gate before every start, so that they get no more than they bear

Cause: an upstream that is cold, also one that becomes so without an announcement, got its usual load. Change: the queue asks a gate before each start. Up to the rate of a cold upstream, requests may start; beyond it only while the upstream is known to be warm, and no more of them after the last check that said so than the tolerance. The node checks the health path only beyond the rate. After a start of the node, a restart, a lost connection or an evacuation the upstream counts as cold. Offers state warm-up and rate, and the load balancer chooses warm upstreams first. The property test in tests/sidecar/cold_start.rs has not run yet.

--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -1,9 +1,10 @@
 //! The node for platforms on which an upstream is reachable only from the node on its own host, and on which the
-//! platform's store accepts the operator's orders. The decision modules ([`body_budget`], [`document`], [`evacuation`], [`freshness`],
+//! platform's store accepts the operator's orders. The decision modules ([`body_budget`], [`cold_start`], [`document`], [`evacuation`], [`freshness`],
 //! [`queue`], [`load_balancer`], [`regions`], [`retry_budget`], [`rollout`], [`shutdown`], [`store_readers`], [`uploads`]) use no clock, socket or
 //! task; the other modules do the input and output and call them. See docs/design/platform.md.
 
 pub mod body_budget;
+pub mod cold_start;
 pub mod departure;
 pub mod dissemination;
 pub mod document;
--- a/src/sidecar/load_balancer.rs
+++ b/src/sidecar/load_balancer.rs
@@ -43,6 +43,9 @@
 const TARGET_MIN: Duration = Duration::from_millis(100);
 /// Factor by which an upstream is slower after its start, for the warm-up time that it announces.
 const COLD_FACTOR: f64 = 2.0;
+/// Cost of an upstream that gets a limited rate during its warm-up, as a fraction of the answer's value: more than that of
+/// any distance, so that warm upstreams are chosen first.
+const COLD_COST: f64 = 0.5;
 /// Weight of a new outcome in the moving average of the failure rate.
 const FAILURE_SMOOTHING: f64 = 0.1;
 /// Cost of a request that is certain to fail, in units of an answer's value.
@@ -77,6 +80,8 @@
 pub struct Offer {
     /// Remaining warm-up time, during which the upstream is slower.
     pub cold: Duration,
+    /// Requests per second that the upstream gets during its warm-up; 0 for no limit.
+    pub cold_rate: u32,
     /// Service that it runs.
     pub service: Service,
     /// Number of requests that it runs concurrently.
@@ -111,6 +116,12 @@
         }
     }
 
+    /// Returns the rate to which the upstream is limited by its warm-up, `None` if it is not.
+    fn cold_rate(&self, now: Moment) -> Option<f64> {
+        let is_limited = self.offer.cold_rate > 0 && now < self.cold_until;
+        is_limited.then(|| f64::from(self.offer.cold_rate))
+    }
+
     fn estimated_load(&self, now: Moment) -> f64 {
         let age = now.since(self.reported_at).as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64();
         self.other_requests * (-age).exp2() + f64::from(self.own_requests)
@@ -126,6 +137,9 @@
     fn cost(&self, now: Moment, typical: Duration, worth_for: Duration) -> f64 {
         let run_time = self.expected_run_time(now, typical);
         let slots = f64::from(self.offer.slots.max(1));
+        let cold_rate = self.cold_rate(now);
+        // At a limited rate, no more requests than this run at a time.
+        let slots = cold_rate.map_or(slots, |rate| slots.min((rate * run_time).max(1.0)));
         let ahead = (self.estimated_load(now) + 1.0 - slots).max(0.0);
         // An upstream close to its capacity is likely to be full when the request arrives.
         let crowding = run_time * 0.25 * (self.estimated_load(now) / slots).min(1.0);
@@ -140,6 +154,7 @@
         EARLY_COST * target_fraction.min(1.0)
             + late
             + distance
+            + cold_rate.map_or(0.0, |_| COLD_COST)
             + FAILURE_COST * self.current_failure_rate(now)
     }
 
@@ -173,7 +188,8 @@
     }
 
     /// Records the offer of a host's upstream. `None` removes the upstream, as it accepts no new requests.
-    /// Load, failure rate and end of the warm-up are kept while service and version stay the same.
+    /// Load, failure rate and end of the warm-up are kept while service and version stay the same, the latter unless an
+    /// upstream of a limited rate states another one.
     pub fn update_offer(
         &mut self,
         now: Moment,
@@ -191,6 +207,10 @@
                 if endpoint.offer.service == offer.service
                     && endpoint.offer.version == offer.version =>
             {
+                let is_limited = offer.cold_rate > 0 || endpoint.offer.cold_rate > 0;
+                if is_limited && offer.cold != endpoint.offer.cold {
+                    endpoint.cold_until = cold_until;
+                }
                 endpoint.offer = offer;
             }
             _ => {
--- a/src/sidecar/local_upstream.rs
+++ b/src/sidecar/local_upstream.rs
@@ -7,6 +7,7 @@
 
 mod registration;
 mod serve;
+mod warm_up;
 
 pub(super) use serve::serve;
 
@@ -133,7 +134,11 @@
         if current.is_draining() || lease_expired || now < current.down_until {
             return None;
         }
-        Some(current.last_announcement.offer.clone())
+        let mut offer = current.last_announcement.offer.clone();
+        if let Some(warm_up) = self.warm_up(now) {
+            (offer.cold, offer.cold_rate) = (warm_up.left, warm_up.rate);
+        }
+        Some(offer)
     }
 
     /// Returns the numbers of running and waiting requests, and the average run time.
@@ -179,6 +184,7 @@
         if let Some(current) = self.registration.borrow_mut().as_mut() {
             current.down_until = now + DOWN_PERIOD;
         }
+        self.forget_warm_up();
         self.decline_waiting(core, format_args!("down cause={cause}"));
         core.broadcast_status();
     }
--- a/src/sidecar/local_upstream/registration.rs
+++ b/src/sidecar/local_upstream/registration.rs
@@ -28,6 +28,15 @@
     pub announced_at: Moment,
 }
 
+/// Source of an announcement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Origin {
+    /// A peer that has kept it since before this node restarted.
+    Peer,
+    /// The upstream itself.
+    Upstream,
+}
+
 impl Registration {
     /// Returns whether the upstream is about to stop, by its own announcement or by an order to remove it.
     pub fn is_draining(&self) -> bool {
@@ -55,7 +64,7 @@
             *self.early_announcement.borrow_mut() = Some(announcement);
             return false;
         }
-        self.register(core, announcement)
+        self.register(core, announcement, Origin::Upstream)
     }
 
     /// Returns whether an announcement is kept until it is known whether its instance has left.
@@ -92,10 +101,11 @@
             self.departure.borrow_mut().get_or_insert(departure);
         }
         let early = self.early_announcement.take();
-        early.is_some_and(|announcement| self.register(core, announcement)) || changed
+        early.is_some_and(|announcement| self.register(core, announcement, Origin::Upstream))
+            || changed
     }
 
-    fn register(&self, core: &Core, mut announcement: Announcement) -> bool {
+    fn register(&self, core: &Core, mut announcement: Announcement, origin: Origin) -> bool {
         let now = core.now();
         let late =
             |departure: &Departure| !announcement.draining && departure.covers(now, &announcement);
@@ -116,7 +126,8 @@
             return false;
         }
         let offer_before = self.offer(now);
-        let mut cold_until = now + announcement.offer.cold;
+        let announced_cold = announcement.offer.cold;
+        let mut cold_until = now + announced_cold;
         {
             let mut registration = self.registration.borrow_mut();
             if let Some(current) = registration.as_ref() {
@@ -144,6 +155,7 @@
                 self.record_crash(core);
             }
             if restarted {
+                self.forget_warm_up();
                 self.pool.close_idle();
                 self.counts.borrow_mut().clear();
                 core.log.record(
@@ -159,7 +171,14 @@
                     ),
                 );
             }
-            self.queue.borrow_mut().set_slots(announcement.offer.slots);
+            {
+                let mut queue = self.queue.borrow_mut();
+                queue.set_slots(announcement.offer.slots);
+                // What a peer has kept says nothing of the present.
+                if origin == Origin::Upstream {
+                    queue.gate_mut().announce(now, announced_cold);
+                }
+            }
             let was_draining = registration.as_ref().is_some_and(|current| {
                 current.last_announcement.incarnation == announcement.incarnation
                     && current.is_draining()
@@ -225,7 +244,7 @@
         let (instance, draining) = (announcement.instance.clone(), announcement.draining);
         // The peer may have missed a later departure, which is put in force once it is read.
         self.may_have_left(core, &announcement);
-        let changed = self.register(core, announcement);
+        let changed = self.register(core, announcement, Origin::Peer);
         if changed {
             core.log.record(
                 core.now(),
--- a/src/sidecar/local_upstream/serve.rs
+++ b/src/sidecar/local_upstream/serve.rs
@@ -5,7 +5,7 @@
 //! requests that ran there receive strikes.
 
 use {
-    super::Running,
+    super::{Running, warm_up::check_if_due},
     crate::{
         http1::{self, Field},
         refusal::Reason,
@@ -104,8 +104,10 @@
         route: request.route,
         ticket,
     };
+    state.update_cold_limits(core);
     let actions = state.queue.borrow_mut().arrive(arrived, ticket, demand);
     state.apply_actions(actions);
+    check_if_due(core);
     let decided = loop {
         tokio::select! {
             biased;
@@ -114,6 +116,7 @@
             () = tokio::time::sleep(QUEUE_CHECK_INTERVAL) => {
                 let actions = state.queue.borrow_mut().tick(core.now());
                 state.apply_actions(actions);
+                check_if_due(core);
             }
         }
     };
@@ -258,7 +261,7 @@
 }
 
 /// Status code by which an upstream rejects a request that was meant for another instance.
-const MISDIRECTED: u16 = 421;
+pub(super) const MISDIRECTED: u16 = 421;
 
 /// Marks the upstream as down after a request could not be sent to it. If it refuses connections, an earlier request
 /// may have crashed it, so those that ran there receive strikes.
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -3,7 +3,8 @@
 
 use {
     prometheus::{
-        Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+        Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+        TextEncoder,
     },
     std::time::Duration,
 };
@@ -15,6 +16,10 @@
 
 /// Metrics of a node.
 pub struct Metrics {
+    /// Checks of the upstream's health.
+    pub checks: IntCounter,
+    /// 1 while the upstream of this node gets a limited rate, as it is or may be cold, otherwise 0.
+    pub cold: IntGauge,
     /// The number of the document in force.
     pub document: IntGauge,
     /// The time since the document in force was the newest one in the store, in milliseconds.
@@ -48,6 +53,14 @@
             "Time that requests spent waiting for a slot and running at the upstream.",
         );
         let metrics = Self {
+            checks: IntCounter::new(
+                "mulberry_checks_total",
+                "Checks whether the upstream is cold.",
+            )?,
+            cold: IntGauge::new(
+                "mulberry_cold",
+                "Whether the upstream gets a limited rate, as it is or may be cold: 1, otherwise 0.",
+            )?,
             document: IntGauge::new("mulberry_document", "Number of the document in force.")?,
             document_age: IntGauge::new(
                 "mulberry_document_age_ms",
@@ -84,6 +97,8 @@
             )?,
         };
         let registry = &metrics.registry;
+        registry.register(Box::new(metrics.checks.clone()))?;
+        registry.register(Box::new(metrics.cold.clone()))?;
         registry.register(Box::new(metrics.document.clone()))?;
         registry.register(Box::new(metrics.document_age.clone()))?;
         registry.register(Box::new(metrics.evacuated.clone()))?;
--- a/src/sidecar/node/admission.rs
+++ b/src/sidecar/node/admission.rs
@@ -11,7 +11,10 @@
         if !self.admits_requests() || self.offer_withdrawn.get() {
             return None;
         }
-        self.local_upstream.offer(self.now())
+        self.local_upstream.update_cold_limits(self);
+        let offer = self.local_upstream.offer(self.now())?;
+        self.metrics.cold.set(i64::from(offer.cold_rate > 0));
+        Some(offer)
     }
 
     /// Returns whether the upstream on this host may take new requests: not in an evacuated domain, nor before a document is
@@ -50,6 +53,9 @@
             if is_evacuated {
                 self.local_upstream
                     .decline_waiting(self, format_args!("evacuated"));
+            } else {
+                // It got no requests meanwhile, and may have become cold.
+                self.local_upstream.forget_warm_up();
             }
             self.broadcast_status();
         }
--- a/src/sidecar/queue.rs
+++ b/src/sidecar/queue.rs
@@ -9,7 +9,7 @@
 //! within a priority, requests that can still meet their target go first, in the order of arrival.
 
 use {
-    super::load_balancer::Load,
+    super::{cold_start::Gate, load_balancer::Load},
     crate::{refusal::Reason, traffic::admission::Ticket, types::Moment},
     std::{collections::BTreeMap, time::Duration},
 };
@@ -84,6 +84,7 @@
 /// Slots of one upstream, and the requests that run on them or wait for them.
 #[derive(Debug, Default)]
 pub struct Queue {
+    gate: Gate,
     overall_run_time_s: Option<f64>,
     running: BTreeMap<Ticket, Moment>,
     route_run_times_s: BTreeMap<u64, f64>,
@@ -98,6 +99,17 @@
         self.slots = slots;
     }
 
+    /// Returns the gate that bounds the starts while the upstream is cold or may be cold.
+    #[must_use]
+    pub fn gate(&self) -> &Gate {
+        &self.gate
+    }
+
+    /// Returns the gate, to tell it what is known of the upstream.
+    pub fn gate_mut(&mut self) -> &mut Gate {
+        &mut self.gate
+    }
+
     /// Returns the numbers of running and waiting requests, and the average run time over all routes.
     #[must_use]
     pub fn load(&self) -> Load {
@@ -118,6 +130,12 @@
             actions.push(Action::Decline(ticket, Reason::NoEndpoint, RETRY_AFTER_MIN));
             return actions;
         }
+        // Waiting requests take the room first. Another upstream may be warm, so no request waits for this one.
+        if self.waiting.len() >= self.gate.room(now) {
+            let retry_after = self.gate.record_decline(now);
+            actions.push(Action::Decline(ticket, Reason::Overloaded, retry_after));
+            return actions;
+        }
         let has_free_slot = self.running.len() < self.slots as usize && self.waiting.is_empty();
         if has_free_slot {
             self.start(now, ticket, &demand);
@@ -180,7 +198,7 @@
 
     fn start_waiting(&mut self, now: Moment) -> Vec<Action> {
         let mut actions = self.decline_late(now);
-        while self.running.len() < self.slots as usize {
+        while self.running.len() < self.slots as usize && self.gate.room(now) > 0 {
             let Some(index) = self.next(now) else { break };
             let waiting = self.waiting.remove(index);
             self.start(now, waiting.ticket, &waiting.demand);
@@ -190,6 +208,7 @@
     }
 
     fn start(&mut self, now: Moment, ticket: Ticket, demand: &Demand) {
+        self.gate.record_start(now);
         self.running.insert(ticket, now);
         let run_time = self.run_time(Some(demand.route));
         let usage = self.usage.entry(demand.priority).or_default();
--- a/src/sidecar/upstream_pool.rs
+++ b/src/sidecar/upstream_pool.rs
@@ -35,6 +35,8 @@
 const KEEP_ALIVE_FRACTION: f64 = 0.6;
 /// Maximum size of a response head.
 const HEAD_BYTES_MAX: usize = 64 * 1024;
+/// Maximum size of the body of a response to a health check, which nobody reads.
+const HEALTH_BODY_BYTES_MAX: u64 = 64 * 1024;
 /// Maximum number of responses read for one request, including skipped ones to earlier requests; then the connection
 /// is closed.
 const RESPONSES_MAX: usize = 4;
@@ -118,6 +120,28 @@
         Ok(response)
     }
 
+    /// Sends a check of the upstream's health on a connection of its own and returns the response: it needs no id and no
+    /// signature, so it must not be taken for that of another request.
+    ///
+    /// # Errors
+    /// Returns [`Failure::Unsent`] if no connection was possible, and [`Failure::Sent`] if the response did not arrive in
+    /// time.
+    pub async fn check(&self, request: &[u8], time_limit: Duration) -> Result<Response, Failure> {
+        let mut connection = self.dial().await.map_err(Failure::Unsent)?;
+        let lost = Failure::Sent(Reason::Lost);
+        let limits = http1::Limits {
+            body_bytes: HEALTH_BODY_BYTES_MAX,
+            head_bytes: HEAD_BYTES_MAX,
+            read_timeout: time_limit,
+        };
+        let exchange = async {
+            connection.writer.write_all(request).await.ok()?;
+            connection.reader.read_response(limits, false).await.ok()
+        };
+        let exchanged = timeout(time_limit, exchange).await;
+        exchanged.ok().flatten().ok_or(lost)
+    }
+
     /// Returns whether the upstream accepts a new connection, which is kept for the next request.
     pub async fn accepts_connections(&self) -> bool {
         let Ok(connection) = self.dial().await else {
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -3,6 +3,8 @@
 
 #[path = "sidecar/body_budget.rs"]
 mod body_budget;
+#[path = "sidecar/cold_start.rs"]
+mod cold_start;
 #[path = "sidecar/dissemination.rs"]
 mod dissemination;
 #[path = "sidecar/document.rs"]
--- a/tests/sidecar/load_balancer.rs
+++ b/tests/sidecar/load_balancer.rs
@@ -30,6 +30,7 @@
 fn offer(version: &str) -> Offer {
     Offer {
         cold: Duration::ZERO,
+        cold_rate: 0,
         service: desk(),
         slots: 4,
         version: version.parse().unwrap(),
@@ -224,3 +225,25 @@
     );
     assert_eq!(placed.len(), 5);
 }
+
+/// Guards against a cold upstream nearby that is preferred to a warm one, also when it becomes cold later.
+#[test]
+fn warm_upstream_elsewhere_is_chosen_before_a_cold_one_nearby() {
+    let mut load_balancer = mesh();
+    let service = desk();
+    let mut nearest = |cold: Duration, cold_rate| {
+        for name in ["a1", "a2"] {
+            let offer = Offer {
+                cold,
+                cold_rate,
+                ..offer("v1")
+            };
+            load_balancer.update_offer(at(0), &host(name), location(Tier::Own), Some(offer));
+        }
+        let choice = load_balancer.choose(at(100), request(&service, &[]));
+        choice.unwrap().host.as_str()[..1].to_string()
+    };
+    assert_eq!(nearest(Duration::ZERO, 0), "a");
+    assert_eq!(nearest(Duration::from_secs(3), 15), "b");
+    assert_eq!(nearest(Duration::ZERO, 0), "a");
+}
--- a/tests/sidecar/moves.rs
+++ b/tests/sidecar/moves.rs
@@ -58,6 +58,7 @@
                         [(number + index) % INGRESSES];
                     let offer = Offer {
                         cold: Duration::ZERO,
+                        cold_rate: 0,
                         service: desk(),
                         slots: SLOTS_PER_UPSTREAM,
                         version: version(name),
