--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -4,8 +4,8 @@
 use {
     crate::accounts::usage::Count,
     prometheus::{
-        Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-        TextEncoder,
+        Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+        Opts, Registry, TextEncoder,
     },
     std::time::Duration,
 };
@@ -23,6 +23,10 @@
     /// The number of connections of callers.
     pub callers: IntGauge,
     connections_closed: IntCounterVec,
+    /// Checks of the upstream's health.
+    pub checks: IntCounter,
+    /// 1 while the upstream of this node gets a limited rate, as it is or may be cold, otherwise 0.
+    pub cold: IntGauge,
     /// The number of the document in force.
     pub document: IntGauge,
     /// The time since the document in force was the newest one in the store, in milliseconds.
@@ -75,6 +79,14 @@
                 ),
                 &["port", "reason"],
             )?,
+            checks: IntCounter::new(
+                "mulberry_checks_total",
+                "Checks whether the upstream is cold.",
+            )?,
+            cold: IntGauge::new(
+                "mulberry_cold",
+                "Whether the upstream gets a limited rate, as it is or may be cold: 1, otherwise 0.",
+            )?,
             document: IntGauge::new("mulberry_document", "Number of the document in force.")?,
             document_age: IntGauge::new(
                 "mulberry_document_age_ms",
@@ -115,6 +127,8 @@
         registry.register(Box::new(metrics.answer_bytes.clone()))?;
         registry.register(Box::new(metrics.callers.clone()))?;
         registry.register(Box::new(metrics.connections_closed.clone()))?;
+        registry.register(Box::new(metrics.checks.clone()))?;
+        registry.register(Box::new(metrics.cold.clone()))?;
         registry.register(Box::new(metrics.document.clone()))?;
         registry.register(Box::new(metrics.document_age.clone()))?;
         registry.register(Box::new(metrics.evacuated.clone()))?;
--- a/src/sidecar/queue.rs
+++ b/src/sidecar/queue.rs
@@ -10,6 +10,7 @@
 
 use {
     super::{
+        cold_start::Gate,
         load_balancer::Load,
         pace::{Estimate, Pace},
     },
@@ -87,6 +88,7 @@
 /// Slots of one upstream, and the requests that run on them or wait for them.
 #[derive(Debug, Default)]
 pub struct Queue {
+    gate: Gate,
     /// Average run time of all routes at the usual pace.
     overall_run_time_s: Option<f64>,
     pace: Estimate,
@@ -104,6 +106,17 @@
         self.slots = slots;
     }
 
+    /// Returns the gate that bounds the starts while the upstream is cold or may be cold.
+    #[must_use]
+    pub fn gate(&self) -> &Gate {
+        &self.gate
+    }
+
+    /// Returns the gate, to tell it what is known of the upstream.
+    pub fn gate_mut(&mut self) -> &mut Gate {
+        &mut self.gate
+    }
+
     /// Records the pace that the upstream has reported with a response.
     pub fn record_pace(&mut self, now: Moment, pace: Pace) {
         self.pace.record(now, pace);
@@ -136,6 +149,12 @@
             actions.push(Action::Decline(ticket, Reason::NoEndpoint, RETRY_AFTER_MIN));
             return actions;
         }
+        // Waiting requests take the room first. Another upstream may be warm, so no request waits for this one.
+        if self.waiting.len() >= self.gate.room(now) {
+            let retry_after = self.gate.record_decline(now);
+            actions.push(Action::Decline(ticket, Reason::Overloaded, retry_after));
+            return actions;
+        }
         let has_free_slot = self.running.len() < self.slots as usize && self.waiting.is_empty();
         if has_free_slot {
             self.start(now, ticket, &demand);
@@ -199,7 +218,7 @@
 
     fn start_waiting(&mut self, now: Moment) -> Vec<Action> {
         let mut actions = self.decline_late(now);
-        while self.running.len() < self.slots as usize {
+        while self.running.len() < self.slots as usize && self.gate.room(now) > 0 {
             let Some(index) = self.next(now) else { break };
             let waiting = self.waiting.remove(index);
             self.start(now, waiting.ticket, &waiting.demand);
@@ -209,6 +228,7 @@
     }
 
     fn start(&mut self, now: Moment, ticket: Ticket, demand: &Demand) {
+        self.gate.record_start(now);
         self.running.insert(ticket, now);
         let run_time = self.run_time(now, Some(demand.route));
         let usage = self.usage.entry(demand.priority).or_default();
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -5,6 +5,8 @@
 mod answer_budget;
 #[path = "sidecar/body_budget.rs"]
 mod body_budget;
+#[path = "sidecar/cold_start.rs"]
+mod cold_start;
 #[path = "sidecar/connections.rs"]
 mod connections;
 #[path = "sidecar/dissemination.rs"]
