Accounts: an owner without all leases refuses for half a second at most

An owner that held few leases stated the time by its present pool, up to a whole window, and the asking nodes refused for as long although the other leases arrived meanwhile. The schedules of the property test now send requests in bursts: without them, an owner that hands out its whole limit at once was not found.

--- a/src/accounts/limiter.rs
+++ b/src/accounts/limiter.rs
@@ -17,6 +17,9 @@
     },
 };
 
+/// Maximum time for which an owner refuses that does not hold the leases of all nodes, as further ones may arrive.
+const INCOMPLETE_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Query for permits to the owner of an account.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Query {
@@ -147,6 +150,9 @@
         }
         match state.ledger.hand_out(now, quota, &pool, wanted) {
             Ok(count) => Answer::Granted(count),
+            Err(after) if (pool.part_count() as usize) < self.known.len() => {
+                Answer::Full(after.min(INCOMPLETE_RETRY_AFTER))
+            }
             Err(after) => Answer::Full(after),
         }
     }
--- a/src/accounts/owner.rs
+++ b/src/accounts/owner.rs
@@ -50,7 +50,14 @@
     /// Returns whether no part is leased to this node, so that another one is the owner.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.settled == 0 && self.recent.is_empty()
+        self.part_count() == 0
+    }
+
+    /// Returns the number of parts that are leased to this node.
+    #[must_use]
+    pub fn part_count(&self) -> u32 {
+        let recent = u32::try_from(self.recent.len()).unwrap_or(u32::MAX);
+        self.settled.saturating_add(recent)
     }
 
     /// Returns the number of permits that may be handed out within `time`.
@@ -62,9 +69,7 @@
 
     /// Returns by how much the capacity grows in each second.
     fn refill_per_second(&self, quota: &Quota) -> f64 {
-        let recent = u32::try_from(self.recent.len()).unwrap_or(u32::MAX);
-        let parts = self.settled.saturating_add(recent);
-        self.share * f64::from(parts) * quota.refill_per_second()
+        self.share * f64::from(self.part_count()) * quota.refill_per_second()
     }
 }
 
--- a/tests/accounts.rs
+++ b/tests/accounts.rs
@@ -8,6 +8,7 @@
         accounts::{
             borrower::{Answer, Borrower, Permit, QueryId, Verdict},
             lease::HOLD,
+            limiter::Limiter,
             quota::{Quota, Terms},
             rank::Rank,
             usage::{ACCOUNTS_MAX, Usage},
@@ -78,12 +79,13 @@
         burst in 0..60_u32,
         slack in 0.0..25.0_f64,
         demand in 0.5..12.0_f64,
+        quiet_ms in prop_oneof![Just(0), 0..8_000_u64],
         faults in prop::collection::vec(fault(5), 0..14),
     ) {
         let (limit, terms) = (limit(rate, burst), Terms { slack, ..terms(regions) });
         let mut uses = Vec::new();
         for region in 0..regions {
-            let schedule = Schedule { faults: faults.clone(), rate: rate * demand / f64::from(regions) };
+            let schedule = Schedule { faults: faults.clone(), quiet_ms, rate: rate * demand / f64::from(regions) };
             uses.extend(Region::new(5, seed + u64::from(region)).run(schedule, 30_000, limit, terms).uses);
         }
         uses.sort_unstable();
@@ -101,6 +103,7 @@
     for seed in 0..10 {
         let schedule = Schedule {
             faults: vec![(20_000, Fault::Restart(3, 300))],
+            quiet_ms: 0,
             rate: 25.0,
         };
         let run = Region::new(9, seed).run(schedule, 60_000, limit(40.0, 10), terms(1));
@@ -122,6 +125,7 @@
 fn hot_account_gets_its_limit() {
     let schedule = Schedule {
         faults: Vec::new(),
+        quiet_ms: 0,
         rate: 200.0,
     };
     let run = Region::new(5, 7).run(schedule, 40_000, limit(40.0, 10), terms(1));
@@ -135,6 +139,7 @@
 fn third_of_the_nodes_keeps_its_part_when_cut_off() {
     let schedule = Schedule {
         faults: vec![(10_000, Fault::Partition(0b111))],
+        quiet_ms: 0,
         rate: 45.0,
     };
     let run = Region::new(9, 3).run(schedule, 110_000, limit(72.0, 10), terms(1));
@@ -146,6 +151,23 @@
     assert!(refused * 20 < requests, "{refused} of {requests}");
 }
 
+/// Guards against nodes that go on refusing for a window although the owner has got the other nodes' leases.
+#[test]
+fn owner_without_leases_refuses_for_a_short_time() {
+    let mut limiter = Limiter::new(host(0), Moment(0));
+    limiter.set_known((0..9).map(host).collect());
+    let quota = Quota::new(limit(10.0, 0), terms(1)).unwrap();
+    // At its first call the node begins to hold its own part.
+    let answers =
+        [HOLD, HOLD + 100 * MS].map(|at| limiter.hand_out(Moment(0) + at, &account(0), &quota, 1));
+    for answer in answers {
+        assert!(
+            matches!(answer, Answer::Full(after) if after <= 500 * MS),
+            "{answer:?}"
+        );
+    }
+}
+
 #[test]
 fn no_limit_without_a_rate() {
     assert_eq!(Quota::new(limit(0.0, 5), terms(2)), None);
