Load balancer: busy levels, and idle neighbours before a queue

Cause: a node gets less than one response per second from each upstream, and reports faded to zero, so full upstreams looked idle; a request waited at its own domain although a neighbouring domain was idle. Change: for upstreams that report a pace, a report fades to the level of load that recent responses from the same distance show, and where every sampled upstream of the own domain has a queue, its cost counts against the distance. Upstreams without a pace are chosen as before.

--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -13,6 +13,7 @@
 pub mod header_names;
 pub mod history;
 pub mod load_balancer;
+pub mod load_level;
 pub mod log;
 pub mod neighbours;
 pub mod node;
--- a/src/sidecar/load_balancer.rs
+++ b/src/sidecar/load_balancer.rs
@@ -7,8 +7,16 @@
 //! The load of an upstream is what its node reported with its last answer, corrected by the requests that this
 //! node has sent there since.
 
+mod outcome;
+mod version_filter;
+
+pub use {
+    outcome::{AttemptResult, Load},
+    version_filter::VersionFilter,
+};
+
 use {
-    super::pace::{Estimate, Pace},
+    super::{load_level::Levels, pace::Estimate},
     crate::{
         traffic::spill::Tier,
         types::{Host, Moment, Permille, Service, Version},
@@ -55,22 +63,6 @@
 /// Longest time for which an upstream that was out of capacity gets no requests of the same or a lower priority.
 const DECLINE_BACKOFF_MAX: Duration = Duration::from_millis(60);
 
-/// Load of the node at an upstream, as reported with each of its answers.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Load {
-    /// Present pace; `None` if the upstream has never reported one.
-    pub pace: Option<Pace>,
-    /// Number of requests that wait for a slot.
-    pub queued: u32,
-    /// Average run time at the usual pace.
-    #[serde(rename = "run")]
-    pub run_time: Duration,
-    /// Number of requests that are running.
-    pub running: u32,
-    /// Number of requests that may run concurrently.
-    pub slots: u32,
-}
-
 /// Service and capacity of an upstream, as announced by its node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Offer {
@@ -111,9 +103,17 @@
         }
     }
 
-    fn estimated_load(&self, now: Moment) -> f64 {
+    /// Returns the expected number of requests here. A report fades to the load expected from `level`, the requests per
+    /// slot at upstreams of the same distance; to none if the upstream reports no pace.
+    fn estimated_load(&self, now: Moment, level: f64) -> f64 {
+        let is_paced = self.pace.at(now).is_some();
+        let usual = if is_paced {
+            level * f64::from(self.offer.slots)
+        } else {
+            0.0
+        };
         let age = now.since(self.reported_at).as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64();
-        self.other_requests * (-age).exp2() + f64::from(self.own_requests)
+        usual + (self.other_requests - usual) * (-age).exp2() + f64::from(self.own_requests)
     }
 
     fn current_failure_rate(&self, now: Moment) -> f64 {
@@ -123,12 +123,13 @@
 
     /// Returns the cost of a request to this upstream as a fraction of the answer's value: the probability of a
     /// late answer, the distance and the probability of failure.
-    fn cost(&self, now: Moment, typical: Duration, worth_for: Duration) -> f64 {
+    fn cost(&self, now: Moment, level: f64, typical: Duration, worth_for: Duration) -> f64 {
         let run_time = self.expected_run_time(now, typical);
         let slots = f64::from(self.offer.slots.max(1));
-        let ahead = (self.estimated_load(now) + 1.0 - slots).max(0.0);
+        let load = self.estimated_load(now, level);
+        let ahead = (load + 1.0 - slots).max(0.0);
         // An upstream close to its capacity is likely to be full when the request arrives.
-        let crowding = run_time * 0.25 * (self.estimated_load(now) / slots).min(1.0);
+        let crowding = run_time * 0.25 * (load / slots).min(1.0);
         let (distance, rtt) = match self.tier {
             Tier::Own => (0.0, 0.0),
             Tier::Region => (CROSS_DOMAIN_COST, 0.0),
@@ -143,6 +144,13 @@
             + FAILURE_COST * self.current_failure_rate(now)
     }
 
+    /// Returns the cost of waiting for a slot, up to that of another domain; 0 if the upstream reports no pace.
+    fn waiting_cost(&self, now: Moment, level: f64) -> f64 {
+        let slots = f64::from(self.offer.slots.max(1));
+        let ahead = (self.estimated_load(now, level) + 1.0 - slots).clamp(0.0, 1.0);
+        self.pace.at(now).map_or(0.0, |_| CROSS_DOMAIN_COST * ahead)
+    }
+
     fn is_declining(&self, now: Moment, priority: u32) -> bool {
         self.declined_until
             .range(..=priority)
@@ -150,26 +158,6 @@
     }
 }
 
-/// Selects the upstreams that a request may run on during a rollout from one version to another.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum VersionFilter<'a> {
-    /// Upstreams of the new version, which gets this share of the traffic. Only the same share of its upstreams
-    /// is used, so that each of them has the load that it will have after the rollout: a version that fails only
-    /// under load then does so while few requests are affected.
-    Candidate(&'a Version, Permille),
-    /// All upstreams that do not run the new version.
-    Baseline(&'a Version),
-}
-
-impl VersionFilter<'_> {
-    fn admits(self, version: &Version) -> bool {
-        match self {
-            Self::Candidate(new, _) => version == new,
-            Self::Baseline(new) => version != new,
-        }
-    }
-}
-
 /// Request to choose an upstream for.
 #[derive(Debug, Clone, Copy)]
 pub struct Request<'a> {
@@ -194,17 +182,6 @@
     pub version: Version,
 }
 
-/// Result of an attempt, as far as it concerns the health of the upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AttemptResult {
-    /// The upstream answered without a failure of its own.
-    Answered,
-    /// The upstream or the connection to it failed.
-    Failed,
-    /// Nothing can be concluded about the upstream: it declined the request or the caller cancelled it.
-    Inconclusive,
-}
-
 /// Reason why no upstream could be chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Unavailable {
@@ -218,6 +195,7 @@
 #[derive(Debug)]
 pub struct LoadBalancer {
     endpoints: BTreeMap<Host, Endpoint>,
+    levels: Levels,
     rng: StdRng,
 }
 
@@ -227,6 +205,7 @@
     pub fn new(seed: u64) -> Self {
         Self {
             endpoints: BTreeMap::new(),
+            levels: Levels::default(),
             rng: StdRng::seed_from_u64(seed),
         }
     }
@@ -301,13 +280,25 @@
             }
         }
         let mut best: Option<(f64, &Host)> = None;
-        for tier in &tiers {
-            for (host, endpoint) in tier.choose_multiple(&mut self.rng, SAMPLES_PER_TIER) {
-                let cost = endpoint.cost(now, typical, request.worth_for);
+        // Where every sampled upstream of the own domain has a queue, an idle one elsewhere costs less.
+        let mut own_waiting = 0.0;
+        for (tier, candidates) in Tier::ALL.into_iter().zip(&tiers) {
+            let level = self.levels.at(now, request.service, tier);
+            let mut least_waiting: f64 = CROSS_DOMAIN_COST;
+            for (host, endpoint) in candidates.choose_multiple(&mut self.rng, SAMPLES_PER_TIER) {
+                let waiting = endpoint.waiting_cost(now, level);
+                least_waiting = least_waiting.min(waiting);
+                let mut cost = endpoint.cost(now, level, typical, request.worth_for);
+                if tier != Tier::Own {
+                    cost += waiting - own_waiting;
+                }
                 if best.is_none_or(|(least, _)| cost < least) {
                     best = Some((cost, host));
                 }
             }
+            if tier == Tier::Own && best.is_some() {
+                own_waiting = least_waiting;
+            }
         }
         let Some((_, host)) = best else {
             return Err(if declined {
@@ -357,6 +348,11 @@
             endpoint.run_time = Some(load.run_time);
             if let Some(pace) = load.pace {
                 endpoint.pace.record(now, pace);
+                if result == AttemptResult::Answered {
+                    let per_slot = endpoint.other_requests / f64::from(load.slots.max(1));
+                    let service = &endpoint.offer.service;
+                    self.levels.record(now, service, endpoint.tier, per_slot);
+                }
             }
         }
     }
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -23,6 +23,8 @@
 mod orders;
 #[path = "sidecar/pace.rs"]
 mod pace;
+#[path = "sidecar/placement_load.rs"]
+mod placement_load;
 #[path = "sidecar/queue.rs"]
 mod queue;
 #[path = "sidecar/queue_load.rs"]
