Load balancer: time on the way to an upstream; documents

Cause: a node with a slow link or 0.1 of a core delays each request and each outcome; its upstream looked idle.

--- a/src/sidecar/forward.rs
+++ b/src/sidecar/forward.rs
@@ -148,6 +148,7 @@
                 core: self.core,
                 finished: false,
                 place: &place,
+                sent_at: self.core.now(),
             };
             let (outcome, load) = self.attempt(&place).await;
             attempt.end(&outcome, load);
@@ -333,6 +334,7 @@
     core: &'a Core,
     finished: bool,
     place: &'a Choice,
+    sent_at: Moment,
 }
 
 impl AttemptGuard<'_> {
@@ -340,6 +342,10 @@
         self.finished = true;
         let (now, end) = (self.core.now(), peers::attempt_result(outcome));
         let mut load_balancer = self.core.load_balancer.borrow_mut();
+        if let Some(load) = load {
+            let transit = now.since(self.sent_at).saturating_sub(load.held);
+            load_balancer.record_transit(now, &self.place.host, transit);
+        }
         load_balancer.record_result(now, &self.place.host, end, load);
     }
 }
@@ -359,14 +365,15 @@
 async fn serve_locally(core: &Rc<Core>, request: Request) -> (Outcome, Option<Load>) {
     let (_interest, cancelled) = oneshot::channel();
     let (done, outcome) = oneshot::channel();
-    let serving = core.clone();
+    let (serving, arrived) = (core.clone(), core.now());
     tokio::task::spawn_local(async move {
         let outcome = local_upstream::serve(&serving, request, cancelled).await;
         // The receiver is dropped if the caller has gone.
         let _ = done.send(outcome);
     });
     let outcome = outcome.await.unwrap_or(Outcome::Unknown(Reason::Lost));
-    (outcome, Some(core.local_upstream.load(core.now())))
+    let load = core.local_upstream.load_after(core.now(), arrived);
+    (outcome, Some(load))
 }
 
 /// Returns a uniformly distributed number from 0 to 1 (exclusive) that depends only on the request ID and the seed.
--- a/src/sidecar/load_balancer.rs
+++ b/src/sidecar/load_balancer.rs
@@ -7,10 +7,13 @@
 //! The load of an upstream is what its node reported with its last answer, corrected by the requests that this
 //! node has sent there since.
 
+mod choice;
 mod outcome;
+mod transit;
 mod version_filter;
 
 pub use {
+    choice::{Choice, Unavailable},
     outcome::{AttemptResult, Load},
     version_filter::VersionFilter,
 };
@@ -24,6 +27,7 @@
     rand::{SeedableRng, rngs::StdRng, seq::IndexedRandom},
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, time::Duration},
+    transit::Transit,
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -90,6 +94,7 @@
     reported_at: Moment,
     run_time: Option<Duration>,
     tier: Tier,
+    transit: Transit,
 }
 
 impl Endpoint {
@@ -135,7 +140,8 @@
             Tier::Region => (CROSS_DOMAIN_COST, 0.0),
             Tier::Remote => (CROSS_REGION_COST, CROSS_REGION_RTT.as_secs_f64()),
         };
-        let time = run_time + run_time * ahead / slots + crowding + rtt;
+        let transit = self.pace.at(now).map_or(0.0, |_| self.transit.at(now));
+        let time = run_time + run_time * ahead / slots + crowding + rtt.max(transit);
         let target_fraction = time / worth_for.as_secs_f64().max(TARGET_MIN.as_secs_f64());
         let late = ((target_fraction - SAFE_FRACTION) / LATE_FRACTION).max(0.0);
         EARLY_COST * target_fraction.min(1.0)
@@ -173,24 +179,6 @@
     pub worth_for: Duration,
 }
 
-/// Upstream chosen for a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Choice {
-    /// Host of the upstream.
-    pub host: Host,
-    /// Version that the upstream runs.
-    pub version: Version,
-}
-
-/// Reason why no upstream could be chosen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Unavailable {
-    /// No upstream of the service is known, or all of them were tried.
-    NoUpstream,
-    /// All remaining upstreams recently declined a request of the same or a higher priority.
-    Declined,
-}
-
 /// Upstreams that this node can reach, with their last known load.
 #[derive(Debug)]
 pub struct LoadBalancer {
@@ -239,6 +227,7 @@
                     reported_at: now,
                     run_time: None,
                     tier,
+                    transit: Transit::default(),
                 };
                 self.endpoints.insert(host.clone(), endpoint);
             }
@@ -357,6 +346,13 @@
         }
     }
 
+    /// Records the time that an attempt took beyond what the host's node spent on it.
+    pub fn record_transit(&mut self, now: Moment, host: &Host, transit: Duration) {
+        if let Some(endpoint) = self.endpoints.get_mut(host) {
+            endpoint.transit.record(now, transit);
+        }
+    }
+
     /// Records that a host had no capacity for a request of `priority` and expects to have some after `room_in`.
     pub fn record_decline(&mut self, now: Moment, host: &Host, priority: u32, room_in: Duration) {
         if let Some(endpoint) = self.endpoints.get_mut(host) {
--- a/src/sidecar/load_balancer/outcome.rs
+++ b/src/sidecar/load_balancer/outcome.rs
@@ -9,6 +9,8 @@
 /// Load of the node at an upstream, as reported with each of its answers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
+    /// Time that the node spent on the request, from its arrival to its outcome.
+    pub held: Duration,
     /// Present pace; `None` if the upstream has never reported one.
     pub pace: Option<Pace>,
     /// Number of requests that wait for a slot.
--- a/src/sidecar/local_upstream.rs
+++ b/src/sidecar/local_upstream.rs
@@ -142,6 +142,14 @@
         self.queue.borrow().load(now)
     }
 
+    /// Returns the load at the end of a request that arrived at `arrived`.
+    pub fn load_after(&self, now: Moment, arrived: Moment) -> Load {
+        Load {
+            held: now.since(arrived),
+            ..self.load(now)
+        }
+    }
+
     fn record_pace(&self, now: Moment, pace: Pace) {
         self.queue.borrow_mut().record_pace(now, pace);
     }
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -230,12 +230,12 @@
     }
     let (cancel, cancelled) = oneshot::channel();
     link.serving.borrow_mut().insert(stream, cancel);
-    let (core, link) = (core.clone(), link.clone());
+    let (core, link, arrived) = (core.clone(), link.clone(), core.now());
     tokio::task::spawn_local(async move {
         let outcome = local_upstream::serve(&core, request, cancelled).await;
         drop(room);
         link.serving.borrow_mut().remove(&stream);
-        let load = core.local_upstream.load(core.now());
+        let load = core.local_upstream.load_after(core.now(), arrived);
         link.send(&Frame::Outcome(stream, outcome, load), None);
     });
 }
--- a/src/sidecar/queue.rs
+++ b/src/sidecar/queue.rs
@@ -114,6 +114,7 @@
     #[must_use]
     pub fn load(&self, now: Moment) -> Load {
         Load {
+            held: Duration::ZERO,
             pace: self.pace.at(now),
             queued: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
             run_time: expected_run_time(
--- a/tests/sidecar/load_balancer.rs
+++ b/tests/sidecar/load_balancer.rs
@@ -1,7 +1,10 @@
 use {
     mulberryshelf::{
-        sidecar::load_balancer::{
-            AttemptResult, Load, LoadBalancer, Offer, Request, Unavailable, VersionFilter,
+        sidecar::{
+            load_balancer::{
+                AttemptResult, Load, LoadBalancer, Offer, Request, Unavailable, VersionFilter,
+            },
+            pace::Pace,
         },
         traffic::spill::Tier,
         types::{Host, Moment, Service, Version},
@@ -38,6 +41,7 @@
 
 fn load(running: u32, queued: u32) -> Load {
     Load {
+        held: Duration::ZERO,
         pace: None,
         queued,
         run_time: RUN,
@@ -210,3 +214,26 @@
     );
     assert_eq!(placed.len(), 5);
 }
+
+/// Guards against requests that wait at a node which is short of processor time while its upstream is idle, and against a
+/// change for upstreams that report no pace.
+#[test]
+fn host_with_a_long_way_is_avoided_if_upstreams_report_their_pace() {
+    let is_avoided = |pace: Option<Pace>| {
+        let (mut load_balancer, service) = (mesh(), desk());
+        for name in ["a1", "a2"] {
+            let way = Duration::from_millis(if name == "a1" { 200 } else { 2 });
+            let load = Load { pace, ..load(0, 0) };
+            load_balancer.record_result(at(0), &host(name), AttemptResult::Answered, Some(load));
+            for _ in 0..10 {
+                load_balancer.record_transit(at(0), &host(name), way);
+            }
+        }
+        (0..3).all(|_| {
+            let chosen = load_balancer.choose(at(1), request(&service, &[]));
+            chosen.unwrap().host == host("a2")
+        })
+    };
+    assert!(is_avoided(Some(Pace::USUAL)));
+    assert!(!is_avoided(None));
+}
--- a/tests/sidecar/moves.rs
+++ b/tests/sidecar/moves.rs
@@ -85,6 +85,7 @@
             sums.run_time += run.took;
             let left = self.running.iter().filter(|other| other.host == run.host);
             let load = Load {
+                held: Duration::ZERO,
                 pace: None,
                 queued: 0,
                 run_time: run.took,
