--- a/src/sidecar/load_balancer.rs
+++ b/src/sidecar/load_balancer.rs
@@ -7,12 +7,21 @@
 //! The load of an upstream is what its node reported with its last answer, corrected by the requests that this
 //! node has sent there since.
 
+mod choice;
+mod outcome;
 mod request;
+mod transit;
+mod version_filter;
 
-pub use request::{AttemptResult, Choice, Location, Request, Unavailable, VersionFilter};
+pub use {
+    choice::{Choice, Unavailable},
+    outcome::{AttemptResult, Load},
+    request::{Location, Request},
+    version_filter::VersionFilter,
+};
 
 use {
-    super::pace::{Estimate, Pace},
+    super::{load_level::Levels, pace::Estimate},
     crate::{
         traffic::spill::Tier,
         types::{Host, Moment, Permille, Region, Service, Version},
@@ -20,6 +29,7 @@
     rand::{SeedableRng, rngs::StdRng, seq::IndexedRandom},
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, time::Duration},
+    transit::Transit,
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -62,22 +72,6 @@
 /// Longest time for which an upstream that was out of capacity gets no requests of the same or a lower priority.
 const DECLINE_BACKOFF_MAX: Duration = Duration::from_millis(60);
 
-/// Load of the node at an upstream, as reported with each of its answers.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Load {
-    /// Present pace; `None` if the upstream has never reported one.
-    pub pace: Option<Pace>,
-    /// Number of requests that wait for a slot.
-    pub queued: u32,
-    /// Average run time at the usual pace.
-    #[serde(rename = "run")]
-    pub run_time: Duration,
-    /// Number of requests that are running.
-    pub running: u32,
-    /// Number of requests that may run concurrently.
-    pub slots: u32,
-}
-
 /// Service and capacity of an upstream, as announced by its node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Offer {
@@ -108,6 +102,7 @@
     reported_at: Moment,
     run_time: Option<Duration>,
     tier: Tier,
+    transit: Transit,
 }
 
 impl Endpoint {
@@ -127,9 +122,17 @@
         is_limited.then(|| f64::from(self.offer.cold_rate))
     }
 
-    fn estimated_load(&self, now: Moment) -> f64 {
+    /// Returns the expected number of requests here. A report fades to the load expected from `level`, the requests per
+    /// slot at upstreams of the same distance; to none if the upstream reports no pace.
+    fn estimated_load(&self, now: Moment, level: f64) -> f64 {
+        let is_paced = self.pace.at(now).is_some();
+        let usual = if is_paced {
+            level * f64::from(self.offer.slots)
+        } else {
+            0.0
+        };
         let age = now.since(self.reported_at).as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64();
-        self.other_requests * (-age).exp2() + f64::from(self.own_requests)
+        usual + (self.other_requests - usual) * (-age).exp2() + f64::from(self.own_requests)
     }
 
     fn current_failure_rate(&self, now: Moment) -> f64 {
@@ -139,21 +142,23 @@
 
     /// Returns the cost of a request to this upstream as a fraction of the answer's value: the probability of a
     /// late answer, the distance and the probability of failure.
-    fn cost(&self, now: Moment, typical: Duration, worth_for: Duration) -> f64 {
+    fn cost(&self, now: Moment, level: f64, typical: Duration, worth_for: Duration) -> f64 {
         let run_time = self.expected_run_time(now, typical);
         let slots = f64::from(self.offer.slots.max(1));
         let cold_rate = self.cold_rate(now);
         // At a limited rate, no more requests than this run at a time.
         let slots = cold_rate.map_or(slots, |rate| slots.min((rate * run_time).max(1.0)));
-        let ahead = (self.estimated_load(now) + 1.0 - slots).max(0.0);
+        let load = self.estimated_load(now, level);
+        let ahead = (load + 1.0 - slots).max(0.0);
         // An upstream close to its capacity is likely to be full when the request arrives.
-        let crowding = run_time * 0.25 * (self.estimated_load(now) / slots).min(1.0);
+        let crowding = run_time * 0.25 * (load / slots).min(1.0);
         let (distance, rtt) = match self.tier {
             Tier::Own => (0.0, 0.0),
             Tier::Region => (CROSS_DOMAIN_COST, 0.0),
             Tier::Remote => (CROSS_REGION_COST, CROSS_REGION_RTT.as_secs_f64()),
         };
-        let time = run_time + run_time * ahead / slots + crowding + rtt;
+        let transit = self.pace.at(now).map_or(0.0, |_| self.transit.at(now));
+        let time = run_time + run_time * ahead / slots + crowding + rtt.max(transit);
         let target_fraction = time / worth_for.as_secs_f64().max(TARGET_MIN.as_secs_f64());
         let late = ((target_fraction - SAFE_FRACTION) / LATE_FRACTION).max(0.0);
         EARLY_COST * target_fraction.min(1.0)
@@ -163,6 +168,13 @@
             + FAILURE_COST * self.current_failure_rate(now)
     }
 
+    /// Returns the cost of waiting for a slot, up to that of another domain; 0 if the upstream reports no pace.
+    fn waiting_cost(&self, now: Moment, level: f64) -> f64 {
+        let slots = f64::from(self.offer.slots.max(1));
+        let ahead = (self.estimated_load(now, level) + 1.0 - slots).clamp(0.0, 1.0);
+        self.pace.at(now).map_or(0.0, |_| CROSS_DOMAIN_COST * ahead)
+    }
+
     fn is_declining(&self, now: Moment, priority: u32) -> bool {
         self.declined_until
             .range(..=priority)
@@ -174,6 +186,7 @@
 #[derive(Debug)]
 pub struct LoadBalancer {
     endpoints: BTreeMap<Host, Endpoint>,
+    levels: Levels,
     rng: StdRng,
 }
 
@@ -183,6 +196,7 @@
     pub fn new(seed: u64) -> Self {
         Self {
             endpoints: BTreeMap::new(),
+            levels: Levels::default(),
             rng: StdRng::seed_from_u64(seed),
         }
     }
@@ -233,6 +247,7 @@
                     reported_at: now,
                     run_time: None,
                     tier: location.tier,
+                    transit: Transit::default(),
                 };
                 self.endpoints.insert(host.clone(), endpoint);
             }
@@ -275,13 +290,25 @@
             }
         }
         let mut best: Option<(f64, &Host)> = None;
-        for tier in &tiers {
-            for (host, endpoint) in tier.choose_multiple(&mut self.rng, SAMPLES_PER_TIER) {
-                let cost = endpoint.cost(now, typical, request.worth_for);
+        // Where every sampled upstream of the own domain has a queue, an idle one elsewhere costs less.
+        let mut own_waiting = 0.0;
+        for (tier, candidates) in Tier::ALL.into_iter().zip(&tiers) {
+            let level = self.levels.at(now, request.service, tier);
+            let mut least_waiting: f64 = CROSS_DOMAIN_COST;
+            for (host, endpoint) in candidates.choose_multiple(&mut self.rng, SAMPLES_PER_TIER) {
+                let waiting = endpoint.waiting_cost(now, level);
+                least_waiting = least_waiting.min(waiting);
+                let mut cost = endpoint.cost(now, level, typical, request.worth_for);
+                if tier != Tier::Own {
+                    cost += waiting - own_waiting;
+                }
                 if best.is_none_or(|(least, _)| cost < least) {
                     best = Some((cost, host));
                 }
             }
+            if tier == Tier::Own && best.is_some() {
+                own_waiting = least_waiting;
+            }
         }
         let Some((_, host)) = best else {
             return Err(if declined {
@@ -331,10 +358,22 @@
             endpoint.run_time = Some(load.run_time);
             if let Some(pace) = load.pace {
                 endpoint.pace.record(now, pace);
+                if result == AttemptResult::Answered {
+                    let per_slot = endpoint.other_requests / f64::from(load.slots.max(1));
+                    let service = &endpoint.offer.service;
+                    self.levels.record(now, service, endpoint.tier, per_slot);
+                }
             }
         }
     }
 
+    /// Records the time that an attempt took beyond what the host's node spent on it.
+    pub fn record_transit(&mut self, now: Moment, host: &Host, transit: Duration) {
+        if let Some(endpoint) = self.endpoints.get_mut(host) {
+            endpoint.transit.record(now, transit);
+        }
+    }
+
     /// Records that a host had no capacity for a request of `priority` and expects to have some after `room_in`.
     pub fn record_decline(&mut self, now: Moment, host: &Host, priority: u32, room_in: Duration) {
         if let Some(endpoint) = self.endpoints.get_mut(host) {
--- a/src/sidecar/peers/outcome.rs
+++ b/src/sidecar/peers/outcome.rs
@@ -10,6 +10,7 @@
             load_balancer::Load,
             node::Core,
         },
+        types::Moment,
     },
     std::{rc::Rc, time::Duration},
     tokio::time::timeout,
@@ -34,8 +35,14 @@
 /// Sends the outcome of a request. It counts as held until it is written. If it has no room in the queue for too long, the
 /// sender of the request is told that there is no answer, and if even that has no room, the connection is closed, which
 /// tells it the same: it would otherwise wait until the deadline.
-pub(super) async fn send(core: &Rc<Core>, link: &Rc<Link>, stream: StreamId, outcome: Outcome) {
-    let load = core.local_upstream.load(core.now());
+pub(super) async fn send(
+    core: &Rc<Core>,
+    link: &Rc<Link>,
+    stream: StreamId,
+    outcome: Outcome,
+    arrived: Moment,
+) {
+    let load = core.local_upstream.load_after(core.now(), arrived);
     let frame = Frame::Outcome(stream, outcome, load);
     let Ok(bytes) = frame::encode(&frame) else {
         link.closing.notify_one();
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -233,12 +233,13 @@
 
 /// Runs a request at the upstream on this host and sends its outcome back.
 fn serve(core: &Rc<Core>, link: &Rc<Link>, stream: StreamId, request: Request) {
+    let arrived = core.now();
     let mut room = core.body_budget.open();
     if !room.try_grow(request.body.len() as u64) {
         let declined = Outcome::Declined(Reason::Overloaded, body_budget::RETRY_AFTER);
         let (core, link) = (core.clone(), link.clone());
         tokio::task::spawn_local(async move {
-            outcome::send(&core, &link, stream, declined).await;
+            outcome::send(&core, &link, stream, declined, arrived).await;
         });
         return;
     }
@@ -249,7 +250,7 @@
         let outcome = local_upstream::serve(&core, request, cancelled).await;
         drop(room);
         link.serving.borrow_mut().remove(&stream);
-        outcome::send(&core, &link, stream, outcome).await;
+        outcome::send(&core, &link, stream, outcome, arrived).await;
     });
 }
 
