--- a/soak/tests/ledger.rs
+++ b/soak/tests/ledger.rs
@@ -40,9 +40,11 @@
 
 fn run(begin: Instant, id: &str, instance: &str) -> Run {
     Run {
+        account: None,
         begun: begin + ms(5),
         body: String::new(),
         caller: None,
+        has_credentials: false,
         finished: true,
         id: id.into(),
         instance: instance.into(),
--- a/src/http1.rs
+++ b/src/http1.rs
@@ -16,10 +16,12 @@
 use {
     bytes::Bytes,
     serde::{Deserialize, Serialize},
+    std::fmt,
 };
 
-/// A header field. Its name keeps the case in which it was received.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// A header field. Its name keeps the case in which it was received. The values of fields with credentials appear in no
+/// `Debug` output.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Field {
     /// The name, compared without regard to case by [`Field::is`].
     pub name: String,
@@ -27,6 +29,20 @@
     pub value: Vec<u8>,
 }
 
+/// Fields with credentials, in lower case.
+const CREDENTIALS: [&str; 2] = ["authorization", "proxy-authorization"];
+
+impl fmt::Debug for Field {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let mut output = f.debug_struct("Field");
+        output.field("name", &self.name);
+        if CREDENTIALS.iter().any(|name| self.is(name)) {
+            return output.finish_non_exhaustive();
+        }
+        output.field("value", &self.value).finish()
+    }
+}
+
 impl Field {
     /// Creates a field.
     #[must_use]
--- a/src/sidecar/document.rs
+++ b/src/sidecar/document.rs
@@ -6,7 +6,7 @@
 mod index;
 
 pub use {
-    account::{Account, AccountLimit, Key, Rate},
+    account::{Account, AccountField, AccountLimit, Key, Rate},
     index::Index,
 };
 
--- a/src/sidecar/document/account.rs
+++ b/src/sidecar/document/account.rs
@@ -77,6 +77,16 @@
     pub rate: Rate,
 }
 
+/// The account of a request as a field of a log line, with a space before it; nothing for a request without an account.
+#[derive(Debug, Clone, Copy)]
+pub struct AccountField<'a>(pub Option<&'a AccountName>);
+
+impl Display for AccountField<'_> {
+    fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+        self.0.map_or(Ok(()), |name| write!(f, " account={name}"))
+    }
+}
+
 /// A client account.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Account {
--- a/src/sidecar/ingress/handler.rs
+++ b/src/sidecar/ingress/handler.rs
@@ -9,6 +9,7 @@
         sidecar::{
             authentication::{self, KEY_FIELD, Origin},
             body_budget,
+            document::AccountField,
             forward::{self, Attempts, Call, Reply},
             node::Core,
         },
@@ -175,9 +176,9 @@
 }
 
 impl Rejection {
-    /// Returns whether the document in force has no route for the request.
+    /// Returns whether the document in force has no route for the request, or no account with its key.
     fn is_denial(&self) -> bool {
-        self.status == 404
+        matches!(self.status, 401 | 404)
     }
 
     fn response(&self) -> CallerResponse {
@@ -287,8 +288,9 @@
         };
         write!(
             f,
-            "route={} class={:?} priority={} left_ms={} worth_for_ms={} returned={}",
+            "route={}{} class={:?} priority={} left_ms={} worth_for_ms={} returned={}",
             call.route.name,
+            AccountField(call.account.as_ref().map(|account| &account.name)),
             call.route.class,
             call.priority(),
             call.deadline.since(self.arrived).as_millis(),
--- a/src/sidecar/local_upstream/serve.rs
+++ b/src/sidecar/local_upstream/serve.rs
@@ -10,6 +10,7 @@
         http1::{self, Field},
         refusal::Reason,
         sidecar::{
+            document::AccountField,
             frame::{Answer, Frame, Outcome, Request},
             node::Core,
             upstream_pool::{Failure, Outgoing},
@@ -145,8 +146,9 @@
         now,
         "run",
         format_args!(
-            "id={} instance={instance} waited_ms={} took_ms={} {}",
+            "id={}{} instance={instance} waited_ms={} took_ms={} {}",
             request.id,
+            AccountField(request.account.as_ref()),
             started.since(arrived).as_millis(),
             now.since(started).as_millis(),
             Summary(&outcome)
@@ -192,8 +194,9 @@
         core.now(),
         "decline",
         format_args!(
-            "id={} reason={reason} waited_ms={} left_ms={} running={} queued={} slots={} run_ms={} room_in_ms={}",
+            "id={}{} reason={reason} waited_ms={} left_ms={} running={} queued={} slots={} run_ms={} room_in_ms={}",
             request.id,
+            AccountField(request.account.as_ref()),
             core.now().since(arrived).as_millis(),
             request.time_left.as_millis(),
             load.running,
--- a/src/types.rs
+++ b/src/types.rs
@@ -36,8 +36,20 @@
             .all(|byte| byte.is_ascii_lowercase() || byte.is_ascii_digit() || *byte == b'-')
 }
 
+/// The maximum length of the name of a client account, in bytes.
+const ACCOUNT_NAME_BYTES_MAX: usize = 128;
+
+/// Accounts are named outside the mesh, so their names only have to fit into a header field and a field of the log.
+fn is_account_name(text: &str) -> bool {
+    let is_valid = |byte: u8| byte.is_ascii_graphic() && byte != b'"';
+    (1..=ACCOUNT_NAME_BYTES_MAX).contains(&text.len()) && text.bytes().all(is_valid)
+}
+
 macro_rules! name {
   ($(#[$doc:meta])* $type:ident) => {
+    name! { $(#[$doc])* $type, is_name }
+  };
+  ($(#[$doc:meta])* $type:ident, $is_valid:ident) => {
     $(#[$doc])*
     #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
     #[serde(try_from = "String")]
@@ -61,7 +73,7 @@
       type Err = InvalidName;
 
       fn from_str(text: &str) -> Result<Self, InvalidName> {
-        if is_name(text) {
+        if $is_valid(text) {
           Ok(Self(text.into()))
         } else {
           Err(InvalidName { text: text.into() })
@@ -101,7 +113,7 @@
 }
 name! {
   /// The name of a client account.
-  AccountName
+  AccountName, is_account_name
 }
 name! {
   /// The name of a resource, unique within its kind.
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -1,6 +1,8 @@
 //! Tests of the sidecar's decision modules and of its frames. Whole nodes are tested together with the adapter, in
 //! platform/tests.
 
+#[path = "sidecar/authentication.rs"]
+mod authentication;
 #[path = "sidecar/body_budget.rs"]
 mod body_budget;
 #[path = "sidecar/dissemination.rs"]
