Queue: accounts share the slots of a full upstream by run time

In the order of arrival, a hot account within its limit displaced a quiet one. Within a priority, accounts that lately used less than an equal share of the slots now go first, the others by deficit round robin over expected run times; the expected wait counts what will run before, and a full queue gives up the last request of an account over its share. Declines are remembered by account and priority, so that a full queue for one account does not hide the upstream from others. Without accounts, order and expected waits are those of before (property test).

--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -1,5 +1,5 @@
 //! The node for platforms on which an upstream is reachable only from the node on its own host, and on which the
-//! platform's store accepts the operator's orders. The decision modules ([`authentication`], [`body_budget`], [`document`], [`freshness`],
+//! platform's store accepts the operator's orders. The decision modules ([`authentication`], [`body_budget`], [`document`], [`fair_share`], [`freshness`],
 //! [`queue`], [`load_balancer`], [`retry_budget`], [`rollout`], [`shutdown`], [`store_readers`], [`uploads`]) use no clock, socket or
 //! task; the other modules do the input and output and call them. See docs/design/platform.md.
 
@@ -9,6 +9,7 @@
 pub mod dissemination;
 pub mod document;
 pub mod evidence;
+pub mod fair_share;
 pub mod frame;
 pub mod freshness;
 pub mod header_names;
--- a/src/sidecar/forward.rs
+++ b/src/sidecar/forward.rs
@@ -7,6 +7,7 @@
 use {
     super::{
         document::{Account, Class, Route},
+        fair_share::AccountId,
         frame::{Answer, Outcome, Request},
         load_balancer::{self, AttemptResult, Choice, Load, Unavailable, VersionFilter},
         local_upstream,
@@ -67,6 +68,11 @@
 }
 
 impl Call {
+    fn account_id(&self) -> Option<AccountId> {
+        let account = self.account.as_ref();
+        account.map(|account| AccountId::from(&account.name))
+    }
+
     /// Returns the priority of the request: that of its account, or that of its route if the account has none.
     pub fn priority(&self) -> u32 {
         let account = self.account.as_ref();
@@ -177,6 +183,7 @@
             load_balancer.choose(
                 now,
                 load_balancer::Request {
+                    account: self.call.account_id(),
                     tried: &self.attempts.hosts,
                     priority: self.call.priority(),
                     service: &self.service,
@@ -273,9 +280,9 @@
                 .map_or(retry_after, |known| known.min(retry_after));
             self.retry_after = Some(soonest);
             let now = self.core.now();
-            let priority = self.call.priority();
             let mut load_balancer = self.core.load_balancer.borrow_mut();
-            load_balancer.record_decline(now, &place.host, priority, retry_after);
+            let by = (self.call.account_id(), self.call.priority());
+            load_balancer.record_decline(now, &place.host, by, retry_after);
         }
         if self.attempts.declines >= DECLINES_MAX || reason == Reason::Quarantined {
             return Next::Done(self.final_reply(reason));
--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -6,6 +6,7 @@
         dissemination::Scope,
         document::{Delta, Document, Number},
         evidence::Report,
+        fair_share::AccountId,
         handle::Announcement,
         history::Epoch,
         load_balancer::{Load, Offer},
@@ -88,6 +89,7 @@
     #[must_use]
     pub fn demand(&self, now: Moment) -> Demand {
         Demand {
+            account: self.account.as_ref().map(AccountId::from),
             deadline: now + self.time_left,
             priority: self.priority,
             returned: self.returned,
--- a/src/sidecar/load_balancer.rs
+++ b/src/sidecar/load_balancer.rs
@@ -8,6 +8,7 @@
 //! node has sent there since.
 
 use {
+    super::fair_share::{AccountId, Requester},
     crate::{
         traffic::spill::Tier,
         types::{Host, Moment, Permille, Service, Version},
@@ -84,7 +85,7 @@
 #[derive(Debug)]
 struct Endpoint {
     cold_until: Moment,
-    declined_until: BTreeMap<u32, Moment>,
+    declined_until: BTreeMap<Requester, Moment>,
     failure_rate: f64,
     outcome_at: Moment,
     offer: Offer,
@@ -138,9 +139,9 @@
             + FAILURE_COST * self.current_failure_rate(now)
     }
 
-    fn is_declining(&self, now: Moment, priority: u32) -> bool {
+    fn is_declining(&self, now: Moment, request: &Request) -> bool {
         self.declined_until
-            .range(..=priority)
+            .range((request.account, 0)..=(request.account, request.priority))
             .any(|(_, until)| now < *until)
     }
 }
@@ -170,7 +171,9 @@
 pub struct Request<'a> {
     /// Hosts that were tried already.
     pub tried: &'a [Host],
-    /// Priority of its route; 0 is the most urgent.
+    /// Account of its caller; `None` if it has none.
+    pub account: Option<AccountId>,
+    /// Priority of its account or route; 0 is the most urgent.
     pub priority: u32,
     /// Service that it is for.
     pub service: &'a Service,
@@ -288,7 +291,7 @@
             if !is_eligible(host, endpoint) {
                 continue;
             }
-            if endpoint.is_declining(now, request.priority) {
+            if endpoint.is_declining(now, &request) {
                 declined = true;
             } else {
                 tiers[endpoint.tier as usize].push((host, endpoint));
@@ -352,11 +355,12 @@
         }
     }
 
-    /// Records that a host had no capacity for a request of `priority` and expects to have some after `room_in`.
-    pub fn record_decline(&mut self, now: Moment, host: &Host, priority: u32, room_in: Duration) {
+    /// Records that a host had no capacity for a request like this one and expects to have some after `room_in`.
+    pub fn record_decline(&mut self, now: Moment, host: &Host, by: Requester, room_in: Duration) {
         if let Some(endpoint) = self.endpoints.get_mut(host) {
             let until = now + room_in.min(DECLINE_BACKOFF_MAX);
-            endpoint.declined_until.insert(priority, until);
+            endpoint.declined_until.retain(|_, until| now < *until);
+            endpoint.declined_until.insert(by, until);
         }
     }
 
--- a/src/sidecar/queue.rs
+++ b/src/sidecar/queue.rs
@@ -6,10 +6,14 @@
 //! returned after a refusal. All others are declined on arrival, with the time after which capacity is expected.
 //! A queued request that can no longer be on time, because more urgent ones overtook it, is declined then: its
 //! caller may return, and the slot goes to a request that can still be on time. More urgent routes go first;
-//! within a priority, requests that can still meet their target go first, in the order of arrival.
+//! within a priority, client accounts get fair shares ([`fair_share`](super::fair_share)), and requests that can still meet
+//! their target go first, in the order of arrival.
 
 use {
-    super::load_balancer::Load,
+    super::{
+        fair_share::{AccountId, FairShares, Waiter},
+        load_balancer::Load,
+    },
     crate::{refusal::Reason, traffic::admission::Ticket, types::Moment},
     std::{collections::BTreeMap, time::Duration},
 };
@@ -34,9 +38,11 @@
 /// Priority and time limits of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Demand {
+    /// Account of its caller; `None` if it has none.
+    pub account: Option<AccountId>,
     /// Time after which the answer is useless.
     pub deadline: Moment,
-    /// Priority of its route; 0 is the most urgent.
+    /// Priority of its account or route; 0 is the most urgent.
     pub priority: u32,
     /// Whether its caller was refused before and has returned as asked.
     pub returned: bool,
@@ -84,6 +90,7 @@
 /// Slots of one upstream, and the requests that run on them or wait for them.
 #[derive(Debug, Default)]
 pub struct Queue {
+    fair_shares: FairShares,
     overall_run_time_s: Option<f64>,
     running: BTreeMap<Ticket, Moment>,
     route_run_times_s: BTreeMap<u64, f64>,
@@ -124,15 +131,27 @@
             actions.push(Action::Start(ticket));
             return actions;
         }
-        let wait = self.expected_wait(now, &demand);
+        let arriving = self.waiter(now, now, &demand);
+        let waiting = self.waiters(now);
+        let wait = self.expected_wait(now, &waiting, &arriving);
         let latest = if demand.returned {
             now + demand.deadline.since(now).mul_f64(RETURNED_FRACTION)
         } else {
             demand.target.min(demand.deadline)
         };
         let is_full = self.waiting.len() >= self.slots as usize * WAITING_PER_SLOT_MAX;
-        if is_full || now + wait + run_time > latest {
-            let retry_after = wait.max(RETRY_AFTER_MIN);
+        let retry_after = wait.max(RETRY_AFTER_MIN);
+        let is_late = now + wait + run_time > latest;
+        let displaced = (is_full && !is_late)
+            .then(|| {
+                self.fair_shares
+                    .displaced(now, self.slots, &waiting, &arriving)
+            })
+            .flatten();
+        if let Some(index) = displaced {
+            let ticket = self.waiting.remove(index).ticket;
+            actions.push(Action::Decline(ticket, Reason::Overloaded, retry_after));
+        } else if is_full || is_late {
             actions.push(Action::Decline(ticket, Reason::Overloaded, retry_after));
             return actions;
         }
@@ -194,6 +213,8 @@
         let run_time = self.run_time(Some(demand.route));
         let usage = self.usage.entry(demand.priority).or_default();
         usage.add(now, run_time);
+        let started = self.waiter(now, now, demand);
+        self.fair_shares.record_start(now, &started);
     }
 
     /// Returns the share of the slots that requests more urgent than `priority` have used lately.
@@ -205,18 +226,29 @@
     }
 
     /// Returns the index of the waiting request to start next.
-    fn next(&self, now: Moment) -> Option<usize> {
-        let indexed = self.waiting.iter().enumerate();
-        indexed
-            .min_by_key(|(_, waiting)| (self.sort_key(now, &waiting.demand), waiting.arrived))
-            .map(|(index, _)| index)
+    fn next(&mut self, now: Moment) -> Option<usize> {
+        let waiting = self.waiters(now);
+        self.fair_shares.next(now, self.slots, &waiting)
     }
 
-    /// Returns the sort key of a request; the lowest goes first. It orders by the priority of the route, then by
-    /// whether the target is missed.
-    fn sort_key(&self, now: Moment, demand: &Demand) -> (u32, bool) {
+    /// Returns the waiting requests as the fair shares see them, in the same order.
+    fn waiters(&self, now: Moment) -> Vec<Waiter> {
+        let waiting = self.waiting.iter();
+        waiting
+            .map(|waiting| self.waiter(now, waiting.arrived, &waiting.demand))
+            .collect()
+    }
+
+    fn waiter(&self, now: Moment, arrived: Moment, demand: &Demand) -> Waiter {
         let run_time = self.run_time(Some(demand.route));
-        (demand.priority, now + run_time > demand.target)
+        Waiter {
+            account: demand.account,
+            arrived,
+            is_late: now + run_time > demand.target,
+            priority: demand.priority,
+            returned: demand.returned,
+            run_time,
+        }
     }
 
     fn decline_late(&mut self, now: Moment) -> Vec<Action> {
@@ -243,17 +275,13 @@
         actions
     }
 
-    /// Returns the expected time until a request starts. More urgent requests go on arriving meanwhile, and leave it only
-    /// the rest of the slots.
-    fn expected_wait(&self, now: Moment, demand: &Demand) -> Duration {
-        let key = self.sort_key(now, demand);
-        let ahead = self.waiting.iter();
-        let ahead = ahead.filter(|waiting| self.sort_key(now, &waiting.demand) <= key);
-        let work: Duration = ahead
-            .map(|waiting| self.run_time(Some(waiting.demand.route)))
-            .sum();
-        let wait = (work + self.run_time(None)) / self.slots.max(1);
-        wait.div_f64(1.0 - self.urgent_share(now, demand.priority))
+    /// Returns the expected time until a request starts. More urgent requests, and those of accounts that have used less than
+    /// their share, go on arriving meanwhile and leave it only the rest of the slots.
+    fn expected_wait(&self, now: Moment, waiting: &[Waiter], arriving: &Waiter) -> Duration {
+        let ahead = self.fair_shares.ahead(now, self.slots, waiting, arriving);
+        let wait = (ahead.work + self.run_time(None)) / self.slots.max(1);
+        let overtaking = self.urgent_share(now, arriving.priority) + ahead.share;
+        wait.div_f64(1.0 - overtaking.min(URGENT_SHARE_MAX))
     }
 
     fn run_time(&self, route: Option<u64>) -> Duration {
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -9,6 +9,8 @@
 mod dissemination;
 #[path = "sidecar/document.rs"]
 mod document;
+#[path = "sidecar/fair_share.rs"]
+mod fair_share;
 #[path = "sidecar/frame.rs"]
 mod frame;
 #[path = "sidecar/freshness.rs"]
--- a/tests/sidecar/load_balancer.rs
+++ b/tests/sidecar/load_balancer.rs
@@ -62,6 +62,7 @@
 
 fn request<'a>(service: &'a Service, tried: &'a [Host]) -> Request<'a> {
     Request {
+        account: None,
         tried,
         priority: 1,
         service,
@@ -108,7 +109,7 @@
 fn host_that_declined_is_skipped_briefly() {
     let (mut load_balancer, service) = (mesh(), desk());
     for name in ["a1", "a2", "b1", "b2", "c1", "c2"] {
-        load_balancer.record_decline(at(1), &host(name), 1, Duration::from_secs(1));
+        load_balancer.record_decline(at(1), &host(name), (None, 1), Duration::from_secs(1));
     }
     let declined = load_balancer.choose(at(2), request(&service, &[]));
     assert_eq!(declined, Err(Unavailable::Declined));
--- a/tests/sidecar/moves.rs
+++ b/tests/sidecar/moves.rs
@@ -110,6 +110,7 @@
             VersionFilter::Baseline(&new)
         };
         let request = Request {
+            account: None,
             tried: &[],
             priority: 1,
             service: &desk(),
@@ -201,6 +202,7 @@
         for placement in &mut simulation.ingresses {
             for _ in 0..60 {
                 let request = Request {
+                    account: None,
                     tried: &[],
                     priority: 1,
                     service: &desk(),
--- a/tests/sidecar/queue.rs
+++ b/tests/sidecar/queue.rs
@@ -17,6 +17,7 @@
 
 fn demand(now: u64, priority: u32, target: u64, deadline: u64) -> Demand {
     Demand {
+        account: None,
         deadline: at(now + deadline),
         priority,
         returned: false,
--- a/tests/sidecar/queue_load.rs
+++ b/tests/sidecar/queue_load.rs
@@ -111,6 +111,7 @@
             next_ticket += 1;
             let (ticket, target) = (Ticket(next_ticket), now + TARGET);
             let demand = Demand {
+                account: None,
                 deadline: target + TARGET,
                 priority,
                 returned: false,
