--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -1,8 +1,9 @@
 //! The node for platforms on which an upstream is reachable only from the node on its own host, and on which the
 //! platform's store accepts the operator's orders. The decision modules ([`answer_budget`], [`authentication`],
-//! [`body_budget`], [`cold_start`], [`connections`], [`document`], [`evacuation`], [`freshness`], [`load_balancer`],
-//! [`queue`], [`regions`], [`retry_budget`], [`rollout`], [`shutdown`], [`store_readers`], [`uploads`]) use no clock,
-//! socket or task; the other modules do the input and output and call them. See docs/design/platform.md.
+//! [`body_budget`], [`cold_start`], [`connections`], [`document`], [`evacuation`], [`fair_share`], [`freshness`],
+//! [`load_balancer`], [`queue`], [`regions`], [`retry_budget`], [`rollout`], [`shutdown`], [`store_readers`],
+//! [`uploads`]) use no clock, socket or task; the other modules do the input and output and call them. See
+//! docs/design/platform.md.
 
 pub mod answer_budget;
 pub mod authentication;
@@ -15,6 +16,7 @@
 pub mod document;
 pub mod evacuation;
 pub mod evidence;
+pub mod fair_share;
 pub mod frame;
 pub mod freshness;
 pub mod header_names;
--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -7,6 +7,7 @@
         document::{Delta, Document, Number},
         evacuation::Evacuations,
         evidence::Report,
+        fair_share::AccountId,
         handle::Announcement,
         history::Epoch,
         load_balancer::{Load, Offer},
@@ -96,6 +97,7 @@
     #[must_use]
     pub fn demand(&self, now: Moment) -> Demand {
         Demand {
+            account: self.account.as_ref().map(AccountId::from),
             deadline: now + self.time_left,
             priority: self.priority,
             returned: self.returned,
--- a/src/sidecar/load_balancer.rs
+++ b/src/sidecar/load_balancer.rs
@@ -21,7 +21,7 @@
 };
 
 use {
-    super::{load_level::Levels, pace::Estimate},
+    super::{fair_share::Requester, load_level::Levels, pace::Estimate},
     crate::{
         traffic::spill::Tier,
         types::{Host, Moment, Permille, Region, Service, Version},
@@ -90,7 +90,7 @@
 #[derive(Debug)]
 struct Endpoint {
     cold_until: Moment,
-    declined_until: BTreeMap<u32, Moment>,
+    declined_until: BTreeMap<Requester, Moment>,
     failure_rate: f64,
     outcome_at: Moment,
     offer: Offer,
@@ -175,9 +175,9 @@
         self.pace.at(now).map_or(0.0, |_| CROSS_DOMAIN_COST * ahead)
     }
 
-    fn is_declining(&self, now: Moment, priority: u32) -> bool {
+    fn is_declining(&self, now: Moment, request: &Request) -> bool {
         self.declined_until
-            .range(..=priority)
+            .range((request.account, 0)..=(request.account, request.priority))
             .any(|(_, until)| now < *until)
     }
 }
@@ -283,7 +283,7 @@
             if !is_eligible(host, endpoint) {
                 continue;
             }
-            if endpoint.is_declining(now, request.priority) {
+            if endpoint.is_declining(now, &request) {
                 declined = true;
             } else {
                 tiers[endpoint.tier as usize].push((host, endpoint));
@@ -374,11 +374,12 @@
         }
     }
 
-    /// Records that a host had no capacity for a request of `priority` and expects to have some after `room_in`.
-    pub fn record_decline(&mut self, now: Moment, host: &Host, priority: u32, room_in: Duration) {
+    /// Records that a host had no capacity for a request like this one and expects to have some after `room_in`.
+    pub fn record_decline(&mut self, now: Moment, host: &Host, by: Requester, room_in: Duration) {
         if let Some(endpoint) = self.endpoints.get_mut(host) {
             let until = now + room_in.min(DECLINE_BACKOFF_MAX);
-            endpoint.declined_until.insert(priority, until);
+            endpoint.declined_until.retain(|_, until| now < *until);
+            endpoint.declined_until.insert(by, until);
         }
     }
 
--- a/src/sidecar/load_balancer/request.rs
+++ b/src/sidecar/load_balancer/request.rs
@@ -3,7 +3,7 @@
 use {
     super::VersionFilter,
     crate::{
-        sidecar::regions::Restriction,
+        sidecar::{fair_share::AccountId, regions::Restriction},
         traffic::spill::Tier,
         types::{Host, Region, Service},
     },
@@ -24,7 +24,9 @@
 pub struct Request<'a> {
     /// Hosts that were tried already.
     pub tried: &'a [Host],
-    /// Priority of its route; 0 is the most urgent.
+    /// Account of its caller; `None` if it has none.
+    pub account: Option<AccountId>,
+    /// Priority of its account or route; 0 is the most urgent.
     pub priority: u32,
     /// Regions in which it may run.
     pub regions: &'a Restriction,
--- a/src/sidecar/local_upstream/serve.rs
+++ b/src/sidecar/local_upstream/serve.rs
@@ -12,6 +12,7 @@
         sidecar::{
             answer_budget::OVERHEAD_BYTES,
             answer_room::{self, UPSTREAM_WAIT},
+            document::AccountField,
             frame::{Answer, Frame, Outcome, Request},
             node::Core,
             pace::Pace,
@@ -133,17 +134,7 @@
     if !core.permits_here(&request) {
         return decline(core, &request, arrived, Reason::Region, Duration::ZERO);
     }
-    let started = core.now();
-    core.metrics.record_stage("waiting", started.since(arrived));
-    state.running.borrow_mut().insert(
-        ticket,
-        Running {
-            started,
-            late: false,
-            route: request.route,
-        },
-    );
-    state.quarantine.borrow_mut().begin(ticket, fingerprint);
+    let started = begin_run(core, &request, ticket, fingerprint, arrived);
     let left = demand.deadline.since(started);
     let running = run(core, &request, &instance, left);
     let outcome = if request.repeatable {
@@ -165,8 +156,9 @@
         now,
         "run",
         format_args!(
-            "id={} instance={instance} waited_ms={} took_ms={} pace={} {}",
+            "id={}{} instance={instance} waited_ms={} took_ms={} pace={} {}",
             request.id,
+            AccountField(request.account.as_ref()),
             started.since(arrived).as_millis(),
             now.since(started).as_millis(),
             pace.percent(),
@@ -176,6 +168,29 @@
     outcome
 }
 
+/// Records that a request begins to run, and returns the time.
+fn begin_run(
+    core: &Core,
+    request: &Request,
+    ticket: Ticket,
+    fingerprint: Fingerprint,
+    arrived: Moment,
+) -> Moment {
+    let state = &core.local_upstream;
+    let started = core.now();
+    core.metrics.record_stage("waiting", started.since(arrived));
+    state.running.borrow_mut().insert(
+        ticket,
+        Running {
+            started,
+            late: false,
+            route: request.route,
+        },
+    );
+    state.quarantine.borrow_mut().begin(ticket, fingerprint);
+    started
+}
+
 /// Returns whether an outcome counts as a failure of the upstream's version.
 fn has_failed(outcome: &Outcome) -> bool {
     match outcome {
@@ -215,8 +230,9 @@
         now,
         "decline",
         format_args!(
-            "id={} reason={reason} waited_ms={} left_ms={} running={} queued={} slots={} run_ms={} pace={} room_in_ms={}",
+            "id={}{} reason={reason} waited_ms={} left_ms={} running={} queued={} slots={} run_ms={} pace={} room_in_ms={}",
             request.id,
+            AccountField(request.account.as_ref()),
             now.since(arrived).as_millis(),
             request.time_left.as_millis(),
             load.running,
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -3,6 +3,8 @@
 
 #[path = "sidecar/answer_budget.rs"]
 mod answer_budget;
+#[path = "sidecar/authentication.rs"]
+mod authentication;
 #[path = "sidecar/body_budget.rs"]
 mod body_budget;
 #[path = "sidecar/cold_start.rs"]
@@ -15,6 +17,8 @@
 mod document;
 #[path = "sidecar/evacuation.rs"]
 mod evacuation;
+#[path = "sidecar/fair_share.rs"]
+mod fair_share;
 #[path = "sidecar/frame.rs"]
 mod frame;
 #[path = "sidecar/freshness.rs"]
--- a/tests/sidecar/pace.rs
+++ b/tests/sidecar/pace.rs
@@ -64,6 +64,7 @@
 #[test]
 fn run_times_are_averaged_at_the_usual_pace_and_expected_at_the_present_one() {
     let demand = |now, target| Demand {
+        account: None,
         deadline: at(now + 5000),
         priority: 1,
         returned: false,
--- a/tests/sidecar/placement_load.rs
+++ b/tests/sidecar/placement_load.rs
@@ -258,6 +258,7 @@
     /// Sends a request to the upstream that its ingress chooses.
     fn send(&mut self, now: u64, mut attempt: Attempt) {
         let request = Request {
+            account: None,
             tried: &attempt.tried,
             priority: 1,
             regions: &Restriction::Unrestricted,
@@ -286,6 +287,7 @@
         let (number, left_from) = (attempt.upstream, attempt.sent);
         // The time that a request takes to its upstream is not known there.
         let demand = Demand {
+            account: None,
             deadline: at(attempt.started + 3 * TARGET_MS + now - left_from),
             priority: 1,
             returned: false,
@@ -319,7 +321,7 @@
             return;
         }
         ingress.record_result(at(now), &host, AttemptResult::Inconclusive, Some(load));
-        ingress.record_decline(at(now), &host, 1, load.run_time);
+        ingress.record_decline(at(now), &host, (None, 1), load.run_time);
         self.send(now, attempt);
     }
 }
