--- a/src/sidecar/cold_start.rs
+++ b/src/sidecar/cold_start.rs
@@ -1,9 +1,10 @@
 //! How many requests an upstream may get while it is cold or may be cold.
 //!
 //! Designed for upstreams that crash under more than a fraction of their usual load while they are cold: after a start, and
-//! at any moment later without an announcement. The gate counts the requests of a sliding window of a second. Up to the rate that a cold
-//! upstream bears, requests may start whatever is known. Beyond that rate they start only while the upstream is known to be
-//! warm, and no more of them between two checks than the tolerance allows, as it may have become cold after the first one.
+//! at any moment later without an announcement. The gate counts the requests of a sliding window of a second. Up to the rate
+//! that a cold upstream bears, requests may start whatever is known. Beyond that rate they start only while the upstream is
+//! known to be warm, and no more of them after the last check that found it so than the tolerance allows, as it may have
+//! become cold since.
 
 use {
     crate::types::Moment,
@@ -29,7 +30,7 @@
 pub struct Limits {
     /// The requests per second that an upstream bears; above 0.
     pub rate: u32,
-    /// The requests that it may get in any one second, above the rate. Above the rate, they are requests that were sent
+    /// The requests that it may get in any one second; at least the rate. The difference is for requests that were sent
     /// before the node knew that the upstream is cold.
     pub tolerance: u32,
     /// Whether the upstream can be asked whether it is cold. If not, only its announcements tell.
