Accounts: tests of late leases and of the validity of permits

Trials on a scratch copy with single rules of the state machines removed showed that the property test finds a missing wait for leases, missing refill and ignored views, but neither leases counted from their arrival nor a window without the validity of a permit. Each has a test of its own now.

Measured: Clippy passes; the two tests have not been run yet.

--- a/tests/accounts.rs
+++ b/tests/accounts.rs
@@ -7,8 +7,9 @@
     mulberryshelf::{
         accounts::{
             borrower::{Answer, Borrower, Permit, QueryId, Verdict},
-            lease::HOLD,
+            lease::{HOLD, Lease},
             limiter::Limiter,
+            owner::{Ledger, Pool},
             quota::{Quota, Terms},
             rank::Rank,
             usage::{ACCOUNTS_MAX, Usage},
@@ -168,6 +169,42 @@
     }
 }
 
+/// Guards against leases that arrive late and are used after their sender has leased its part to another node.
+#[test]
+fn lease_counts_from_the_time_that_its_receiver_sent() {
+    let mut limiter = Limiter::new(host(0), Moment(0));
+    let sent = Moment(10_000_000);
+    let lease = Lease {
+        absent: Some(Vec::new()),
+        echo: Some(sent),
+        sent: Moment(77),
+    };
+    let horizon = terms(1).horizon();
+    limiter.receive_lease(sent + 2900 * MS, &host(1), lease.clone(), horizon);
+    assert_eq!(limiter.held_leases(sent + 2999 * MS), 1);
+    assert_eq!(limiter.held_leases(sent + 3000 * MS), 0);
+    limiter.receive_lease(sent + 3100 * MS, &host(1), lease, horizon);
+    assert_eq!(limiter.held_leases(sent + 3100 * MS), 0);
+}
+
+/// Guards against permits that are used at the end of their validity, together with those of a whole new window.
+#[test]
+fn permit_counts_until_the_window_after_its_last_use() {
+    let quota = Quota::new(limit(10.0, 0), terms(1)).unwrap();
+    let pool = Pool::new(&quota, 1, [quota.horizon].into_iter());
+    let mut ledger = Ledger::default();
+    let start = Moment(60_000_000);
+    let mut hand_out = |ms: u32| ledger.hand_out(start + ms * MS, &quota, &pool, 1000);
+    let first = hand_out(0).unwrap();
+    let rest: u32 = (1..110)
+        .filter_map(|step| hand_out(step * 50 - 1).ok())
+        .sum();
+    // (10 x 5) + half of the tolerance of 25.
+    assert_eq!(first + rest, 62);
+    assert!(hand_out(5_499).is_err());
+    assert!(hand_out(5_500).is_ok_and(|count| count <= first));
+}
+
 #[test]
 fn no_limit_without_a_rate() {
     assert_eq!(Quota::new(limit(0.0, 5), terms(2)), None);
