--- a/tests/sidecar/fair_share.rs
+++ b/tests/sidecar/fair_share.rs
@@ -24,8 +24,8 @@
 /// Time for which callers wait, including their returns.
 const PATIENCE: Duration = Duration::from_millis(2_500);
 
-fn id(name: &str) -> Option<AccountId> {
-    Some(AccountId::from(&name.parse::<AccountName>().unwrap()))
+fn id(name: &str) -> AccountId {
+    AccountId::from(&name.parse::<AccountName>().unwrap())
 }
 
 fn at(millis: u64) -> Moment {
@@ -47,7 +47,7 @@
 #[test]
 fn round_robin_counts_run_time_and_not_requests() {
     let mut shares = FairShares::default();
-    let (long, short) = (id("long"), id("short"));
+    let (long, short) = (Some(id("long")), Some(id("short")));
     let mut waiting = vec![waiter(long, 0, 130); 20];
     waiting.extend(vec![waiter(short, 1, 40); 65]);
     let mut used = BTreeMap::from([(long, 0), (short, 0)]);
@@ -62,7 +62,7 @@
 #[test]
 fn account_under_its_share_goes_first_and_waits_only_for_what_runs_before_it() {
     let mut shares = FairShares::default();
-    let (busy, quiet) = (id("busy"), id("quiet"));
+    let (busy, quiet) = (Some(id("busy")), Some(id("quiet")));
     for _ in 0..10 {
         shares.record_start(at(0), &waiter(busy, 0, 100));
     }
@@ -85,13 +85,13 @@
     let returned = Waiter {
         is_late: true,
         returned: true,
-        ..waiter(id("busy"), 3, 100)
+        ..waiter(Some(id("busy")), 3, 100)
     };
     let urgent = Waiter {
         priority: 0,
-        ..waiter(id("other"), 4, 100)
+        ..waiter(Some(id("other")), 4, 100)
     };
-    let waiting = [waiter(id("busy"), 1, 100), returned, urgent];
+    let waiting = [waiter(Some(id("busy")), 1, 100), returned, urgent];
     assert_eq!(shares.next(at(5), 1, &waiting), Some(2));
     assert_eq!(shares.next(at(5), 1, &waiting[..2]), Some(1));
 }
@@ -110,17 +110,17 @@
         target: at(10_000),
     };
     for ticket in 0..17 {
-        queue.arrive(at(ticket), Ticket(ticket), demand(id("busy")));
+        queue.arrive(at(ticket), Ticket(ticket), demand(Some(id("busy"))));
         if ticket < 5 {
             // The share of an account follows from what it has run.
             queue.finish(at(ticket), Ticket(ticket), 2, false);
         }
     }
     for ticket in 17..30 {
-        queue.arrive(at(ticket), Ticket(ticket), demand(id("busy")));
+        queue.arrive(at(ticket), Ticket(ticket), demand(Some(id("busy"))));
     }
     assert_eq!(queue.load().queued, 16);
-    let actions = queue.arrive(at(40), Ticket(90), demand(id("quiet")));
+    let actions = queue.arrive(at(40), Ticket(90), demand(Some(id("quiet"))));
     assert!(
         matches!(
             actions[..],
@@ -314,7 +314,7 @@
 #[test]
 fn quiet_account_is_served_beside_a_hot_one() {
     let source = |name: &str, part| Source {
-        account: id(name),
+        account: Some(id(name)),
         begins: 0,
         part,
         run_time: 100.0,
@@ -345,7 +345,7 @@
 #[test]
 fn burst_of_long_requests_takes_no_more_than_its_share() {
     let source = |name: &str, part, run_time, begins| Source {
-        account: id(name),
+        account: Some(id(name)),
         begins,
         part,
         run_time,
@@ -377,7 +377,7 @@
 #[test]
 fn callers_that_return_as_told_are_served_before_new_ones_of_their_account() {
     let source = |name: &str| Source {
-        account: id(name),
+        account: Some(id(name)),
         begins: 0,
         part: 0.8,
         run_time: 100.0,
