Accounts: without accounts in the document, callers' headers pass as before

Cause: `Authorization` and the header of the account were removed from every request, also in installations without accounts, whose upstreams may authenticate callers themselves.

Change: they are removed if the document has accounts.

--- a/src/sidecar/ingress/handler.rs
+++ b/src/sidecar/ingress/handler.rs
@@ -265,9 +265,10 @@
         .refused_at(arrived, fingerprint, caller_deadline);
     let mut fields = request.fields;
     http1::strip_hop_by_hop(&mut fields);
+    if core.index.borrow().needs_key() {
+        fields.retain(|field| !field.is(KEY_FIELD) && !field.is(header_names.account));
+    }
     let own_fields = [
-        KEY_FIELD,
-        header_names.account,
         header_names.caller_service,
         header_names.expected_instance,
         header_names.time_left,
