Accounts: an idle owner keeps its own part of the limit

A node renewed the lease of its own part only when it was asked for permits, so the part was lost after 3 s without requests and filled anew. It is now renewed with the other leases.

--- a/src/accounts/limiter.rs
+++ b/src/accounts/limiter.rs
@@ -111,7 +111,7 @@
         }
     }
 
-    /// Returns the number of nodes whose leases this node holds, apart from its own.
+    /// Returns the number of nodes whose leases this node holds, including its own.
     #[must_use]
     pub fn held_leases(&self, now: Moment) -> usize {
         self.holdings.count(now)
@@ -135,10 +135,7 @@
         if now.since(self.started) < HOLD {
             return Answer::NotOwner;
         }
-        if let Some(absent) = self.lessor.own_lease(now, &self.known) {
-            let own = self.own.clone();
-            self.holdings.renew(now, &own, now, absent, quota.horizon);
-        }
+        self.renew_own(now, quota.horizon);
         self.add(now, account);
         let Some(state) = self.accounts.get_mut(account) else {
             return Answer::NotOwner;
@@ -230,13 +227,22 @@
         }
     }
 
-    /// Removes what is no longer needed.
+    /// Renews the lease of this node's own parts, and removes what is no longer needed. To be called more often than leases
+    /// end.
     pub fn prune(&mut self, now: Moment, horizon: Duration) {
+        self.renew_own(now, horizon);
         self.holdings.prune(now);
         self.accounts
             .retain(|_, state| now.since(state.used) < horizon || !state.borrower.is_idle(now));
     }
 
+    fn renew_own(&mut self, now: Moment, horizon: Duration) {
+        if let Some(absent) = self.lessor.own_lease(now, &self.known) {
+            let own = self.own.clone();
+            self.holdings.renew(now, &own, now, absent, horizon);
+        }
+    }
+
     /// Returns the owner of an account as this node sees it: the node that ranks highest of those that it hears.
     fn owner(&mut self, now: Moment, account: &AccountName) -> Host {
         let heard = self.lessor.heard(now);
--- a/tests/accounts.rs
+++ b/tests/accounts.rs
@@ -225,6 +225,18 @@
     assert!(hand_out(5_500).is_ok_and(|count| count <= first));
 }
 
+/// Guards against an owner that loses its own part while nobody asks it.
+#[test]
+fn idle_owner_keeps_its_own_part() {
+    let mut limiter = Limiter::new(host(0), Moment(0));
+    let quota = Quota::new(limit(10.0, 0), terms(1)).unwrap();
+    for tick in 0..48 {
+        limiter.prune(Moment(0) + tick * 250 * MS, quota.horizon);
+    }
+    let answer = limiter.hand_out(Moment(12_000_000), &account(0), &quota, 10);
+    assert_eq!(answer, Answer::Granted(10));
+}
+
 #[test]
 fn no_limit_without_a_rate() {
     assert_eq!(Quota::new(limit(0.0, 5), terms(2)), None);
