Replay of placement: only what the minimum Rust version has

Cause: clippy refused extract_if of a map, stable since 1.91, and a remainder. Change: filter and retain; is_multiple_of. Result: both tests of the file pass in a scratch build of these modules.

--- a/tests/sidecar/placement_load.rs
+++ b/tests/sidecar/placement_load.rs
@@ -171,7 +171,7 @@
                 (ticket, Some((ran, load))) => self.end(now, ticket, ran, load),
             }
         }
-        if now % 20 == 0 {
+        if now.is_multiple_of(20) {
             let upstreams = self.upstreams.iter();
             let loads: Vec<f64> = upstreams.map(|each| each.running.len() as f64).collect();
             let mean = loads.iter().sum::<f64>() / loads.len() as f64;
@@ -216,8 +216,9 @@
                 *left_ms -= speed;
             }
             let running = &mut upstream.running;
-            let ended = running.extract_if(.., |_, left_ms| *left_ms <= 0.0);
-            let ended: Vec<Ticket> = ended.map(|(ticket, _)| ticket).collect();
+            let ended = running.iter().filter(|(_, left_ms)| **left_ms <= 0.0);
+            let ended: Vec<Ticket> = ended.map(|(ticket, _)| *ticket).collect();
+            running.retain(|_, left_ms| *left_ms > 0.0);
             let load = format!("0,0,0,{:.0}", upstream.pace * 100.0);
             let queue = &mut upstream.queue;
             let mut actions = queue.tick(at(now));
