Account limits: leases before the first limit, and half as long

Cause: nodes exchanged leases only while the document had limits, so all accounts were refused for 3.3 s once it first had some; four tests of the accounts failed for that.

Change: nodes whose settings have account limits always exchange leases, every 0.5 s instead of every second; leases are valid for 1.5 s, and a node waits 1.65 s for those that it gave.

--- a/src/accounts/lease.rs
+++ b/src/accounts/lease.rs
@@ -16,15 +16,15 @@
 
 /// Interval at which leases are sent. Each costs one small frame to each node of the region, which is little compared with
 /// the requests.
-pub const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
+pub const RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Time for which a lease is valid: a time that was sent returns up to two intervals later, and the last interval allows
 /// for a lease that is late.
-pub const VALIDITY: Duration = Duration::from_secs(3);
+pub const VALIDITY: Duration = Duration::from_millis(1500);
 
 /// Time for which a node waits for leases that it gave to end. It exceeds their validity, as the clocks of two hosts do
 /// not run at exactly the same speed.
-pub const HOLD: Duration = Duration::from_millis(3300);
+pub const HOLD: Duration = Duration::from_millis(1650);
 
 /// Message in which a node leases its parts of all limits to another one.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/sidecar/permits.rs
+++ b/src/sidecar/permits.rs
@@ -23,7 +23,6 @@
         cell::{Cell, RefCell},
         collections::{HashMap, VecDeque},
         rc::Rc,
-        sync::Arc,
         time::Duration,
     },
     tokio::{sync::oneshot, time::timeout},
@@ -225,18 +224,14 @@
     }
 }
 
-/// Sends the leases that are due. Without limits in the document, nodes exchange none.
+/// Sends the leases that are due. They are exchanged before the document has limits: otherwise all accounts would be refused
+/// for [`lease::HOLD`] when it first has some.
 pub(super) fn tick(core: &Core, now: Moment) {
     let Some(horizon) = horizon(core) else {
         return;
     };
     let mut limiter = core.permits.limiter.borrow_mut();
-    // Also without limits, as requests may be the first that need the number of nodes once there are some.
     limiter.set_known(core.peers.region_hosts());
-    let has_limit = |account: &Arc<Account>| account.limit.is_some();
-    if !core.document.borrow().accounts.values().any(has_limit) {
-        return;
-    }
     for host in core.peers.connected_region_hosts() {
         if let Some(lease) = limiter.lease(now, &host) {
             core.peers.send(&host, &Frame::Lease(lease));
--- a/tests/accounts.rs
+++ b/tests/accounts.rs
@@ -7,7 +7,7 @@
     mulberryshelf::{
         accounts::{
             borrower::{Answer, Borrower, Permit, QueryId, Verdict},
-            lease::{HOLD, Lease},
+            lease::{HOLD, Lease, VALIDITY},
             limiter::Limiter,
             owner::{Ledger, Pool},
             quota::{Quota, Terms},
@@ -200,11 +200,11 @@
         sent: Moment(77),
     };
     let horizon = terms(1).horizon();
-    limiter.receive_lease(sent + 2900 * MS, &host(1), lease.clone(), horizon);
-    assert_eq!(limiter.held_leases(sent + 2999 * MS), 1);
-    assert_eq!(limiter.held_leases(sent + 3000 * MS), 0);
-    limiter.receive_lease(sent + 3100 * MS, &host(1), lease, horizon);
-    assert_eq!(limiter.held_leases(sent + 3100 * MS), 0);
+    limiter.receive_lease(sent + VALIDITY - 100 * MS, &host(1), lease.clone(), horizon);
+    assert_eq!(limiter.held_leases(sent + VALIDITY - MS), 1);
+    assert_eq!(limiter.held_leases(sent + VALIDITY), 0);
+    limiter.receive_lease(sent + VALIDITY + 100 * MS, &host(1), lease, horizon);
+    assert_eq!(limiter.held_leases(sent + VALIDITY + 100 * MS), 0);
 }
 
 /// Guards against permits that are used at the end of their validity, together with those of a whole new window.
