--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -41,6 +41,8 @@
 }
 
 reasons! {
+    /// The account has reached its limit.
+    AccountLimit => "account-limit", 429;
     /// The request with this idempotency key has run, and its answer is no longer stored.
     AlreadyRan => "already-ran", 409;
     /// The caller's request is malformed.
@@ -81,8 +83,12 @@
     OwnerUnreachable => "owner-unreachable", 503;
     /// The request is quarantined because it has crashed upstreams.
     Quarantined => "quarantined", 403;
+    /// No endpoint in the regions that the request may run in accepts requests.
+    Region => "region", 503;
     /// The body is longer than allowed.
     TooLarge => "too-large", 413;
+    /// The request needs the key of an account, and has none or an unknown one.
+    Unauthorized => "unauthorized", 401;
     /// The node of the upstream could not be reached.
     Unreachable => "unreachable", 503;
     /// The upstream on this host is of another version or service.
--- a/src/sidecar/document.rs
+++ b/src/sidecar/document.rs
@@ -2,12 +2,20 @@
 //! whole, indexed by hostname and path prefix, and sent to other nodes as the difference from an earlier document. A
 //! node installs a document as a whole or not at all, and never an older one than it holds.
 
+mod account;
+mod index;
+
+pub use {
+    account::{Account, AccountField, AccountLimit, Key, Rate},
+    index::Index,
+};
+
 use {
     super::history::{Epoch, Position},
-    crate::types::{Service, Version},
+    crate::types::{AccountName, Region, Service, Version},
     serde::{Deserialize, Serialize},
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         fmt::{self, Display, Formatter},
         sync::Arc,
         time::Duration,
@@ -77,6 +85,10 @@
     pub prefix: String,
     /// The priority among the routes of a service; 0 is the highest.
     pub priority: u32,
+    /// Whether its requests need no key of an account.
+    pub public: bool,
+    /// The regions in which its requests may be served; empty for all.
+    pub regions: BTreeSet<Region>,
     /// The services that receive the route's requests, with their weights.
     pub shares: Vec<Share>,
     /// The latency up to which an answer has its full value to the caller.
@@ -86,6 +98,12 @@
 }
 
 impl Route {
+    /// Returns the identifier by which nodes name the route to each other, also if their documents differ.
+    #[must_use]
+    pub fn id(&self) -> u64 {
+        xxh3_64(self.name.as_bytes())
+    }
+
     /// Returns the service for a request's `point` between 0 and 1, or `None` if no share has any weight. Evenly
     /// spread points keep to the weights even for few requests.
     #[must_use]
@@ -104,6 +122,17 @@
     }
 }
 
+/// Properties of a service's upstreams.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceSpec {
+    /// The requests per second that an upstream bears while it is cold; 0 for no limit.
+    pub cold_rate: u32,
+    /// The maximum number of connections that one upstream accepts.
+    pub connections_max: u32,
+    /// The path of the upstream's health check; `None` if it has none.
+    pub health_path: Option<String>,
+}
+
 /// Limits on the size and the time of what a caller sends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
@@ -169,14 +198,19 @@
 /// A complete configuration.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Document {
+    /// The client accounts, by name.
+    pub accounts: BTreeMap<AccountName, Arc<Account>>,
+    /// Whether requests need the key of an account. It is set if accounts were declared, also if none of them could be
+    /// used: a mistake in an account must not open the mesh to callers without a key.
+    pub needs_key: bool,
     /// The limits on callers.
     pub limits: Limits,
     /// The document's number.
     pub number: Number,
     /// The routes, by name.
     pub routes: BTreeMap<String, Arc<Route>>,
-    /// The declared services, and the maximum number of connections that one upstream of each accepts.
-    pub services: BTreeMap<Service, u32>,
+    /// The declared services.
+    pub services: BTreeMap<Service, ServiceSpec>,
 }
 
 impl Document {
@@ -214,8 +248,19 @@
     /// Returns whether this document says the same as another one, whatever their numbers.
     #[must_use]
     pub fn has_contents_of(&self, other: &Self) -> bool {
-        (self.limits, &self.routes, &self.services)
-            == (other.limits, &other.routes, &other.services)
+        (
+            &self.accounts,
+            self.limits,
+            self.needs_key,
+            &self.routes,
+            &self.services,
+        ) == (
+            &other.accounts,
+            other.limits,
+            other.needs_key,
+            &other.routes,
+            &other.services,
+        )
     }
 
     /// Returns a digest of the content, by which two nodes compare the documents that they hold.
@@ -232,9 +277,11 @@
         let changed =
             |(name, route): &(&String, &Arc<Route>)| self.routes.get(*name) != Some(route);
         Delta {
+            accounts: (self.accounts != later.accounts).then(|| later.accounts.clone()),
             digest: later.digest(),
             from: self.number,
             limits: later.limits,
+            needs_key: later.needs_key,
             removed: self.routes.keys().filter(removed).cloned().collect(),
             routes: later
                 .routes
@@ -259,12 +306,16 @@
         let mut later = self.clone();
         later.number = delta.to;
         later.limits = delta.limits;
+        later.needs_key = delta.needs_key;
         for name in &delta.removed {
             later.routes.remove(name);
         }
         for route in &delta.routes {
             later.routes.insert(route.name.clone(), route.clone());
         }
+        if let Some(accounts) = &delta.accounts {
+            later.accounts.clone_from(accounts);
+        }
         if let Some(services) = &delta.services {
             later.services.clone_from(services);
         }
@@ -279,47 +330,26 @@
 /// The changes from one document to a later one.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Delta {
+    /// All accounts of the later document; `None` if they are unchanged.
+    pub accounts: Option<BTreeMap<AccountName, Arc<Account>>>,
     /// The digest of the later document.
     pub digest: u64,
     /// The number of the earlier document.
     pub from: Number,
     /// The limits of the later document.
     pub limits: Limits,
+    /// Whether requests need the key of an account in the later document.
+    pub needs_key: bool,
     /// The names of the removed routes.
     pub removed: Vec<String>,
     /// The added and changed routes.
     pub routes: Vec<Arc<Route>>,
     /// All services of the later document; `None` if they are unchanged.
-    pub services: Option<BTreeMap<Service, u32>>,
+    pub services: Option<BTreeMap<Service, ServiceSpec>>,
     /// The number of the later document.
     pub to: Number,
 }
 
-/// A document's routes, by hostname and prefix.
-#[derive(Debug, Default)]
-pub struct Index(HashMap<String, HashMap<String, Arc<Route>>>);
-
-impl Index {
-    /// Builds the index of a document.
-    #[must_use]
-    pub fn new(document: &Document) -> Self {
-        let mut by_hostname: HashMap<String, HashMap<String, Arc<Route>>> = HashMap::new();
-        for route in document.routes.values() {
-            let prefixes = by_hostname.entry(route.hostname.clone()).or_default();
-            prefixes.insert(route.prefix.clone(), route.clone());
-        }
-        Self(by_hostname)
-    }
-
-    /// Returns the hostname's route with the longest prefix of the path, or `None` if no route matches.
-    #[must_use]
-    pub fn find_route(&self, hostname: &str, path: &str) -> Option<&Arc<Route>> {
-        let prefixes = self.0.get(hostname)?;
-        path.rmatch_indices('/')
-            .find_map(|(slash, _)| prefixes.get(&path[..=slash]))
-    }
-}
-
 /// An operator's order to roll a service's traffic out to another version.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Order {
--- a/src/sidecar/forward.rs
+++ b/src/sidecar/forward.rs
@@ -6,12 +6,14 @@
 
 use {
     super::{
-        document::{Class, Route},
+        document::{Account, Class, Route},
+        fair_share::AccountId,
         frame::{Answer, Outcome, Request},
         load_balancer::{self, AttemptResult, Choice, Load, Unavailable, VersionFilter},
         local_upstream,
         node::Core,
         peers,
+        regions::Restriction,
         rollout::Phase,
     },
     crate::{
@@ -47,6 +49,8 @@
 
 /// A caller's request and its route.
 pub(super) struct Call {
+    /// Account of the caller; `None` if the request needs no key and has none.
+    pub account: Option<Arc<Account>>,
     pub body: Bytes,
     pub deadline: Moment,
     pub fields: Vec<Field>,
@@ -64,10 +68,26 @@
     pub caller_deadline: Moment,
 }
 
+impl Call {
+    fn account_id(&self) -> Option<AccountId> {
+        let account = self.account.as_ref();
+        account.map(|account| AccountId::from(&account.name))
+    }
+
+    /// Returns the priority of the request: that of its account, or that of its route if the account has none.
+    pub fn priority(&self) -> u32 {
+        let account = self.account.as_ref();
+        let of_account = account.and_then(|account| account.priority);
+        of_account.unwrap_or(self.route.priority)
+    }
+}
+
 /// Result for the caller.
 pub(super) enum Reply {
     /// An upstream has answered.
     Answer(Answer),
+    /// The account has reached its limit, so the request was not sent; there is room after the given time.
+    Limited(Duration),
     /// The request has not run; the caller may return after the given time.
     Refused(Reason, Duration),
     /// The request may have run, and there is no answer.
@@ -95,6 +115,8 @@
     failure: Option<Answer>,
     /// Whether the request may have run at an upstream.
     may_have_run: bool,
+    /// Regions in which the request may run.
+    regions: Restriction,
     retry_after: Option<Duration>,
     service: Service,
     attempts: &'a mut Attempts,
@@ -118,6 +140,10 @@
         core,
         failure: None,
         may_have_run: false,
+        regions: Restriction::combine(
+            &call.route.regions,
+            call.account.as_ref().map(|account| &account.regions),
+        ),
         retry_after: None,
         service,
         attempts,
@@ -148,6 +174,7 @@
                 core: self.core,
                 finished: false,
                 place: &place,
+                sent_at: self.core.now(),
             };
             let (outcome, load) = self.attempt(&place).await;
             attempt.end(&outcome, load);
@@ -166,8 +193,10 @@
             load_balancer.choose(
                 now,
                 load_balancer::Request {
+                    account: self.call.account_id(),
                     tried: &self.attempts.hosts,
-                    priority: self.call.route.priority,
+                    regions: &self.regions,
+                    priority: self.call.priority(),
                     service: &self.service,
                     version_filter,
                     worth_for: self.call.full_value_until.since(now),
@@ -208,6 +237,7 @@
         let now = self.core.now();
         let call = self.call;
         let request = Request {
+            account: call.account.as_ref().map(|account| account.name.clone()),
             body: call.body.clone(),
             caller: self.core.settings.borrow().service.clone(),
             repeatable: call.route.class == Class::Repeatable,
@@ -215,7 +245,8 @@
             id: call.id.clone(),
             time_left: call.deadline.since(now),
             method: call.method.clone(),
-            priority: call.route.priority,
+            regions: self.regions.clone(),
+            priority: call.priority(),
             returned: call.returned,
             route: call.route_id,
             service: self.service.clone(),
@@ -261,9 +292,9 @@
                 .map_or(retry_after, |known| known.min(retry_after));
             self.retry_after = Some(soonest);
             let now = self.core.now();
-            let priority = self.call.route.priority;
             let mut load_balancer = self.core.load_balancer.borrow_mut();
-            load_balancer.record_decline(now, &place.host, priority, retry_after);
+            let by = (self.call.account_id(), self.call.priority());
+            load_balancer.record_decline(now, &place.host, by, retry_after);
         }
         if self.attempts.declines >= DECLINES_MAX || reason == Reason::Quarantined {
             return Next::Done(self.final_reply(reason));
@@ -298,7 +329,10 @@
     fn unavailable_reply(&mut self, cause: Unavailable) -> Reply {
         match cause {
             Unavailable::NoUpstream if self.attempts.declines == 0 => {
-                self.final_reply(Reason::NoEndpoint)
+                self.final_reply(match self.regions {
+                    Restriction::Unrestricted => Reason::NoEndpoint,
+                    Restriction::Only(_) => Reason::Region,
+                })
             }
             Unavailable::NoUpstream | Unavailable::Declined => self.final_reply(Reason::Overloaded),
         }
@@ -333,6 +367,7 @@
     core: &'a Core,
     finished: bool,
     place: &'a Choice,
+    sent_at: Moment,
 }
 
 impl AttemptGuard<'_> {
@@ -340,6 +375,10 @@
         self.finished = true;
         let (now, end) = (self.core.now(), peers::attempt_result(outcome));
         let mut load_balancer = self.core.load_balancer.borrow_mut();
+        if let Some(load) = load {
+            let transit = now.since(self.sent_at).saturating_sub(load.held);
+            load_balancer.record_transit(now, &self.place.host, transit);
+        }
         load_balancer.record_result(now, &self.place.host, end, load);
     }
 }
@@ -359,14 +398,15 @@
 async fn serve_locally(core: &Rc<Core>, request: Request) -> (Outcome, Option<Load>) {
     let (_interest, cancelled) = oneshot::channel();
     let (done, outcome) = oneshot::channel();
-    let serving = core.clone();
+    let (serving, arrived) = (core.clone(), core.now());
     tokio::task::spawn_local(async move {
         let outcome = local_upstream::serve(&serving, request, cancelled).await;
         // The receiver is dropped if the caller has gone.
         let _ = done.send(outcome);
     });
     let outcome = outcome.await.unwrap_or(Outcome::Unknown(Reason::Lost));
-    (outcome, Some(core.local_upstream.load()))
+    let load = core.local_upstream.load_after(core.now(), arrived);
+    (outcome, Some(load))
 }
 
 /// Returns a uniformly distributed number from 0 to 1 (exclusive) that depends only on the request ID and the seed.
--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -5,19 +5,26 @@
     super::{
         dissemination::Scope,
         document::{Delta, Document, Number},
+        evacuation::Evacuations,
         evidence::Report,
+        fair_share::AccountId,
         handle::Announcement,
         history::Epoch,
         load_balancer::{Load, Offer},
         queue::Demand,
+        regions::Restriction,
         rollout::RolloutState,
         store_readers::StoreAccess,
     },
     crate::{
+        accounts::{
+            borrower::{self, QueryId},
+            lease::Lease,
+        },
         http1::Field,
         refusal::Reason,
         traffic::quarantine::Strike,
-        types::{Domain, Host, Moment, Region, Service, Version},
+        types::{AccountName, Domain, Host, Moment, Region, Service, Version},
     },
     bytes::{Bytes, BytesMut},
     serde::{Deserialize, Serialize},
@@ -50,6 +57,8 @@
 /// Request to the node on an upstream's host.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Request {
+    /// Account of the caller, which the upstream is told.
+    pub account: Option<AccountName>,
     /// Body.
     pub body: Bytes,
     /// Service on whose host the request originated.
@@ -65,8 +74,10 @@
     pub time_left: Duration,
     /// Request method.
     pub method: String,
-    /// Priority of the route.
+    /// Priority of the account, or of the route if the account has none.
     pub priority: u32,
+    /// Regions in which it may run.
+    pub regions: Restriction,
     /// Whether the caller was refused before and has returned after its retry time.
     pub returned: bool,
     /// Identifier of the route.
@@ -86,6 +97,7 @@
     #[must_use]
     pub fn demand(&self, now: Moment) -> Demand {
         Demand {
+            account: self.account.as_ref().map(AccountId::from),
             deadline: now + self.time_left,
             priority: self.priority,
             returned: self.returned,
@@ -120,13 +132,15 @@
 }
 
 /// Confirmation that a document is the newest one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Confirmation {
     /// Time since the store was read.
     pub age: Duration,
     /// Latest epoch of the store that the sender knows. A higher one tells the receiver that the store may have lost what
     /// the receiver wrote.
     pub epoch: Option<Epoch>,
+    /// Evacuated domains that the sender knows.
+    pub evacuations: Evacuations,
     /// Number of the document that was the newest one in the store then.
     pub number: Number,
 }
@@ -183,6 +197,14 @@
     Referral(Host),
     /// What a node has read of the store. The receiver relays it to the scope, once it has the document in force.
     Confirmation(Scope, Confirmation),
+    /// Evacuated domains. The receiver relays them to the scope.
+    Evacuations(Scope, Evacuations),
+    /// Leases the sender's part of the accounts' limits to the receiver.
+    Lease(Lease),
+    /// Asks the owner of an account for a number of permits.
+    PermitQuery(QueryId, AccountName, u32),
+    /// Answers a query for permits of an account.
+    PermitAnswer(QueryId, AccountName, borrower::Answer),
 }
 
 /// Encodes a frame, preceded by its length. Documents and their differences are compressed, as configurations are
@@ -223,6 +245,9 @@
 /// Length of a frame's header in bytes: a length of 4 bytes, and a flag for compression.
 const HEADER_BYTES: usize = 5;
 
+/// Length in bytes from which a frame is announced before it is read.
+pub const LARGE_FRAME_BYTES: usize = 64 * 1024;
+
 /// Reads a frame, `None` if the connection closes between two frames.
 ///
 /// # Errors
@@ -232,6 +257,20 @@
     io: &mut R,
     buffer: &mut BytesMut,
 ) -> std::io::Result<Option<Frame>> {
+    read_within(io, buffer, async |_| {}).await
+}
+
+/// Reads a frame as [`read`] does. `reserve` is called with the length of a large frame, in bytes, and nothing more is read
+/// until it returns.
+///
+/// # Errors
+/// Returns the errors of [`read`].
+pub async fn read_within<R: AsyncRead + Unpin>(
+    io: &mut R,
+    buffer: &mut BytesMut,
+    mut reserve: impl AsyncFnMut(u64),
+) -> std::io::Result<Option<Frame>> {
+    let mut reserved = false;
     let malformed = |text: &str| std::io::Error::new(std::io::ErrorKind::InvalidData, text);
     loop {
         if buffer.len() >= HEADER_BYTES {
@@ -242,10 +281,18 @@
             let total = HEADER_BYTES + length;
             if buffer.len() >= total {
                 let bytes = buffer.split_to(total);
+                if total > LARGE_FRAME_BYTES && buffer.is_empty() {
+                    // The empty buffer would keep the memory of the frame.
+                    *buffer = BytesMut::new();
+                }
                 return decode(bytes[4], &bytes[HEADER_BYTES..])
                     .map(Some)
                     .ok_or_else(|| malformed("frame cannot be decoded"));
             }
+            if total > LARGE_FRAME_BYTES && !reserved {
+                reserved = true;
+                reserve(total as u64).await;
+            }
             buffer.reserve(total - buffer.len());
         } else {
             buffer.reserve(READ_BYTES);
--- a/src/sidecar/ingress/handler.rs
+++ b/src/sidecar/ingress/handler.rs
@@ -7,16 +7,18 @@
         http1::{self, Error, Field, Request},
         refusal::Reason,
         sidecar::{
+            authentication::{self, KEY_FIELD, Origin},
             body_budget,
+            document::AccountField,
             forward::{self, Attempts, Call, Reply},
             node::Core,
+            permits,
         },
         traffic::quarantine::Fingerprint,
         types::{Host, Moment},
     },
     bytes::Bytes,
     std::{rc::Rc, time::Duration},
-    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Timeout of a request whose caller states none. The route's timeout applies if it is shorter.
@@ -50,21 +52,24 @@
         Error::NoRoom => vec![retry_after(forward::with_jitter(body_budget::RETRY_AFTER))],
         _ => Vec::new(),
     };
-    Some(EncodedResponse {
-        bytes: http1::encode_response(status, &fields, b"", false),
-        close: true,
-    })
+    Some(encode(core, status, &fields, Bytes::new(), true))
 }
 
-/// Handles a request and returns the encoded response. `arrived` is the time at which the head began.
-pub(super) async fn handle(core: &Rc<Core>, request: Request, arrived: Moment) -> EncodedResponse {
+/// Handles a request and returns the encoded response. `arrived` is the time at which the head began, `origin` says who
+/// may have sent the request.
+pub(super) async fn handle(
+    core: &Rc<Core>,
+    request: Request,
+    arrived: Moment,
+    origin: Origin,
+) -> EncodedResponse {
     let close = request.close;
     let id = http1::field_text(&request.fields, core.header_names.request_id).map(String::from);
     let mut attempts = Attempts::default();
-    let admitted = admit(core, request, arrived);
+    let admitted = admit(core, request, arrived, origin);
     let response = match &admitted {
         Ok(call) => {
-            let reply = forward::send(core, call, &mut attempts).await;
+            let reply = permits::forward(core, call, &mut attempts).await;
             if let Reply::Refused(_, after) = reply {
                 let mut refusal_history = core.refusal_history.borrow_mut();
                 refusal_history.record(core.now(), call.fingerprint, call.caller_deadline, after);
@@ -106,9 +111,17 @@
     {
         fields.push(Field::new(core.header_names.request_id, id));
     }
+    encode(core, response.status, &fields, response.body, close)
+}
+
+/// Encodes a response. The body is not copied.
+fn encode(core: &Core, status: u16, fields: &[Field], body: Bytes, close: bool) -> EncodedResponse {
+    let head = http1::encode_response_head(status, fields, body.len(), false);
     EncodedResponse {
-        bytes: http1::encode_response(response.status, &fields, &response.body, false),
+        _share: core.answer_budget.hold(head.len() as u64),
+        body,
         close,
+        head,
     }
 }
 
@@ -138,6 +151,10 @@
             status: answer.status,
         },
         Reply::Refused(reason, after) => empty(503, "refused", reason, vec![retry_after(after)]),
+        Reply::Limited(after) => {
+            let reason = Reason::AccountLimit;
+            empty(reason.status(), "refused", reason, vec![retry_after(after)])
+        }
         Reply::Unknown(Reason::Deadline) => empty(504, "unknown", Reason::Deadline, Vec::new()),
         Reply::Unknown(reason) => empty(502, "unknown", reason, Vec::new()),
     }
@@ -168,9 +185,9 @@
 }
 
 impl Rejection {
-    /// Returns whether the document in force has no route for the request.
+    /// Returns whether the document in force has no route for the request, or no account with its key.
     fn is_denial(&self) -> bool {
-        self.status == 404
+        matches!(self.status, 401 | 404)
     }
 
     fn response(&self) -> CallerResponse {
@@ -179,6 +196,7 @@
             _ => STARTING_RETRY_AFTER,
         };
         let fields = match self.status {
+            401 => vec![Field::new("WWW-Authenticate", "Bearer")],
             503 => vec![retry_after(forward::with_jitter(after))],
             _ => Vec::new(),
         };
@@ -194,7 +212,12 @@
 
 /// Returns the call to forward: the request with its route, its deadlines and without the header fields that this
 /// node sets itself. Rejects requests that have no route or ID, and all while the node is not configured or closing.
-fn admit(core: &Core, request: Request, arrived: Moment) -> Result<Call, Rejection> {
+fn admit(
+    core: &Core,
+    request: Request,
+    arrived: Moment,
+    origin: Origin,
+) -> Result<Call, Rejection> {
     let rejected = |reason, status| Err(Rejection { reason, status });
     if !core.has_document() {
         return rejected(Reason::NoRoute, 503);
@@ -220,7 +243,12 @@
     let Some(route) = found else {
         return rejected(Reason::NoRoute, 404);
     };
-    let route_id = xxh3_64(route.name.as_bytes());
+    let account =
+        authentication::authenticate(&core.index.borrow(), &request.fields, route.public, origin);
+    let Ok(account) = account else {
+        return rejected(Reason::Unauthorized, 401);
+    };
+    let route_id = route.id();
     let stated_timeout: Option<u64> = http1::field_text(&request.fields, header_names.time_left)
         .and_then(|text| text.trim().parse().ok());
     let stated_timeout = stated_timeout.map_or(DEFAULT_TIMEOUT, Duration::from_millis);
@@ -237,6 +265,9 @@
         .refused_at(arrived, fingerprint, caller_deadline);
     let mut fields = request.fields;
     http1::strip_hop_by_hop(&mut fields);
+    if core.index.borrow().needs_key() {
+        fields.retain(|field| !field.is(KEY_FIELD) && !field.is(header_names.account));
+    }
     let own_fields = [
         header_names.caller_service,
         header_names.expected_instance,
@@ -244,6 +275,7 @@
     ];
     fields.retain(|field| !own_fields.iter().any(|name| field.is(name)));
     Ok(Call {
+        account,
         body: request.body,
         deadline,
         fields,
@@ -266,10 +298,11 @@
         };
         write!(
             f,
-            "route={} class={:?} priority={} left_ms={} worth_for_ms={} returned={}",
+            "route={}{} class={:?} priority={} left_ms={} worth_for_ms={} returned={}",
             call.route.name,
+            AccountField(call.account.as_ref().map(|account| &account.name)),
             call.route.class,
-            call.route.priority,
+            call.priority(),
             call.deadline.since(self.arrived).as_millis(),
             call.full_value_until.since(self.arrived).as_millis(),
             call.returned
--- a/src/sidecar/load_balancer.rs
+++ b/src/sidecar/load_balancer.rs
@@ -7,14 +7,29 @@
 //! The load of an upstream is what its node reported with its last answer, corrected by the requests that this
 //! node has sent there since.
 
+mod choice;
+mod outcome;
+mod request;
+mod transit;
+mod version_filter;
+
+pub use {
+    choice::{Choice, Unavailable},
+    outcome::{AttemptResult, Load},
+    request::{Location, Request},
+    version_filter::VersionFilter,
+};
+
 use {
+    super::{fair_share::Requester, load_level::Levels, pace::Estimate},
     crate::{
         traffic::spill::Tier,
-        types::{Host, Moment, Permille, Service, Version},
+        types::{Host, Moment, Permille, Region, Service, Version},
     },
     rand::{SeedableRng, rngs::StdRng, seq::IndexedRandom},
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, time::Duration},
+    transit::Transit,
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -39,6 +54,9 @@
 const TARGET_MIN: Duration = Duration::from_millis(100);
 /// Factor by which an upstream is slower after its start, for the warm-up time that it announces.
 const COLD_FACTOR: f64 = 2.0;
+/// Cost of an upstream that gets a limited rate during its warm-up, as a fraction of the answer's value: more than that of
+/// any distance, so that warm upstreams are chosen first.
+const COLD_COST: f64 = 0.5;
 /// Weight of a new outcome in the moving average of the failure rate.
 const FAILURE_SMOOTHING: f64 = 0.1;
 /// Cost of a request that is certain to fail, in units of an answer's value.
@@ -54,25 +72,13 @@
 /// Longest time for which an upstream that was out of capacity gets no requests of the same or a lower priority.
 const DECLINE_BACKOFF_MAX: Duration = Duration::from_millis(60);
 
-/// Load of the node at an upstream, as reported with each of its answers.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Load {
-    /// Number of requests that wait for a slot.
-    pub queued: u32,
-    /// Average run time.
-    #[serde(rename = "run")]
-    pub run_time: Duration,
-    /// Number of requests that are running.
-    pub running: u32,
-    /// Number of requests that may run concurrently.
-    pub slots: u32,
-}
-
 /// Service and capacity of an upstream, as announced by its node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Offer {
     /// Remaining warm-up time, during which the upstream is slower.
     pub cold: Duration,
+    /// Requests per second that the upstream gets during its warm-up; 0 for no limit.
+    pub cold_rate: u32,
     /// Service that it runs.
     pub service: Service,
     /// Number of requests that it runs concurrently.
@@ -84,21 +90,25 @@
 #[derive(Debug)]
 struct Endpoint {
     cold_until: Moment,
-    declined_until: BTreeMap<u32, Moment>,
+    declined_until: BTreeMap<Requester, Moment>,
     failure_rate: f64,
     outcome_at: Moment,
     offer: Offer,
     other_requests: f64,
     own_requests: u32,
+    pace: Estimate,
     rank: u64,
+    region: Region,
     reported_at: Moment,
     run_time: Option<Duration>,
     tier: Tier,
+    transit: Transit,
 }
 
 impl Endpoint {
     fn expected_run_time(&self, now: Moment, typical: Duration) -> f64 {
-        let run_time = self.run_time.unwrap_or(typical).as_secs_f64();
+        let usual = self.run_time.unwrap_or(typical).as_secs_f64();
+        let run_time = usual * self.pace.factor(now);
         if now < self.cold_until && self.run_time.is_none() {
             run_time * COLD_FACTOR
         } else {
@@ -106,9 +116,23 @@
         }
     }
 
-    fn estimated_load(&self, now: Moment) -> f64 {
+    /// Returns the rate to which the upstream is limited by its warm-up, `None` if it is not.
+    fn cold_rate(&self, now: Moment) -> Option<f64> {
+        let is_limited = self.offer.cold_rate > 0 && now < self.cold_until;
+        is_limited.then(|| f64::from(self.offer.cold_rate))
+    }
+
+    /// Returns the expected number of requests here. A report fades to the load expected from `level`, the requests per
+    /// slot at upstreams of the same distance; to none if the upstream reports no pace.
+    fn estimated_load(&self, now: Moment, level: f64) -> f64 {
+        let is_paced = self.pace.at(now).is_some();
+        let usual = if is_paced {
+            level * f64::from(self.offer.slots)
+        } else {
+            0.0
+        };
         let age = now.since(self.reported_at).as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64();
-        self.other_requests * (-age).exp2() + f64::from(self.own_requests)
+        usual + (self.other_requests - usual) * (-age).exp2() + f64::from(self.own_requests)
     }
 
     fn current_failure_rate(&self, now: Moment) -> f64 {
@@ -118,101 +142,51 @@
 
     /// Returns the cost of a request to this upstream as a fraction of the answer's value: the probability of a
     /// late answer, the distance and the probability of failure.
-    fn cost(&self, now: Moment, typical: Duration, worth_for: Duration) -> f64 {
+    fn cost(&self, now: Moment, level: f64, typical: Duration, worth_for: Duration) -> f64 {
         let run_time = self.expected_run_time(now, typical);
         let slots = f64::from(self.offer.slots.max(1));
-        let ahead = (self.estimated_load(now) + 1.0 - slots).max(0.0);
+        let cold_rate = self.cold_rate(now);
+        // At a limited rate, no more requests than this run at a time.
+        let slots = cold_rate.map_or(slots, |rate| slots.min((rate * run_time).max(1.0)));
+        let load = self.estimated_load(now, level);
+        let ahead = (load + 1.0 - slots).max(0.0);
         // An upstream close to its capacity is likely to be full when the request arrives.
-        let crowding = run_time * 0.25 * (self.estimated_load(now) / slots).min(1.0);
+        let crowding = run_time * 0.25 * (load / slots).min(1.0);
         let (distance, rtt) = match self.tier {
             Tier::Own => (0.0, 0.0),
             Tier::Region => (CROSS_DOMAIN_COST, 0.0),
             Tier::Remote => (CROSS_REGION_COST, CROSS_REGION_RTT.as_secs_f64()),
         };
-        let time = run_time + run_time * ahead / slots + crowding + rtt;
+        let transit = self.pace.at(now).map_or(0.0, |_| self.transit.at(now));
+        let time = run_time + run_time * ahead / slots + crowding + rtt.max(transit);
         let target_fraction = time / worth_for.as_secs_f64().max(TARGET_MIN.as_secs_f64());
         let late = ((target_fraction - SAFE_FRACTION) / LATE_FRACTION).max(0.0);
         EARLY_COST * target_fraction.min(1.0)
             + late
             + distance
+            + cold_rate.map_or(0.0, |_| COLD_COST)
             + FAILURE_COST * self.current_failure_rate(now)
     }
 
-    fn is_declining(&self, now: Moment, priority: u32) -> bool {
-        self.declined_until
-            .range(..=priority)
-            .any(|(_, until)| now < *until)
+    /// Returns the cost of waiting for a slot, up to that of another domain; 0 if the upstream reports no pace.
+    fn waiting_cost(&self, now: Moment, level: f64) -> f64 {
+        let slots = f64::from(self.offer.slots.max(1));
+        let ahead = (self.estimated_load(now, level) + 1.0 - slots).clamp(0.0, 1.0);
+        self.pace.at(now).map_or(0.0, |_| CROSS_DOMAIN_COST * ahead)
     }
-}
 
-/// Selects the upstreams that a request may run on during a rollout from one version to another.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum VersionFilter<'a> {
-    /// Upstreams of the new version, which gets this share of the traffic. Only the same share of its upstreams
-    /// is used, so that each of them has the load that it will have after the rollout: a version that fails only
-    /// under load then does so while few requests are affected.
-    Candidate(&'a Version, Permille),
-    /// All upstreams that do not run the new version.
-    Baseline(&'a Version),
-}
-
-impl VersionFilter<'_> {
-    fn admits(self, version: &Version) -> bool {
-        match self {
-            Self::Candidate(new, _) => version == new,
-            Self::Baseline(new) => version != new,
-        }
+    fn is_declining(&self, now: Moment, request: &Request) -> bool {
+        self.declined_until
+            .range((request.account, 0)..=(request.account, request.priority))
+            .any(|(_, until)| now < *until)
     }
 }
 
-/// Request to choose an upstream for.
-#[derive(Debug, Clone, Copy)]
-pub struct Request<'a> {
-    /// Hosts that were tried already.
-    pub tried: &'a [Host],
-    /// Priority of its route; 0 is the most urgent.
-    pub priority: u32,
-    /// Service that it is for.
-    pub service: &'a Service,
-    /// Upstreams that it may run on during a rollout; `None` allows all.
-    pub version_filter: Option<VersionFilter<'a>>,
-    /// Time from now during which its answer has its full value.
-    pub worth_for: Duration,
-}
-
-/// Upstream chosen for a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Choice {
-    /// Host of the upstream.
-    pub host: Host,
-    /// Version that the upstream runs.
-    pub version: Version,
-}
-
-/// Result of an attempt, as far as it concerns the health of the upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AttemptResult {
-    /// The upstream answered without a failure of its own.
-    Answered,
-    /// The upstream or the connection to it failed.
-    Failed,
-    /// Nothing can be concluded about the upstream: it declined the request or the caller cancelled it.
-    Inconclusive,
-}
-
-/// Reason why no upstream could be chosen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Unavailable {
-    /// No upstream of the service is known, or all of them were tried.
-    NoUpstream,
-    /// All remaining upstreams recently declined a request of the same or a higher priority.
-    Declined,
-}
-
 /// Upstreams that this node can reach, with their last known load.
 #[derive(Debug)]
 pub struct LoadBalancer {
     endpoints: BTreeMap<Host, Endpoint>,
+    levels: Levels,
     rng: StdRng,
 }
 
@@ -222,13 +196,26 @@
     pub fn new(seed: u64) -> Self {
         Self {
             endpoints: BTreeMap::new(),
+            levels: Levels::default(),
             rng: StdRng::seed_from_u64(seed),
         }
     }
 
+    /// Removes the upstream of a host that does not respond.
+    pub fn remove(&mut self, host: &Host) {
+        self.endpoints.remove(host);
+    }
+
     /// Records the offer of a host's upstream. `None` removes the upstream, as it accepts no new requests.
-    /// Load, failure rate and end of the warm-up are kept while service and version stay the same.
-    pub fn update_offer(&mut self, now: Moment, host: &Host, tier: Tier, offer: Option<Offer>) {
+    /// Load, failure rate and end of the warm-up are kept while service and version stay the same, the latter unless an
+    /// upstream of a limited rate states another one.
+    pub fn update_offer(
+        &mut self,
+        now: Moment,
+        host: &Host,
+        location: Location,
+        offer: Option<Offer>,
+    ) {
         let Some(offer) = offer else {
             self.endpoints.remove(host);
             return;
@@ -239,6 +226,10 @@
                 if endpoint.offer.service == offer.service
                     && endpoint.offer.version == offer.version =>
             {
+                let is_limited = offer.cold_rate > 0 || endpoint.offer.cold_rate > 0;
+                if is_limited && offer.cold != endpoint.offer.cold {
+                    endpoint.cold_until = cold_until;
+                }
                 endpoint.offer = offer;
             }
             _ => {
@@ -250,10 +241,13 @@
                     offer,
                     other_requests: 0.0,
                     own_requests: 0,
+                    pace: Estimate::default(),
                     rank: xxh3_64(host.as_str().as_bytes()),
+                    region: location.region.clone(),
                     reported_at: now,
                     run_time: None,
-                    tier,
+                    tier: location.tier,
+                    transit: Transit::default(),
                 };
                 self.endpoints.insert(host.clone(), endpoint);
             }
@@ -277,6 +271,7 @@
         let is_eligible = |host: &Host, endpoint: &Endpoint| {
             endpoint.offer.service == *request.service
                 && !request.tried.contains(host)
+                && request.regions.permits(&endpoint.region)
                 && request
                     .version_filter
                     .is_none_or(|side| side.admits(&endpoint.offer.version))
@@ -288,20 +283,32 @@
             if !is_eligible(host, endpoint) {
                 continue;
             }
-            if endpoint.is_declining(now, request.priority) {
+            if endpoint.is_declining(now, &request) {
                 declined = true;
             } else {
                 tiers[endpoint.tier as usize].push((host, endpoint));
             }
         }
         let mut best: Option<(f64, &Host)> = None;
-        for tier in &tiers {
-            for (host, endpoint) in tier.choose_multiple(&mut self.rng, SAMPLES_PER_TIER) {
-                let cost = endpoint.cost(now, typical, request.worth_for);
+        // Where every sampled upstream of the own domain has a queue, an idle one elsewhere costs less.
+        let mut own_waiting = 0.0;
+        for (tier, candidates) in Tier::ALL.into_iter().zip(&tiers) {
+            let level = self.levels.at(now, request.service, tier);
+            let mut least_waiting: f64 = CROSS_DOMAIN_COST;
+            for (host, endpoint) in candidates.choose_multiple(&mut self.rng, SAMPLES_PER_TIER) {
+                let waiting = endpoint.waiting_cost(now, level);
+                least_waiting = least_waiting.min(waiting);
+                let mut cost = endpoint.cost(now, level, typical, request.worth_for);
+                if tier != Tier::Own {
+                    cost += waiting - own_waiting;
+                }
                 if best.is_none_or(|(least, _)| cost < least) {
                     best = Some((cost, host));
                 }
             }
+            if tier == Tier::Own && best.is_some() {
+                own_waiting = least_waiting;
+            }
         }
         let Some((_, host)) = best else {
             return Err(if declined {
@@ -349,14 +356,30 @@
             endpoint.other_requests = (total - f64::from(endpoint.own_requests)).max(0.0);
             endpoint.reported_at = now;
             endpoint.run_time = Some(load.run_time);
+            if let Some(pace) = load.pace {
+                endpoint.pace.record(now, pace);
+                if result == AttemptResult::Answered {
+                    let per_slot = endpoint.other_requests / f64::from(load.slots.max(1));
+                    let service = &endpoint.offer.service;
+                    self.levels.record(now, service, endpoint.tier, per_slot);
+                }
+            }
+        }
+    }
+
+    /// Records the time that an attempt took beyond what the host's node spent on it.
+    pub fn record_transit(&mut self, now: Moment, host: &Host, transit: Duration) {
+        if let Some(endpoint) = self.endpoints.get_mut(host) {
+            endpoint.transit.record(now, transit);
         }
     }
 
-    /// Records that a host had no capacity for a request of `priority` and expects to have some after `room_in`.
-    pub fn record_decline(&mut self, now: Moment, host: &Host, priority: u32, room_in: Duration) {
+    /// Records that a host had no capacity for a request like this one and expects to have some after `room_in`.
+    pub fn record_decline(&mut self, now: Moment, host: &Host, by: Requester, room_in: Duration) {
         if let Some(endpoint) = self.endpoints.get_mut(host) {
             let until = now + room_in.min(DECLINE_BACKOFF_MAX);
-            endpoint.declined_until.insert(priority, until);
+            endpoint.declined_until.retain(|_, until| now < *until);
+            endpoint.declined_until.insert(by, until);
         }
     }
 
--- a/src/sidecar/local_upstream.rs
+++ b/src/sidecar/local_upstream.rs
@@ -7,6 +7,7 @@
 
 mod registration;
 mod serve;
+mod warm_up;
 
 pub(super) use serve::serve;
 
@@ -18,6 +19,7 @@
         handle::Announcement,
         load_balancer::{Load, Offer},
         node::Core,
+        pace::Pace,
         queue::{Action, Queue},
         rollout::RolloutState,
         upstream_pool::Pool,
@@ -133,12 +135,28 @@
         if current.is_draining() || lease_expired || now < current.down_until {
             return None;
         }
-        Some(current.last_announcement.offer.clone())
+        let mut offer = current.last_announcement.offer.clone();
+        if let Some(warm_up) = self.warm_up(now) {
+            (offer.cold, offer.cold_rate) = (warm_up.left, warm_up.rate);
+        }
+        Some(offer)
+    }
+
+    /// Returns the numbers of running and waiting requests, the average run time and the present pace.
+    pub fn load(&self, now: Moment) -> Load {
+        self.queue.borrow().load(now)
+    }
+
+    /// Returns the load at the end of a request that arrived at `arrived`.
+    pub fn load_after(&self, now: Moment, arrived: Moment) -> Load {
+        Load {
+            held: now.since(arrived),
+            ..self.load(now)
+        }
     }
 
-    /// Returns the numbers of running and waiting requests, and the average run time.
-    pub fn load(&self) -> Load {
-        self.queue.borrow().load()
+    fn record_pace(&self, now: Moment, pace: Pace) {
+        self.queue.borrow_mut().record_pace(now, pace);
     }
 
     /// Returns whether no request runs or waits.
@@ -146,6 +164,11 @@
         self.running.borrow().is_empty() && self.waiting.borrow().is_empty()
     }
 
+    /// Returns whether the upstream runs at least one request, so that it may make calls of its own.
+    pub fn runs_request(&self) -> bool {
+        !self.running.borrow().is_empty()
+    }
+
     pub fn strikes(&self) -> Vec<Strike> {
         self.quarantine.borrow().strikes()
     }
@@ -167,7 +190,7 @@
         }
     }
 
-    fn decline_waiting(&self, core: &Core, outcome: Arguments) {
+    pub(super) fn decline_waiting(&self, core: &Core, outcome: Arguments) {
         core.log
             .record(core.now(), "upstream", format_args!("outcome={outcome}"));
         let actions = self.queue.borrow_mut().decline_waiting(Reason::Leaving);
@@ -179,6 +202,7 @@
         if let Some(current) = self.registration.borrow_mut().as_mut() {
             current.down_until = now + DOWN_PERIOD;
         }
+        self.forget_warm_up();
         self.decline_waiting(core, format_args!("down cause={cause}"));
         core.broadcast_status();
     }
--- a/src/sidecar/local_upstream/serve.rs
+++ b/src/sidecar/local_upstream/serve.rs
@@ -5,13 +5,17 @@
 //! requests that ran there receive strikes.
 
 use {
-    super::Running,
+    super::{Running, warm_up::check_if_due},
     crate::{
         http1::{self, Field},
         refusal::Reason,
         sidecar::{
+            answer_budget::OVERHEAD_BYTES,
+            answer_room::{self, UPSTREAM_WAIT},
+            document::AccountField,
             frame::{Answer, Frame, Outcome, Request},
             node::Core,
+            pace::Pace,
             upstream_pool::{Failure, Outgoing},
         },
         traffic::{admission::Ticket, quarantine::Fingerprint},
@@ -24,10 +28,13 @@
 /// Time that the upstream has after the deadline that it was given to report the outcome of a request.
 const DEADLINE_GRACE: Duration = Duration::from_millis(80);
 
-/// Maximum size of all answers that are being received at once, in bytes. Each slot may use an equal part of it, so that
-/// upstreams whose answers do not end cannot use up the memory of their node.
+/// Size in bytes that is divided by the slots of the upstream for the maximum size of one answer, so that a few answers that
+/// do not end cannot use up the budget for all of them.
 const BODY_BYTES_TOTAL_MAX: u64 = 32 * 1024 * 1024;
 
+/// Maximum size of one answer in bytes at an upstream with many slots. The budget bounds all of them together.
+const BODY_BYTES_MAX: u64 = 8 * 1024 * 1024;
+
 /// Interval at which a waiting request has the queue apply decisions that are due.
 const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -74,6 +81,12 @@
     if cancelled.try_recv() != Err(TryRecvError::Empty) {
         return decline(core, &request, arrived, Reason::Cut, Duration::ZERO);
     }
+    if !core.permits_here(&request) {
+        return decline(core, &request, arrived, Reason::Region, Duration::ZERO);
+    }
+    if !core.admits_requests() {
+        return decline(core, &request, arrived, Reason::Leaving, Duration::ZERO);
+    }
     let demand = request.demand(arrived);
     let fingerprint = Fingerprint::new(
         request.service.as_str(),
@@ -98,8 +111,10 @@
         route: request.route,
         ticket,
     };
+    state.update_cold_limits(core);
     let actions = state.queue.borrow_mut().arrive(arrived, ticket, demand);
     state.apply_actions(actions);
+    check_if_due(core);
     let decided = loop {
         tokio::select! {
             biased;
@@ -108,23 +123,18 @@
             () = tokio::time::sleep(QUEUE_CHECK_INTERVAL) => {
                 let actions = state.queue.borrow_mut().tick(core.now());
                 state.apply_actions(actions);
+                check_if_due(core);
             }
         }
     };
     if let Err((reason, retry_after)) = decided.unwrap_or(Err((Reason::Leaving, Duration::ZERO))) {
         return decline(core, &request, arrived, reason, retry_after);
     }
-    let started = core.now();
-    core.metrics.record_stage("waiting", started.since(arrived));
-    state.running.borrow_mut().insert(
-        ticket,
-        Running {
-            started,
-            late: false,
-            route: request.route,
-        },
-    );
-    state.quarantine.borrow_mut().begin(ticket, fingerprint);
+    // The document may have changed while the request waited.
+    if !core.permits_here(&request) {
+        return decline(core, &request, arrived, Reason::Region, Duration::ZERO);
+    }
+    let started = begin_run(core, &request, ticket, fingerprint, arrived);
     let left = demand.deadline.since(started);
     let running = run(core, &request, &instance, left);
     let outcome = if request.repeatable {
@@ -141,26 +151,53 @@
     slot.answered = matches!(&outcome, Outcome::Answered(answer) if !answer.not_run);
     state.record_result(now, ticket, has_failed(&outcome));
     handle_outcome(core, ticket, &outcome).await;
+    let pace = state.load(now).pace.unwrap_or(Pace::USUAL);
     core.log.record(
         now,
         "run",
         format_args!(
-            "id={} instance={instance} waited_ms={} took_ms={} {}",
+            "id={}{} instance={instance} waited_ms={} took_ms={} pace={} {}",
             request.id,
+            AccountField(request.account.as_ref()),
             started.since(arrived).as_millis(),
             now.since(started).as_millis(),
+            pace.percent(),
             Summary(&outcome)
         ),
     );
     outcome
 }
 
+/// Records that a request begins to run, and returns the time.
+fn begin_run(
+    core: &Core,
+    request: &Request,
+    ticket: Ticket,
+    fingerprint: Fingerprint,
+    arrived: Moment,
+) -> Moment {
+    let state = &core.local_upstream;
+    let started = core.now();
+    core.metrics.record_stage("waiting", started.since(arrived));
+    state.running.borrow_mut().insert(
+        ticket,
+        Running {
+            started,
+            late: false,
+            route: request.route,
+        },
+    );
+    state.quarantine.borrow_mut().begin(ticket, fingerprint);
+    started
+}
+
 /// Returns whether an outcome counts as a failure of the upstream's version.
 fn has_failed(outcome: &Outcome) -> bool {
     match outcome {
         Outcome::Answered(answer) => answer.status >= 500 && !answer.not_run,
+        // The node had no room for the answer, which says nothing about the upstream.
+        Outcome::Unknown(Reason::TooLarge) | Outcome::Declined(..) => false,
         Outcome::Unknown(_) => true,
-        Outcome::Declined(..) => false,
     }
 }
 
@@ -187,19 +224,22 @@
     reason: Reason,
     retry_after: Duration,
 ) -> Outcome {
-    let load = core.local_upstream.load();
+    let now = core.now();
+    let load = core.local_upstream.load(now);
     core.log.record(
-        core.now(),
+        now,
         "decline",
         format_args!(
-            "id={} reason={reason} waited_ms={} left_ms={} running={} queued={} slots={} run_ms={} room_in_ms={}",
+            "id={}{} reason={reason} waited_ms={} left_ms={} running={} queued={} slots={} run_ms={} pace={} room_in_ms={}",
             request.id,
-            core.now().since(arrived).as_millis(),
+            AccountField(request.account.as_ref()),
+            now.since(arrived).as_millis(),
             request.time_left.as_millis(),
             load.running,
             load.queued,
             load.slots,
             load.run_time.as_millis(),
+            load.pace.unwrap_or(Pace::USUAL).percent(),
             retry_after.as_millis()
         ),
     );
@@ -209,6 +249,9 @@
 async fn run(core: &Rc<Core>, request: &Request, instance: &str, left: Duration) -> Outcome {
     let header_names = core.header_names;
     let mut fields = request.fields.clone();
+    if let Some(account) = &request.account {
+        fields.push(Field::new(header_names.account, account.as_str()));
+    }
     fields.push(Field::new(
         header_names.caller_service,
         request.caller.as_str(),
@@ -222,12 +265,24 @@
         bytes: http1::encode_request(&request.method, &request.target, &fields, &request.body),
         id: &request.id,
         timeout: left + DEADLINE_GRACE,
-        body_bytes_max: BODY_BYTES_TOTAL_MAX / u64::from(core.local_upstream.load().slots.max(1)),
+        body_bytes_max: BODY_BYTES_MAX.max(
+            BODY_BYTES_TOTAL_MAX / u64::from(core.local_upstream.load(core.now()).slots.max(1)),
+        ),
         repeatable: request.repeatable,
         is_head_request: request.method == "HEAD",
     };
-    match core.local_upstream.pool.send(&outgoing).await {
+    let mut share = core.answer_budget.open();
+    let reserve = async |body_bytes: u64| {
+        let bytes = body_bytes + OVERHEAD_BYTES;
+        answer_room::reserve(core, &mut share, bytes, UPSTREAM_WAIT).await
+    };
+    match core.local_upstream.pool.send(&outgoing, reserve).await {
         Ok(response) => {
+            // Failures report the pace too.
+            let load = http1::field_text(&response.fields, header_names.load);
+            if let Some(pace) = load.and_then(Pace::parse) {
+                core.local_upstream.record_pace(core.now(), pace);
+            }
             let not_run = http1::field_text(&response.fields, header_names.not_run).is_some();
             let misdirected = response.status == MISDIRECTED;
             if misdirected {
@@ -236,7 +291,7 @@
             let mut fields = response.fields;
             http1::strip_hop_by_hop(&mut fields);
             Outcome::Answered(Answer {
-                body: response.body,
+                body: share.attach(response.body),
                 fields,
                 not_run: not_run || misdirected,
                 status: response.status,
@@ -248,7 +303,7 @@
 }
 
 /// Status code by which an upstream rejects a request that was meant for another instance.
-const MISDIRECTED: u16 = 421;
+pub(super) const MISDIRECTED: u16 = 421;
 
 /// Marks the upstream as down after a request could not be sent to it. If it refuses connections, an earlier request
 /// may have crashed it, so those that ran there receive strikes.
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -2,8 +2,10 @@
 //! docs/metrics.md.
 
 use {
+    crate::accounts::usage::Count,
     prometheus::{
-        Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+        Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+        Opts, Registry, TextEncoder,
     },
     std::time::Duration,
 };
@@ -15,10 +17,22 @@
 
 /// Metrics of a node.
 pub struct Metrics {
+    accounts: IntGaugeVec,
+    /// The size of the answers that are held for callers and other nodes, in bytes.
+    pub answer_bytes: IntGauge,
+    /// The number of connections of callers.
+    pub callers: IntGauge,
+    connections_closed: IntCounterVec,
+    /// Checks of the upstream's health.
+    pub checks: IntCounter,
+    /// 1 while the upstream of this node gets a limited rate, as it is or may be cold, otherwise 0.
+    pub cold: IntGauge,
     /// The number of the document in force.
     pub document: IntGauge,
     /// The time since the document in force was the newest one in the store, in milliseconds.
     pub document_age: IntGauge,
+    /// 1 while the failure domain of this node is evacuated, otherwise 0.
+    pub evacuated: IntGauge,
     latency: HistogramVec,
     outcomes: IntCounterVec,
     /// The number of connected nodes.
@@ -46,11 +60,42 @@
             "Time that requests spent waiting for a slot and running at the upstream.",
         );
         let metrics = Self {
+            accounts: IntGaugeVec::new(
+                Opts::new(
+                    "mulberry_account_requests",
+                    "Requests of the accounts with the most requests, and of all others together.",
+                ),
+                &["account", "outcome"],
+            )?,
+            answer_bytes: IntGauge::new(
+                "mulberry_answer_bytes",
+                "Bytes of answers that are held for callers and other nodes.",
+            )?,
+            callers: IntGauge::new("mulberry_callers", "Connections of callers.")?,
+            connections_closed: IntCounterVec::new(
+                Opts::new(
+                    "mulberry_connections_closed_total",
+                    "Connections that this node closed, by port and reason.",
+                ),
+                &["port", "reason"],
+            )?,
+            checks: IntCounter::new(
+                "mulberry_checks_total",
+                "Checks whether the upstream is cold.",
+            )?,
+            cold: IntGauge::new(
+                "mulberry_cold",
+                "Whether the upstream gets a limited rate, as it is or may be cold: 1, otherwise 0.",
+            )?,
             document: IntGauge::new("mulberry_document", "Number of the document in force.")?,
             document_age: IntGauge::new(
                 "mulberry_document_age_ms",
                 "Milliseconds since a read of the store confirmed the document in force.",
             )?,
+            evacuated: IntGauge::new(
+                "mulberry_evacuated",
+                "Whether the failure domain of this node is evacuated: 1, otherwise 0.",
+            )?,
             latency: HistogramVec::new(
                 latency.buckets(LATENCY_BUCKETS_S.into()),
                 &["route", "outcome"],
@@ -78,8 +123,15 @@
             )?,
         };
         let registry = &metrics.registry;
+        registry.register(Box::new(metrics.accounts.clone()))?;
+        registry.register(Box::new(metrics.answer_bytes.clone()))?;
+        registry.register(Box::new(metrics.callers.clone()))?;
+        registry.register(Box::new(metrics.connections_closed.clone()))?;
+        registry.register(Box::new(metrics.checks.clone()))?;
+        registry.register(Box::new(metrics.cold.clone()))?;
         registry.register(Box::new(metrics.document.clone()))?;
         registry.register(Box::new(metrics.document_age.clone()))?;
+        registry.register(Box::new(metrics.evacuated.clone()))?;
         registry.register(Box::new(metrics.latency.clone()))?;
         registry.register(Box::new(metrics.outcomes.clone()))?;
         registry.register(Box::new(metrics.peers.clone()))?;
@@ -89,6 +141,20 @@
         Ok(metrics)
     }
 
+    /// Sets the number of requests of each account.
+    pub fn set_accounts<'a>(&self, counts: impl Iterator<Item = (&'a str, Count)>) {
+        // Accounts that no longer have a figure of their own are left out.
+        self.accounts.reset();
+        for (account, count) in counts {
+            let set = |outcome, value| {
+                let gauge = self.accounts.with_label_values(&[account, outcome]);
+                gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+            };
+            set("admitted", count.admitted);
+            set("refused", count.refused);
+        }
+    }
+
     /// Records the outcome and latency of a caller's request. `route` is empty if none was found.
     pub fn outcome(&self, route: &str, outcome: &str, reason: &str, took: Duration) {
         self.outcomes.with_label_values(&[outcome, reason]).inc();
@@ -96,6 +162,12 @@
         latency.observe(took.as_secs_f64());
     }
 
+    /// Counts connections to `port`, `callers` or `control`, that this node closed.
+    pub fn count_closed(&self, port: &str, reason: &str, count: usize) {
+        let closed = self.connections_closed.with_label_values(&[port, reason]);
+        closed.inc_by(count as u64);
+    }
+
     /// Counts an attempt after the first, also one after a declined request.
     pub fn record_retry(&self, reason: &str) {
         self.retries.with_label_values(&[reason]).inc();
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -1,14 +1,19 @@
 //! A running node: binds its ports, starts its tasks, drives periodic work with one timer, and stops.
 
+mod admission;
+mod connections;
 mod core;
 mod epoch;
+mod location;
 mod stop_periods;
 
 pub(super) use core::{Core, STORE_SOURCE};
 
 use {
     super::{
+        answer_budget::AnswerBudget,
         body_budget::BodyBudget,
+        connection_set::ConnectionSet,
         departure,
         frame::Contact,
         handle::Handle,
@@ -19,6 +24,7 @@
         log::{FLUSH_INTERVAL, Log},
         metrics::Metrics,
         peers::Peers,
+        permits::Permits,
         queue::Queue,
         retry_budget::RetryBudget,
         settings::Settings,
@@ -98,6 +104,8 @@
         );
         let core = Rc::new(Core {
             active_requests: Cell::new(0),
+            answer_budget: AnswerBudget::new(settings.answer_bytes_max()),
+            callers: ConnectionSet::new(settings.caller_limits()),
             body_budget: BodyBudget::default(),
             clock,
             rollouts: RefCell::default(),
@@ -115,11 +123,14 @@
             ),
             epoch: Cell::default(),
             epoch_changed: Notify::new(),
+            evacuations: RefCell::default(),
             index: RefCell::default(),
             log,
             metrics,
             peers: Peers::new(contact.clone()),
+            permits: Permits::new(contact.host.clone(), clock.now()),
             load_balancer: RefCell::new(LoadBalancer::new(rand::random())),
+            restricted_routes: RefCell::default(),
             rollout_states: RefCell::default(),
             offer_withdrawn: Cell::new(false),
             store_access: Cell::default(),
@@ -229,6 +240,8 @@
         let now = core.now();
         core.local_upstream.tick(now);
         super::peers::tick(&core, now);
+        super::permits::tick(&core, now);
+        ingress::tick(&core, now);
         super::leader::tick(&core, &store, now);
         core.record_freshness();
         let status = core.status();
--- a/src/sidecar/node/core.rs
+++ b/src/sidecar/node/core.rs
@@ -4,9 +4,12 @@
     crate::{
         node::Clock,
         sidecar::{
+            answer_budget::AnswerBudget,
             body_budget::BodyBudget,
+            connection_set::ConnectionSet,
             dissemination::Scope,
             document::{Delta, Document, Index, Number},
+            evacuation::Evacuations,
             frame::{Contact, Frame, Status},
             freshness::Freshness,
             header_names::HeaderNames,
@@ -17,18 +20,20 @@
             log::Log,
             metrics::Metrics,
             peers::Peers,
+            permits::Permits,
             refusal_history::RefusalHistory,
+            regions::RestrictedRoutes,
             retry_budget::{Allowance, RetryBudget},
             rollout::{Leader, Phase, RolloutState},
             settings::Settings,
             store_readers::{self, Candidate, StoreAccess},
         },
-        traffic::spill::Tier,
         types::{Host, Moment, Service},
     },
     std::{
         cell::{Cell, RefCell},
         collections::{HashMap, VecDeque},
+        rc::Rc,
         sync::Arc,
     },
     tokio::sync::Notify,
@@ -44,6 +49,10 @@
 pub(in crate::sidecar) struct Core {
     /// Number of callers' requests in progress.
     pub active_requests: Cell<usize>,
+    /// Memory for the answers that are held for callers and for other nodes.
+    pub answer_budget: AnswerBudget,
+    /// Connections of callers.
+    pub callers: Rc<ConnectionSet>,
     /// Memory for the bodies of requests, of callers and of other nodes.
     pub body_budget: BodyBudget,
     /// Source of the current time.
@@ -68,6 +77,8 @@
     pub epoch: Cell<Option<Epoch>>,
     /// Notified when that rises.
     pub epoch_changed: Notify,
+    /// Failure domains that the operator has evacuated.
+    pub evacuations: RefCell<Evacuations>,
     /// Index of the routes of the document in force.
     pub index: RefCell<Index>,
     /// Log of this node.
@@ -76,10 +87,14 @@
     pub metrics: Metrics,
     /// Connections to the other nodes.
     pub peers: Peers,
+    /// Permits of the accounts' requests.
+    pub permits: Permits,
     /// Load balancer over all known upstreams.
     pub load_balancer: RefCell<LoadBalancer>,
     /// Time since the document in force was confirmed by a read of the store.
     pub freshness: RefCell<Freshness>,
+    /// Routes of the document in force that are restricted to regions.
+    pub restricted_routes: RefCell<RestrictedRoutes>,
     /// Newest known rollout state of each service; requests are routed by it.
     pub rollout_states: RefCell<HashMap<Service, RolloutState>>,
     /// Connection of this node to the store.
@@ -118,25 +133,11 @@
         &self.contact.host
     }
 
-    pub fn tier_of(&self, contact: &Contact) -> Tier {
-        if contact.domain == self.contact.domain {
-            Tier::Own
-        } else if contact.region == self.contact.region {
-            Tier::Region
-        } else {
-            Tier::Remote
-        }
-    }
-
     /// Returns the status that this node sends to its peers.
     pub fn status(&self) -> Status {
         Status {
             document: self.number(),
-            offer: if self.offer_withdrawn.get() {
-                None
-            } else {
-                self.local_upstream.offer(self.now())
-            },
+            offer: self.offer(),
             reach: self.candidate().reach,
         }
     }
@@ -158,9 +159,12 @@
         let status = self.status();
         let now = self.now();
         let offer = status.offer.clone();
-        self.load_balancer
-            .borrow_mut()
-            .update_offer(now, self.host(), Tier::Own, offer);
+        self.load_balancer.borrow_mut().update_offer(
+            now,
+            self.host(),
+            self.location_of(&self.contact),
+            offer,
+        );
         self.peers.broadcast(&Frame::Status(status));
     }
 
@@ -241,12 +245,14 @@
             );
             return false;
         }
-        if !self.has_document() {
+        let is_first = !self.has_document();
+        if is_first {
             self.freshness.borrow_mut().begin(self.now());
         }
         let delta = Arc::new(current.delta_to(&document));
         let number = document.number;
         *self.index.borrow_mut() = Index::new(&document);
+        *self.restricted_routes.borrow_mut() = RestrictedRoutes::new(&document);
         *self.document.borrow_mut() = Arc::new(document);
         self.document_epoch.set(self.epoch.get());
         {
@@ -267,6 +273,10 @@
                 current.number
             ),
         );
+        if is_first && self.offer().is_some() {
+            // Without a document the upstream was not offered.
+            self.broadcast_status();
+        }
         true
     }
 
@@ -292,7 +302,8 @@
     }
 
     /// Returns the frames that bring a node from the document `from` to the one in force, to be relayed to `scope`. A
-    /// node without a document gets the rollout states first, as it routes as soon as it has a document.
+    /// node without a document gets the rollout states and the evacuated domains first, as it routes requests and offers its
+    /// upstream as soon as it has a document.
     pub fn frames_since(&self, from: Number, scope: Scope) -> Vec<Frame> {
         let document = self.document.borrow().clone();
         if document.number <= from {
@@ -310,6 +321,8 @@
             let states = self.rollout_states.borrow();
             let states = states.values().cloned();
             frames.extend(states.map(|state| Frame::Ramp(Scope::Host, state)));
+            let evacuations = self.evacuations.borrow().clone();
+            frames.push(Frame::Evacuations(Scope::Host, evacuations));
         }
         frames.push(Frame::Document(scope, document));
         frames
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -3,12 +3,16 @@
 
 mod broadcast;
 mod confirmation;
+mod evacuations;
 mod first_document;
 mod link;
+mod outcome;
 mod recall;
 mod receive;
+mod region;
 
 pub(super) use broadcast::{push_confirmation, push_document, push_state, request_contacts};
+pub(super) use evacuations::push as push_evacuations;
 pub(super) use link::send_request;
 pub(super) use receive::attempt_result;
 
@@ -375,10 +379,7 @@
     let host = &link.contact.host;
     core.log
         .record(now, "peer", format_args!("outcome=suspect peer={host}"));
-    let tier = core.tier_of(&link.contact);
-    core.load_balancer
-        .borrow_mut()
-        .update_offer(now, host, tier, None);
+    core.load_balancer.borrow_mut().remove(host);
     core.peers.candidates_changed.notify_waiters();
     let mut pending = link.pending.borrow_mut();
     let repeatable: Vec<StreamId> = pending
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -1,18 +1,19 @@
 //! Handles the frames received from other nodes.
 
 use {
-    super::{Link, broadcast, dial, first_document},
+    super::{Link, broadcast, dial, evacuations, first_document, outcome},
     crate::{
         refusal::Reason,
         sidecar::{
             body_budget,
             dissemination::Scope,
-            document::{Delta, Number},
+            document::{Delta, Document, Number},
             evidence::Report,
             frame::{Frame, Outcome, Request, StreamId},
             load_balancer::AttemptResult,
             local_upstream,
             node::Core,
+            permits,
             rollout::Phase,
         },
         traffic::spill::Tier,
@@ -80,26 +81,17 @@
             }
         }
         Frame::Document(scope, document) => {
-            let number = document.number;
-            current.status.borrow_mut().document = number;
-            let is_first = !core.has_document();
-            if core.install_document(Arc::unwrap_or_clone(document), host.as_str()) {
-                broadcast::acknowledge_and_relay(core, link, scope);
-                broadcast::relay_pending_confirmation(core, host);
-                if is_first && scope == Scope::Host {
-                    // The sender counts its uploads in progress.
-                    link.send(&Frame::Status(core.status()), None);
-                    first_document::send_to_waiting(core);
-                }
-            } else if number <= core.number() {
-                broadcast::acknowledge_and_relay(core, link, scope);
-            }
+            install(core, link, &current, scope, Arc::unwrap_or_clone(document));
         }
         Frame::Difference(scope, difference) => apply_delta(core, &current, scope, &difference),
         Frame::Confirmation(scope, confirmation) => {
             core.note_epoch(confirmation.epoch, host.as_str());
             record_document(core, &current, confirmation.number);
-            broadcast::receive_confirmation(core, host, scope, confirmation);
+            core.adopt_evacuations(&confirmation.evacuations, host.as_str());
+            broadcast::receive_confirmation(core, host, scope, &confirmation);
+        }
+        Frame::Evacuations(scope, known) => {
+            evacuations::receive(core, host.as_str(), scope, &known);
         }
         Frame::Evidence(evidence, hops) => record_evidence(core, link, evidence, hops),
         Frame::Ramp(scope, state) => {
@@ -121,15 +113,19 @@
                     .relay_within_region(&link.contact, &Frame::Strikes(new_strikes));
             }
         }
+        Frame::Lease(lease) => permits::receive_lease(core, &link.contact, lease),
+        Frame::PermitQuery(id, account, wanted) => {
+            link.send(&permits::answer_query(core, id, account, wanted), None);
+        }
+        Frame::PermitAnswer(id, account, answer) => {
+            permits::receive_answer(core, id, &account, answer);
+        }
         Frame::Request(stream, request) => serve(core, link, stream, *request),
         Frame::Cancel(stream) => {
             link.serving.borrow_mut().remove(&stream);
         }
         Frame::Outcome(stream, outcome, load) => {
-            if let Some(pending) = link.pending.borrow_mut().remove(&stream) {
-                // Sending fails only if the caller has gone and nobody waits for the outcome.
-                let _ = pending.outcome_sender.send((outcome, Some(load)));
-            }
+            outcome::receive(core, link, stream, outcome, load);
         }
     }
 }
@@ -176,10 +172,28 @@
 /// Updates the load balancer with the node's last offer.
 pub(super) fn update_offer(core: &Core, link: &Link, now: Moment) {
     let offer = link.status.borrow().offer.clone();
-    let tier = core.tier_of(&link.contact);
+    let location = core.location_of(&link.contact);
     core.load_balancer
         .borrow_mut()
-        .update_offer(now, &link.contact.host, tier, offer);
+        .update_offer(now, &link.contact.host, location, offer);
+}
+
+/// Puts a whole document in force if it is newer than the current one, and relays it.
+fn install(core: &Rc<Core>, link: &Rc<Link>, current: &Link, scope: Scope, document: Document) {
+    let (host, number) = (&link.contact.host, document.number);
+    current.status.borrow_mut().document = number;
+    let is_first = !core.has_document();
+    if core.install_document(document, host.as_str()) {
+        broadcast::acknowledge_and_relay(core, link, scope);
+        broadcast::relay_pending_confirmation(core, host);
+        if is_first && scope == Scope::Host {
+            // The sender counts its uploads in progress.
+            link.send(&Frame::Status(core.status()), None);
+            first_document::send_to_waiting(core);
+        }
+    } else if number <= core.number() {
+        broadcast::acknowledge_and_relay(core, link, scope);
+    }
 }
 
 /// Applies a difference to the document in force and relays it, or fetches what is missing if it does not apply.
@@ -219,13 +233,14 @@
 
 /// Runs a request at the upstream on this host and sends its outcome back.
 fn serve(core: &Rc<Core>, link: &Rc<Link>, stream: StreamId, request: Request) {
+    let arrived = core.now();
     let mut room = core.body_budget.open();
     if !room.try_grow(request.body.len() as u64) {
-        let outcome = Outcome::Declined(Reason::Overloaded, body_budget::RETRY_AFTER);
-        link.send(
-            &Frame::Outcome(stream, outcome, core.local_upstream.load()),
-            None,
-        );
+        let declined = Outcome::Declined(Reason::Overloaded, body_budget::RETRY_AFTER);
+        let (core, link) = (core.clone(), link.clone());
+        tokio::task::spawn_local(async move {
+            outcome::send(&core, &link, stream, declined, arrived).await;
+        });
         return;
     }
     let (cancel, cancelled) = oneshot::channel();
@@ -235,20 +250,21 @@
         let outcome = local_upstream::serve(&core, request, cancelled).await;
         drop(room);
         link.serving.borrow_mut().remove(&stream);
-        let load = core.local_upstream.load();
-        link.send(&Frame::Outcome(stream, outcome, load), None);
+        outcome::send(&core, &link, stream, outcome, arrived).await;
     });
 }
 
-/// Returns the result of an attempt for the load balancer. Refusals for lack of time or slots do not count against the
-/// upstream.
+/// Returns the result of an attempt for the load balancer. Refusals for lack of time or slots, or because of the region, do
+/// not count against the upstream.
 pub(in crate::sidecar) fn attempt_result(outcome: &Outcome) -> AttemptResult {
     match outcome {
         Outcome::Answered(answer) if answer.status >= 500 || answer.not_run => {
             AttemptResult::Failed
         }
         Outcome::Answered(_) => AttemptResult::Answered,
-        Outcome::Declined(Reason::Overloaded | Reason::Deadline, _) => AttemptResult::Inconclusive,
+        // Also if a node had no room for the answer, which says nothing about the upstream.
+        Outcome::Declined(Reason::Overloaded | Reason::Deadline | Reason::Region, _)
+        | Outcome::Unknown(Reason::TooLarge) => AttemptResult::Inconclusive,
         Outcome::Declined(..) | Outcome::Unknown(_) => AttemptResult::Failed,
     }
 }
--- a/src/sidecar/queue.rs
+++ b/src/sidecar/queue.rs
@@ -6,10 +6,16 @@
 //! returned after a refusal. All others are declined on arrival, with the time after which capacity is expected.
 //! A queued request that can no longer be on time, because more urgent ones overtook it, is declined then: its
 //! caller may return, and the slot goes to a request that can still be on time. More urgent routes go first;
-//! within a priority, requests that can still meet their target go first, in the order of arrival.
+//! within a priority, client accounts get fair shares ([`fair_share`](super::fair_share)), and requests that can still meet
+//! their target go first, in the order of arrival.
 
 use {
-    super::load_balancer::Load,
+    super::{
+        cold_start::Gate,
+        fair_share::{AccountId, FairShares, Waiter},
+        load_balancer::Load,
+        pace::{Estimate, Pace},
+    },
     crate::{refusal::Reason, traffic::admission::Ticket, types::Moment},
     std::{collections::BTreeMap, time::Duration},
 };
@@ -34,9 +40,11 @@
 /// Priority and time limits of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Demand {
+    /// Account of its caller; `None` if it has none.
+    pub account: Option<AccountId>,
     /// Time after which the answer is useless.
     pub deadline: Moment,
-    /// Priority of its route; 0 is the most urgent.
+    /// Priority of its account or route; 0 is the most urgent.
     pub priority: u32,
     /// Whether its caller was refused before and has returned as asked.
     pub returned: bool,
@@ -84,8 +92,13 @@
 /// Slots of one upstream, and the requests that run on them or wait for them.
 #[derive(Debug, Default)]
 pub struct Queue {
+    fair_shares: FairShares,
+    gate: Gate,
+    /// Average run time of all routes at the usual pace.
     overall_run_time_s: Option<f64>,
+    pace: Estimate,
     running: BTreeMap<Ticket, Moment>,
+    /// Average run times at the usual pace.
     route_run_times_s: BTreeMap<u64, f64>,
     slots: u32,
     usage: BTreeMap<u32, Usage>,
@@ -98,12 +111,36 @@
         self.slots = slots;
     }
 
-    /// Returns the numbers of running and waiting requests, and the average run time over all routes.
+    /// Returns the gate that bounds the starts while the upstream is cold or may be cold.
     #[must_use]
-    pub fn load(&self) -> Load {
+    pub fn gate(&self) -> &Gate {
+        &self.gate
+    }
+
+    /// Returns the gate, to tell it what is known of the upstream.
+    pub fn gate_mut(&mut self) -> &mut Gate {
+        &mut self.gate
+    }
+
+    /// Records the pace that the upstream has reported with a response.
+    pub fn record_pace(&mut self, now: Moment, pace: Pace) {
+        self.pace.record(now, pace);
+    }
+
+    /// Returns the numbers of running and waiting requests, the average run time over all routes at the usual pace, and
+    /// the present pace.
+    #[must_use]
+    pub fn load(&self, now: Moment) -> Load {
         Load {
+            held: Duration::ZERO,
+            pace: self.pace.at(now),
             queued: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
-            run_time: self.run_time(None),
+            run_time: expected_run_time(
+                &self.route_run_times_s,
+                self.overall_run_time_s,
+                None,
+                Pace::USUAL.factor(),
+            ),
             running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
             slots: self.slots,
         }
@@ -113,26 +150,44 @@
     /// that can no longer be on time are declined first.
     pub fn arrive(&mut self, now: Moment, ticket: Ticket, demand: Demand) -> Vec<Action> {
         let mut actions = self.decline_late(now);
-        let run_time = self.run_time(Some(demand.route));
+        let run_time = self.run_time(now, Some(demand.route));
         if self.slots == 0 {
             actions.push(Action::Decline(ticket, Reason::NoEndpoint, RETRY_AFTER_MIN));
             return actions;
         }
+        // Waiting requests take the room first. Another upstream may be warm, so no request waits for this one.
+        if self.waiting.len() >= self.gate.room(now) {
+            let retry_after = self.gate.record_decline(now);
+            actions.push(Action::Decline(ticket, Reason::Overloaded, retry_after));
+            return actions;
+        }
         let has_free_slot = self.running.len() < self.slots as usize && self.waiting.is_empty();
         if has_free_slot {
             self.start(now, ticket, &demand);
             actions.push(Action::Start(ticket));
             return actions;
         }
-        let wait = self.expected_wait(now, &demand);
+        let arriving = self.waiter(now, now, &demand);
+        let waiting = self.waiters(now);
+        let wait = self.expected_wait(now, &waiting, &arriving);
         let latest = if demand.returned {
             now + demand.deadline.since(now).mul_f64(RETURNED_FRACTION)
         } else {
             demand.target.min(demand.deadline)
         };
         let is_full = self.waiting.len() >= self.slots as usize * WAITING_PER_SLOT_MAX;
-        if is_full || now + wait + run_time > latest {
-            let retry_after = wait.max(RETRY_AFTER_MIN);
+        let retry_after = wait.max(RETRY_AFTER_MIN);
+        let is_late = now + wait + run_time > latest;
+        let displaced = (is_full && !is_late)
+            .then(|| {
+                self.fair_shares
+                    .displaced(now, self.slots, &waiting, &arriving)
+            })
+            .flatten();
+        if let Some(index) = displaced {
+            let ticket = self.waiting.remove(index).ticket;
+            actions.push(Action::Decline(ticket, Reason::Overloaded, retry_after));
+        } else if is_full || is_late {
             actions.push(Action::Decline(ticket, Reason::Overloaded, retry_after));
             return actions;
         }
@@ -155,7 +210,8 @@
         if let Some(started_at) = self.running.remove(&ticket)
             && answered
         {
-            self.record_run_time(route, now.since(started_at));
+            let run_time_s = now.since(started_at).as_secs_f64() / self.pace.factor(now);
+            self.record_run_time(route, run_time_s);
         }
         self.start_waiting(now)
     }
@@ -180,7 +236,7 @@
 
     fn start_waiting(&mut self, now: Moment) -> Vec<Action> {
         let mut actions = self.decline_late(now);
-        while self.running.len() < self.slots as usize {
+        while self.running.len() < self.slots as usize && self.gate.room(now) > 0 {
             let Some(index) = self.next(now) else { break };
             let waiting = self.waiting.remove(index);
             self.start(now, waiting.ticket, &waiting.demand);
@@ -190,10 +246,13 @@
     }
 
     fn start(&mut self, now: Moment, ticket: Ticket, demand: &Demand) {
+        self.gate.record_start(now);
         self.running.insert(ticket, now);
-        let run_time = self.run_time(Some(demand.route));
+        let run_time = self.run_time(now, Some(demand.route));
         let usage = self.usage.entry(demand.priority).or_default();
         usage.add(now, run_time);
+        let started = self.waiter(now, now, demand);
+        self.fair_shares.record_start(now, &started);
     }
 
     /// Returns the share of the slots that requests more urgent than `priority` have used lately.
@@ -205,25 +264,38 @@
     }
 
     /// Returns the index of the waiting request to start next.
-    fn next(&self, now: Moment) -> Option<usize> {
-        let indexed = self.waiting.iter().enumerate();
-        indexed
-            .min_by_key(|(_, waiting)| (self.sort_key(now, &waiting.demand), waiting.arrived))
-            .map(|(index, _)| index)
+    fn next(&mut self, now: Moment) -> Option<usize> {
+        let waiting = self.waiters(now);
+        self.fair_shares.next(now, self.slots, &waiting)
+    }
+
+    /// Returns the waiting requests as the fair shares see them, in the same order.
+    fn waiters(&self, now: Moment) -> Vec<Waiter> {
+        let waiting = self.waiting.iter();
+        waiting
+            .map(|waiting| self.waiter(now, waiting.arrived, &waiting.demand))
+            .collect()
     }
 
-    /// Returns the sort key of a request; the lowest goes first. It orders by the priority of the route, then by
-    /// whether the target is missed.
-    fn sort_key(&self, now: Moment, demand: &Demand) -> (u32, bool) {
-        let run_time = self.run_time(Some(demand.route));
-        (demand.priority, now + run_time > demand.target)
+    fn waiter(&self, now: Moment, arrived: Moment, demand: &Demand) -> Waiter {
+        let run_time = self.run_time(now, Some(demand.route));
+        Waiter {
+            account: demand.account,
+            arrived,
+            is_late: now + run_time > demand.target,
+            priority: demand.priority,
+            returned: demand.returned,
+            run_time,
+        }
     }
 
     fn decline_late(&mut self, now: Moment) -> Vec<Action> {
         let mut actions = Vec::new();
         let (route_run_times_s, overall) = (&self.route_run_times_s, self.overall_run_time_s);
+        let pace = self.pace.factor(now);
         self.waiting.retain(|waiting| {
-            let run_time = average_run_time(route_run_times_s, overall, Some(waiting.demand.route));
+            let route = Some(waiting.demand.route);
+            let run_time = expected_run_time(route_run_times_s, overall, route, pace);
             let demand = &waiting.demand;
             let latest = if demand.returned {
                 demand.deadline
@@ -243,25 +315,23 @@
         actions
     }
 
-    /// Returns the expected time until a request starts. More urgent requests go on arriving meanwhile, and leave it only
-    /// the rest of the slots.
-    fn expected_wait(&self, now: Moment, demand: &Demand) -> Duration {
-        let key = self.sort_key(now, demand);
-        let ahead = self.waiting.iter();
-        let ahead = ahead.filter(|waiting| self.sort_key(now, &waiting.demand) <= key);
-        let work: Duration = ahead
-            .map(|waiting| self.run_time(Some(waiting.demand.route)))
-            .sum();
-        let wait = (work + self.run_time(None)) / self.slots.max(1);
-        wait.div_f64(1.0 - self.urgent_share(now, demand.priority))
+    /// Returns the expected time until a request starts. More urgent requests, and those of accounts that have used less than
+    /// their share, go on arriving meanwhile and leave it only the rest of the slots.
+    fn expected_wait(&self, now: Moment, waiting: &[Waiter], arriving: &Waiter) -> Duration {
+        let ahead = self.fair_shares.ahead(now, self.slots, waiting, arriving);
+        let wait = (ahead.work + self.run_time(now, None)) / self.slots.max(1);
+        let overtaking = self.urgent_share(now, arriving.priority) + ahead.share;
+        wait.div_f64(1.0 - overtaking.min(URGENT_SHARE_MAX))
     }
 
-    fn run_time(&self, route: Option<u64>) -> Duration {
-        average_run_time(&self.route_run_times_s, self.overall_run_time_s, route)
+    /// Returns the run time expected at the present pace.
+    fn run_time(&self, now: Moment, route: Option<u64>) -> Duration {
+        let (route_run_times_s, overall) = (&self.route_run_times_s, self.overall_run_time_s);
+        expected_run_time(route_run_times_s, overall, route, self.pace.factor(now))
     }
 
-    fn record_run_time(&mut self, route: u64, run_time: Duration) {
-        let seconds = run_time.as_secs_f64();
+    /// Adds a run time at the usual pace to the averages.
+    fn record_run_time(&mut self, route: u64, seconds: f64) {
         let average = self.route_run_times_s.entry(route).or_insert(seconds);
         *average += RUN_TIME_SMOOTHING * (seconds - *average);
         let overall = self.overall_run_time_s.get_or_insert(seconds);
@@ -269,13 +339,16 @@
     }
 }
 
-fn average_run_time(
+/// Returns the average run time of a route, or of all routes, multiplied by `pace`.
+fn expected_run_time(
     route_run_times_s: &BTreeMap<u64, f64>,
     overall: Option<f64>,
     route: Option<u64>,
+    pace: f64,
 ) -> Duration {
-    route
+    let average_s = route
         .and_then(|route| route_run_times_s.get(&route).copied())
         .or(overall)
-        .map_or(DEFAULT_RUN_TIME, Duration::from_secs_f64)
+        .unwrap_or(DEFAULT_RUN_TIME.as_secs_f64());
+    Duration::from_secs_f64(average_s * pace)
 }
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -1,9 +1,10 @@
 //! Settings of a node on a platform, read from a JSON file. The whole file is checked before any value is used.
 
 use {
+    super::{answer_budget, connections},
     crate::types::{Domain, Host, Region, Service},
     serde::{Deserialize, Deserializer},
-    std::{net::SocketAddr, path::Path, time::Duration},
+    std::{collections::BTreeSet, net::SocketAddr, path::Path, time::Duration},
 };
 
 /// Error of reading settings.
@@ -24,13 +25,25 @@
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
+    /// The tolerance of the accounts' limits; absent if no account has a limit.
+    #[serde(default)]
+    pub account_limits: Option<AccountLimits>,
     /// The address that other nodes are told to connect to if it differs from `link`, such as behind a forwarded port.
     #[serde(default)]
     pub advertised: Option<SocketAddr>,
     /// The listen address for requests of callers on this host.
     pub callers: SocketAddr,
+    /// The tolerance of the rate that a cold upstream bears; absent if upstreams bear any rate while they are cold.
+    #[serde(default)]
+    pub cold_start: Option<ColdStart>,
+    /// Limits on connections and on answers that are not read; the defaults apply to what is absent.
+    #[serde(default)]
+    pub connections: ConnectionLimits,
     /// The listen address for announcements of the upstream on this host.
     pub control: SocketAddr,
+    /// The maximum number of descriptors that the process may have open; absent if it is not known.
+    #[serde(default)]
+    pub descriptors_max: Option<u32>,
     /// The failure domain of the host.
     pub domain: Domain,
     /// The maximum time for stopping; in seconds, above 0.
@@ -43,12 +56,18 @@
     pub host: Host,
     /// The listen address for connections from other nodes.
     pub link: SocketAddr,
+    /// The memory of the host that the process may use, in MiB; absent if it is not known.
+    #[serde(default)]
+    pub memory_mb: Option<u32>,
     /// The listen address for scrapes of the metrics.
     pub metrics: SocketAddr,
     /// The listen address for readiness checks.
     pub ready: SocketAddr,
     /// The region of the host.
     pub region: Region,
+    /// All regions of the mesh, among which the accounts' limits are divided; empty for the host's region alone.
+    #[serde(default)]
+    pub regions: BTreeSet<Region>,
     /// The retry budget of each service, shared by all nodes.
     pub retries: Retries,
     /// The service of the upstream on this host.
@@ -59,6 +78,69 @@
     pub upstream: SocketAddr,
 }
 
+/// Tolerance of the accounts' limits, over all nodes together: in each window an account may have
+/// (rate x window + burst) x (1 + over) + slack requests run.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AccountLimits {
+    /// The part by which a limit may be exceeded; from 0 to 10.
+    pub over: f64,
+    /// The requests by which it may be exceeded besides; from 0 to 1e9.
+    pub slack: f64,
+    /// The length of the sliding window; in seconds, above 0.
+    #[serde(rename = "window_s", deserialize_with = "seconds")]
+    pub window: Duration,
+}
+
+/// Tolerance of the rate that a cold upstream bears: in each second it may get rate x over + slack requests.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ColdStart {
+    /// The factor by which the rate may be exceeded; from 1 to 100.
+    pub over: f64,
+    /// The requests by which it may be exceeded besides; from 0 to 1e6.
+    pub slack: f64,
+}
+
+/// Limits on connections and on answers that are not read.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ConnectionLimits {
+    /// The maximum size of all answers that are held, in MiB, above 0; absent for a part of `memory_mb`.
+    pub answers_mb: Option<u32>,
+    /// The maximum number of connections of callers, above 0; absent for two thirds of `descriptors_max`.
+    pub callers_max: Option<u32>,
+    /// The maximum number of connections to each of the other HTTP ports, above 0; absent for a part of
+    /// `descriptors_max`.
+    pub control_max: Option<u32>,
+    /// The minimum rate at which a caller reads an answer, in bytes per second on average over the stall limit; 0 for none.
+    pub rate_min: u64,
+    /// The maximum time in which a caller may read nothing of an answer; in seconds, above 0.
+    #[serde(rename = "stall_s", deserialize_with = "seconds")]
+    pub stall: Duration,
+}
+
+impl Default for ConnectionLimits {
+    fn default() -> Self {
+        Self {
+            answers_mb: None,
+            callers_max: None,
+            control_max: None,
+            rate_min: 1024,
+            stall: Duration::from_secs(10),
+        }
+    }
+}
+
+/// Connections to each of the HTTP ports other than that for callers, if the descriptors are not known.
+const CONTROL_CONNECTIONS_MAX: u32 = 64;
+
+/// Fewest connections to each of these ports, enough for the upstream, the platform and an operator.
+const CONTROL_CONNECTIONS_MIN: u32 = 4;
+
+/// Part of the descriptors that these connections may use, for each port.
+const CONTROL_DESCRIPTORS_DIVISOR: u32 = 32;
+
 /// Retry budget of a service, shared by all nodes.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -73,6 +155,44 @@
 }
 
 impl Settings {
+    /// Returns the maximum size of all answers that are held, in bytes.
+    #[must_use]
+    pub fn answer_bytes_max(&self) -> u64 {
+        let stated = self.connections.answers_mb.map(|mb| u64::from(mb) << 20);
+        let derived = self
+            .memory_mb
+            .map(|mb| (u64::from(mb) << 20) / answer_budget::MEMORY_DIVISOR);
+        stated.or(derived).unwrap_or(answer_budget::DEFAULT_BYTES)
+    }
+
+    /// Returns the limits on the connections of callers. Their number is not limited if neither it nor that of the
+    /// descriptors is given.
+    #[must_use]
+    pub fn caller_limits(&self) -> connections::Limits {
+        let descriptors = self.descriptors_max.map(|max| (max / 3 * 2).max(1));
+        let connections_max = self.connections.callers_max.or(descriptors);
+        self.limits(connections_max.unwrap_or(u32::MAX))
+    }
+
+    /// Returns the limits on the connections to each of the other HTTP ports.
+    #[must_use]
+    pub fn control_limits(&self) -> connections::Limits {
+        let descriptors = self.descriptors_max.map(|max| {
+            (max / CONTROL_DESCRIPTORS_DIVISOR)
+                .clamp(CONTROL_CONNECTIONS_MIN, CONTROL_CONNECTIONS_MAX)
+        });
+        let connections_max = self.connections.control_max.or(descriptors);
+        self.limits(connections_max.unwrap_or(CONTROL_CONNECTIONS_MAX))
+    }
+
+    fn limits(&self, connections_max: u32) -> connections::Limits {
+        connections::Limits {
+            connections_max: connections_max as usize,
+            rate_min: self.connections.rate_min,
+            stall: self.connections.stall,
+        }
+    }
+
     /// Reads and checks a settings file.
     ///
     /// # Errors
@@ -99,6 +219,54 @@
                 !(0.0..=1e9).contains(&settings.retries.extra),
                 "retries.extra is not within 0 and 1e9",
             ),
+            (
+                settings
+                    .account_limits
+                    .is_some_and(|limits| limits.window.is_zero()),
+                "account_limits.window_s is 0",
+            ),
+            (
+                settings
+                    .account_limits
+                    .is_some_and(|limits| !(0.0..=10.0).contains(&limits.over)),
+                "account_limits.over is not within 0 and 10",
+            ),
+            (
+                settings
+                    .account_limits
+                    .is_some_and(|limits| !(0.0..=1e9).contains(&limits.slack)),
+                "account_limits.slack is not within 0 and 1e9",
+            ),
+            (
+                settings
+                    .cold_start
+                    .is_some_and(|cold| !(1.0..=100.0).contains(&cold.over)),
+                "cold_start.over is not within 1 and 100",
+            ),
+            (
+                settings
+                    .cold_start
+                    .is_some_and(|cold| !(0.0..=1e6).contains(&cold.slack)),
+                "cold_start.slack is not within 0 and 1e6",
+            ),
+            (
+                settings.connections.answers_mb == Some(0),
+                "connections.answers_mb is 0",
+            ),
+            (
+                settings.connections.callers_max == Some(0),
+                "connections.callers_max is 0",
+            ),
+            (
+                settings.connections.control_max == Some(0),
+                "connections.control_max is 0",
+            ),
+            (
+                settings.connections.stall.is_zero(),
+                "connections.stall_s is 0",
+            ),
+            (settings.memory_mb == Some(0), "memory_mb is 0"),
+            (settings.descriptors_max == Some(0), "descriptors_max is 0"),
         ];
         let faults: Vec<String> = checks
             .into_iter()
--- a/src/sidecar/upstream_pool.rs
+++ b/src/sidecar/upstream_pool.rs
@@ -35,6 +35,8 @@
 const KEEP_ALIVE_FRACTION: f64 = 0.6;
 /// Maximum size of a response head.
 const HEAD_BYTES_MAX: usize = 64 * 1024;
+/// Maximum size of the body of a response to a health check, which nobody reads.
+const HEALTH_BODY_BYTES_MAX: u64 = 64 * 1024;
 /// Maximum number of responses read for one request, including skipped ones to earlier requests; then the connection
 /// is closed.
 const RESPONSES_MAX: usize = 4;
@@ -93,12 +95,17 @@
         self.idle.borrow_mut().clear();
     }
 
-    /// Sends a request and returns the response to it.
+    /// Sends a request and returns the response to it. `reserve` is called with the size of the body as far as it is known,
+    /// in bytes, before that much of it is read, and returns whether there is room for it.
     ///
     /// # Errors
     /// Returns [`Failure::Unsent`] if no connection was possible, and [`Failure::Sent`] if the connection was lost or
-    /// the response did not arrive in time.
-    pub async fn send(&self, outgoing: &Outgoing<'_>) -> Result<Response, Failure> {
+    /// the response did not arrive in time or had no room.
+    pub async fn send(
+        &self,
+        outgoing: &Outgoing<'_>,
+        reserve: impl AsyncFnMut(u64) -> bool,
+    ) -> Result<Response, Failure> {
         let mut connection = match self.take_idle(outgoing.repeatable) {
             Some(connection) => connection,
             None => self.dial().await.map_err(Failure::Unsent)?,
@@ -109,15 +116,37 @@
             .write_all(&outgoing.bytes)
             .await
             .map_err(|_| lost)?;
-        let reading = self.read_response(&mut connection, outgoing);
+        let reading = self.read_response(&mut connection, outgoing, reserve);
         let response = match timeout(outgoing.timeout, reading).await {
-            Ok(response) => response.ok_or(lost)?,
+            Ok(response) => response.map_err(Failure::Sent)?,
             Err(_) => return Err(Failure::Sent(Reason::Deadline)),
         };
         self.store_idle(connection, &response, outgoing.id);
         Ok(response)
     }
 
+    /// Sends a check of the upstream's health on a connection of its own and returns the response: it needs no id and no
+    /// signature, so it must not be taken for that of another request.
+    ///
+    /// # Errors
+    /// Returns [`Failure::Unsent`] if no connection was possible, and [`Failure::Sent`] if the response did not arrive in
+    /// time.
+    pub async fn check(&self, request: &[u8], time_limit: Duration) -> Result<Response, Failure> {
+        let mut connection = self.dial().await.map_err(Failure::Unsent)?;
+        let lost = Failure::Sent(Reason::Lost);
+        let limits = http1::Limits {
+            body_bytes: HEALTH_BODY_BYTES_MAX,
+            head_bytes: HEAD_BYTES_MAX,
+            read_timeout: time_limit,
+        };
+        let exchange = async {
+            connection.writer.write_all(request).await.ok()?;
+            connection.reader.read_response(limits, false).await.ok()
+        };
+        let exchanged = timeout(time_limit, exchange).await;
+        exchanged.ok().flatten().ok_or(lost)
+    }
+
     /// Returns whether the upstream accepts a new connection, which is kept for the next request.
     pub async fn accepts_connections(&self) -> bool {
         let Ok(connection) = self.dial().await else {
@@ -131,17 +160,23 @@
         &self,
         connection: &mut Connection,
         outgoing: &Outgoing<'_>,
-    ) -> Option<Response> {
+        mut reserve: impl AsyncFnMut(u64) -> bool,
+    ) -> Result<Response, Reason> {
         let limits = http1::Limits {
             body_bytes: outgoing.body_bytes_max,
             head_bytes: HEAD_BYTES_MAX,
             read_timeout: outgoing.timeout,
         };
         for _ in 0..RESPONSES_MAX {
-            let reading = connection
-                .reader
-                .read_response(limits, outgoing.is_head_request);
-            let response = reading.await.ok()?;
+            let is_head_request = outgoing.is_head_request;
+            let reading =
+                connection
+                    .reader
+                    .read_response_within(limits, is_head_request, &mut reserve);
+            let response = reading.await.map_err(|error| match error {
+                http1::Error::NoRoom => Reason::TooLarge,
+                _ => Reason::Lost,
+            })?;
             let id = http1::field_text(&response.fields, self.header_names.request_id);
             let signed = http1::field_text(&response.fields, self.header_names.signature).is_some();
             let success = (200..300).contains(&response.status);
@@ -149,15 +184,15 @@
                 // A response to an earlier request that no longer has a caller.
                 Some(id) if id != outgoing.id => {
                     if response.close {
-                        return None;
+                        return Err(Reason::Lost);
                     }
                 }
-                None if success => return None,
-                _ if success && !signed => return None,
-                _ => return Some(response),
+                None if success => return Err(Reason::Lost),
+                _ if success && !signed => return Err(Reason::Lost),
+                _ => return Ok(response),
             }
         }
-        None
+        Err(Reason::Lost)
     }
 
     fn take_idle(&self, repeatable: bool) -> Option<Connection> {
--- a/src/traffic/retry.rs
+++ b/src/traffic/retry.rs
@@ -86,6 +86,7 @@
             | R::Leaving
             | R::NotOwner
             | R::Overloaded
+            | R::Region
             | R::Unreachable
             | R::WrongVersion,
         )
@@ -95,7 +96,8 @@
         (
             _,
             Stage::Unsent,
-            R::AlreadyRan
+            R::AccountLimit
+            | R::AlreadyRan
             | R::BadRequest
             | R::Crashed
             | R::Cut
@@ -110,14 +112,16 @@
             | R::OwnerChanged
             | R::OwnerUnreachable
             | R::Quarantined
-            | R::TooLarge,
+            | R::TooLarge
+            | R::Unauthorized,
         )
         // No time is left, the caller has gone, or another endpoint is no more likely to
         // succeed.
         | (
             Class::Idempotent,
             Stage::Sent,
-            R::AlreadyRan
+            R::AccountLimit
+            | R::AlreadyRan
             | R::BadRequest
             | R::Connections
             | R::Cut
@@ -135,7 +139,9 @@
             | R::OwnerChanged
             | R::OwnerUnreachable
             | R::Quarantined
+            | R::Region
             | R::TooLarge
+            | R::Unauthorized
             | R::Unreachable
             | R::WrongVersion,
         )
--- a/tests/sidecar/load_balancer.rs
+++ b/tests/sidecar/load_balancer.rs
@@ -1,12 +1,17 @@
 use {
     mulberryshelf::{
-        sidecar::load_balancer::{
-            AttemptResult, Load, LoadBalancer, Offer, Request, Unavailable, VersionFilter,
+        sidecar::{
+            load_balancer::{
+                AttemptResult, Load, LoadBalancer, Location, Offer, Request, Unavailable,
+                VersionFilter,
+            },
+            pace::Pace,
+            regions::Restriction,
         },
         traffic::spill::Tier,
-        types::{Host, Moment, Service, Version},
+        types::{Host, Moment, Region, Service, Version},
     },
-    std::{collections::BTreeMap, time::Duration},
+    std::{collections::BTreeMap, sync::LazyLock, time::Duration},
 };
 
 const RUN: Duration = Duration::from_millis(200);
@@ -26,18 +31,31 @@
 fn offer(version: &str) -> Offer {
     Offer {
         cold: Duration::ZERO,
+        cold_rate: 0,
         service: desk(),
         slots: 4,
         version: version.parse().unwrap(),
     }
 }
 
+/// Returns a location in a region that is named after the distance.
+fn location(tier: Tier) -> Location<'static> {
+    static REGIONS: LazyLock<[Region; 3]> =
+        LazyLock::new(|| ["own", "own", "remote"].map(|name| name.parse().unwrap()));
+    Location {
+        region: &REGIONS[tier as usize],
+        tier,
+    }
+}
+
 fn at(millis: u64) -> Moment {
     Moment(1_000_000_000) + Duration::from_millis(millis)
 }
 
 fn load(running: u32, queued: u32) -> Load {
     Load {
+        held: Duration::ZERO,
+        pace: None,
         queued,
         run_time: RUN,
         running,
@@ -53,7 +71,7 @@
     for (tier, domain) in tiers {
         for number in 1..=2 {
             let host = host(&format!("{domain}{number}"));
-            load_balancer.update_offer(at(0), &host, tier, Some(offer("v1")));
+            load_balancer.update_offer(at(0), &host, location(tier), Some(offer("v1")));
             load_balancer.record_result(at(0), &host, AttemptResult::Answered, Some(load(0, 0)));
         }
     }
@@ -62,8 +80,10 @@
 
 fn request<'a>(service: &'a Service, tried: &'a [Host]) -> Request<'a> {
     Request {
+        account: None,
         tried,
         priority: 1,
+        regions: &Restriction::Unrestricted,
         service,
         version_filter: None,
         worth_for: Duration::from_millis(600),
@@ -108,7 +128,7 @@
 fn host_that_declined_is_skipped_briefly() {
     let (mut load_balancer, service) = (mesh(), desk());
     for name in ["a1", "a2", "b1", "b2", "c1", "c2"] {
-        load_balancer.record_decline(at(1), &host(name), 1, Duration::from_secs(1));
+        load_balancer.record_decline(at(1), &host(name), (None, 1), Duration::from_secs(1));
     }
     let declined = load_balancer.choose(at(2), request(&service, &[]));
     assert_eq!(declined, Err(Unavailable::Declined));
@@ -150,7 +170,7 @@
 #[test]
 fn only_upstream_is_used_even_if_it_fails() {
     let (mut load_balancer, service) = (LoadBalancer::new(7), desk());
-    load_balancer.update_offer(at(0), &host("a1"), Tier::Own, Some(offer("v1")));
+    load_balancer.update_offer(at(0), &host("a1"), location(Tier::Own), Some(offer("v1")));
     for _ in 0..100 {
         load_balancer.record_result(at(0), &host("a1"), AttemptResult::Failed, None);
     }
@@ -164,7 +184,7 @@
 #[test]
 fn excluded_version_gets_no_requests() {
     let (mut load_balancer, service) = (mesh(), desk());
-    load_balancer.update_offer(at(0), &host("a3"), Tier::Own, Some(offer("v2")));
+    load_balancer.update_offer(at(0), &host("a3"), location(Tier::Own), Some(offer("v2")));
     let new_version = version("v2");
     for _ in 0..40 {
         let mut restricted = request(&service, &[]);
@@ -177,7 +197,7 @@
 #[test]
 fn new_upstream_gets_requests_at_once() {
     let (mut load_balancer, service) = (mesh(), desk());
-    load_balancer.update_offer(at(0), &host("a3"), Tier::Own, Some(offer("v1")));
+    load_balancer.update_offer(at(0), &host("a3"), location(Tier::Own), Some(offer("v1")));
     let chosen: Vec<Host> = (0..6)
         .map(|_| {
             load_balancer
@@ -196,7 +216,7 @@
     let (mut load_balancer, service) = (LoadBalancer::new(7), desk());
     for number in 1..=5 {
         let host = host(&format!("a{number}"));
-        load_balancer.update_offer(at(0), &host, Tier::Own, Some(offer("v1")));
+        load_balancer.update_offer(at(0), &host, location(Tier::Own), Some(offer("v1")));
     }
     let mut placed: BTreeMap<Host, u32> = BTreeMap::new();
     for _ in 0..20 {
@@ -209,3 +229,48 @@
     );
     assert_eq!(placed.len(), 5);
 }
+
+/// Guards against a cold upstream nearby that is preferred to a warm one, also when it becomes cold later.
+#[test]
+fn warm_upstream_elsewhere_is_chosen_before_a_cold_one_nearby() {
+    let mut load_balancer = mesh();
+    let service = desk();
+    let mut nearest = |cold: Duration, cold_rate| {
+        for name in ["a1", "a2"] {
+            let offer = Offer {
+                cold,
+                cold_rate,
+                ..offer("v1")
+            };
+            load_balancer.update_offer(at(0), &host(name), location(Tier::Own), Some(offer));
+        }
+        let choice = load_balancer.choose(at(100), request(&service, &[]));
+        choice.unwrap().host.as_str()[..1].to_string()
+    };
+    assert_eq!(nearest(Duration::ZERO, 0), "a");
+    assert_eq!(nearest(Duration::from_secs(3), 15), "b");
+    assert_eq!(nearest(Duration::ZERO, 0), "a");
+}
+
+/// Guards against requests that wait at a node which is short of processor time while its upstream is idle, and against a
+/// change for upstreams that report no pace.
+#[test]
+fn host_with_a_long_way_is_avoided_if_upstreams_report_their_pace() {
+    let is_avoided = |pace: Option<Pace>| {
+        let (mut load_balancer, service) = (mesh(), desk());
+        for name in ["a1", "a2"] {
+            let way = Duration::from_millis(if name == "a1" { 200 } else { 2 });
+            let load = Load { pace, ..load(0, 0) };
+            load_balancer.record_result(at(0), &host(name), AttemptResult::Answered, Some(load));
+            for _ in 0..10 {
+                load_balancer.record_transit(at(0), &host(name), way);
+            }
+        }
+        (0..3).all(|_| {
+            let chosen = load_balancer.choose(at(1), request(&service, &[]));
+            chosen.unwrap().host == host("a2")
+        })
+    };
+    assert!(is_avoided(Some(Pace::USUAL)));
+    assert!(!is_avoided(None));
+}
--- a/tests/sidecar/moves.rs
+++ b/tests/sidecar/moves.rs
@@ -8,7 +8,10 @@
             document::Order,
             evidence::{Report, Totals},
             history::Position,
-            load_balancer::{AttemptResult, Load, LoadBalancer, Offer, Request, VersionFilter},
+            load_balancer::{
+                AttemptResult, Load, LoadBalancer, Location, Offer, Request, VersionFilter,
+            },
+            regions::Restriction,
             rollout::{Phase, Rollout, RolloutState},
         },
         traffic::spill::Tier,
@@ -55,11 +58,17 @@
                         [(number + index) % INGRESSES];
                     let offer = Offer {
                         cold: Duration::ZERO,
+                        cold_rate: 0,
                         service: desk(),
                         slots: SLOTS_PER_UPSTREAM,
                         version: version(name),
                     };
-                    placement.update_offer(at(0), &host, tier, Some(offer));
+                    let region = "north".parse().unwrap();
+                    let location = Location {
+                        region: &region,
+                        tier,
+                    };
+                    placement.update_offer(at(0), &host, location, Some(offer));
                 }
             }
         }
@@ -85,6 +94,8 @@
             sums.run_time += run.took;
             let left = self.running.iter().filter(|other| other.host == run.host);
             let load = Load {
+                held: Duration::ZERO,
+                pace: None,
                 queued: 0,
                 run_time: run.took,
                 running: u32::try_from(left.count()).unwrap(),
@@ -110,8 +121,10 @@
             VersionFilter::Baseline(&new)
         };
         let request = Request {
+            account: None,
             tried: &[],
             priority: 1,
+            regions: &Restriction::Unrestricted,
             service: &desk(),
             version_filter: Some(side),
             worth_for: Duration::from_millis(600),
@@ -201,8 +214,10 @@
         for placement in &mut simulation.ingresses {
             for _ in 0..60 {
                 let request = Request {
+                    account: None,
                     tried: &[],
                     priority: 1,
+                    regions: &Restriction::Unrestricted,
                     service: &desk(),
                     version_filter: Some(VersionFilter::Candidate(&new, Permille(share))),
                     worth_for: Duration::from_millis(600),
