--- a/src/sidecar/forward.rs
+++ b/src/sidecar/forward.rs
@@ -4,12 +4,14 @@
 //! attempt left and a share of the retry budget. A caller is told that its request has not run only if it has run at
 //! none of the upstreams that were tried.
 
+mod attempt;
+
 use {
     super::{
         document::{Account, Class, Route},
         fair_share::AccountId,
         frame::{Answer, Outcome, Request},
-        load_balancer::{self, AttemptResult, Choice, Load, Unavailable, VersionFilter},
+        load_balancer::{self, Choice, Load, Unavailable, VersionFilter},
         local_upstream,
         node::Core,
         peers,
@@ -22,6 +24,7 @@
         traffic::quarantine::Fingerprint,
         types::{Host, Moment, Permille, Service, Version},
     },
+    attempt::AttemptGuard,
     bytes::Bytes,
     rand::Rng,
     std::{rc::Rc, sync::Arc, time::Duration},
@@ -361,38 +364,6 @@
     after.mul_f64(rand::rng().random_range(1.0..RETRY_AFTER_FACTOR_MAX))
 }
 
-/// Guard that records the end of an attempt with the placement, also if the attempt is dropped because its caller has
-/// gone.
-struct AttemptGuard<'a> {
-    core: &'a Core,
-    finished: bool,
-    place: &'a Choice,
-    sent_at: Moment,
-}
-
-impl AttemptGuard<'_> {
-    fn end(&mut self, outcome: &Outcome, load: Option<Load>) {
-        self.finished = true;
-        let (now, end) = (self.core.now(), peers::attempt_result(outcome));
-        let mut load_balancer = self.core.load_balancer.borrow_mut();
-        if let Some(load) = load {
-            let transit = now.since(self.sent_at).saturating_sub(load.held);
-            load_balancer.record_transit(now, &self.place.host, transit);
-        }
-        load_balancer.record_result(now, &self.place.host, end, load);
-    }
-}
-
-impl Drop for AttemptGuard<'_> {
-    fn drop(&mut self) {
-        if !self.finished {
-            let now = self.core.now();
-            let mut load_balancer = self.core.load_balancer.borrow_mut();
-            load_balancer.record_result(now, &self.place.host, AttemptResult::Inconclusive, None);
-        }
-    }
-}
-
 /// Runs a request at the upstream on this host, in a task of its own: a request that must not run again continues
 /// when its caller goes away.
 async fn serve_locally(core: &Rc<Core>, request: Request) -> (Outcome, Option<Load>) {
--- a/tests/accounts.rs
+++ b/tests/accounts.rs
@@ -200,8 +200,13 @@
         sent: Moment(77),
     };
     let horizon = terms(1).horizon();
-    limiter.receive_lease(sent + VALIDITY - 100 * MS, &host(1), lease.clone(), horizon);
-    assert_eq!(limiter.held_leases(sent + VALIDITY - MS), 1);
+    limiter.receive_lease(
+        sent + VALIDITY.saturating_sub(100 * MS),
+        &host(1),
+        lease.clone(),
+        horizon,
+    );
+    assert_eq!(limiter.held_leases(sent + VALIDITY.saturating_sub(MS)), 1);
     assert_eq!(limiter.held_leases(sent + VALIDITY), 0);
     limiter.receive_lease(sent + VALIDITY + 100 * MS, &host(1), lease, horizon);
     assert_eq!(limiter.held_leases(sent + VALIDITY + 100 * MS), 0);
