Show three forms of additional bytes after an answer

A refusal cut off in its head makes a running request run again; one cut off in its first line turns a 200 into a 503 that bears the endpoint's signature.

--- a/review/standin-2/stray_refusal.rs
+++ b/review/standin-2/stray_refusal.rs
@@ -1,5 +1,6 @@
-//! Endpoints answer a request completely and, late, send a second answer to it: a refusal in the form of the pages, which
-//! bears no request id. It arrives where the answer to the next request on that connection is due.
+//! Endpoints answer a request completely and, late, send additional bytes: a second answer to it, which is a refusal in the form
+//! of the pages without a request id, or the beginning of one. They arrive where the answer to the next request on that
+//! connection is due, and that follows them.
 
 #[path = "common.rs"]
 mod common;
@@ -25,15 +26,22 @@
 const ANSWER_SHARE: f64 = 0.03;
 const TROUBLE_S: u64 = 5;
 const WORK: Duration = Duration::from_millis(100);
-/// Time after the next request's arrival at which the second answer comes.
+/// Time after the next request's arrival at which the additional bytes come.
 const LATE: Duration = Duration::from_millis(20);
-const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+/// Additional bytes, and what they are called in the record: taken in turn.
+const ADDITIONAL: [(&str, &[u8]); 3] = [
+    ("a whole refusal", b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"),
+    ("a refusal cut off in its head", b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1"),
+    ("a refusal cut off in its first line", b"HTTP/1.1 503 Service Unavailable"),
+];
 const CLIENTS_PER_MACHINE: usize = 6;
 const REFUSALS: [u16; 4] = [408, 421, 429, 503];
 
 #[derive(Default)]
 struct Ledger {
     answers: BTreeMap<String, u16>,
+    /// What was sent on the connection while a request ran, by its id.
+    additional: BTreeMap<String, &'static str>,
     runs: BTreeMap<String, Vec<String>>,
 }
 
@@ -50,7 +58,7 @@
     fn serve(&self, stream: TcpStream) {
         let mut writer = stream.try_clone().unwrap();
         let mut inbox = Inbox::new(stream);
-        // The request whose second answer is still to come on this connection.
+        // The request after whose answer additional bytes are still to come on this connection.
         let mut second: Option<String> = None;
         while let Ok(Some(request)) = inbox.read() {
             let id = request.field("x-request-id").unwrap_or("").to_string();
@@ -63,8 +71,13 @@
             let begun = Instant::now();
             if let Some(answered) = second.take() {
                 thread::sleep(LATE);
-                self.record.line(&format!("second answer to {answered} from {}, while {id} runs on that connection", self.id));
-                if writer.write_all(REFUSAL).is_err() {
+                let mut ledger = self.ledger.lock().unwrap();
+                let (form, bytes) = ADDITIONAL[ledger.additional.len() % ADDITIONAL.len()];
+                ledger.additional.insert(id.clone(), form);
+                drop(ledger);
+                let line = format!("additional bytes after {answered} from {}: {form}, while {id} runs on that connection", self.id);
+                self.record.line(&line);
+                if writer.write_all(bytes).is_err() {
                     return;
                 }
             }
@@ -184,21 +197,28 @@
     }
     let ledger = ledger.lock().unwrap();
     let (mut twice, mut refused) = (0, 0);
+    let mut forms: BTreeMap<&str, u32> = BTreeMap::new();
     for (id, status) in &ledger.answers {
         let runs = ledger.runs.get(id).map_or(&[][..], Vec::as_slice);
         if runs.len() > 1 {
             twice += 1;
-            record.line(&format!("TWICE {id} ran at {} and was answered {status}", runs.join(" and ")));
+            let form = ledger.additional.get(id).copied().unwrap_or("nothing");
+            *forms.entry(form).or_insert(0) += 1;
+            record.line(&format!("TWICE {id} ran at {} and was answered {status}, after {form}", runs.join(" and ")));
         }
         if !runs.is_empty() && REFUSALS.contains(status) {
             refused += 1;
+            let form = ledger.additional.get(id).copied().unwrap_or("nothing");
+            *forms.entry(form).or_insert(0) += 1;
             record.line(&format!("REFUSED {id} ran at {} and was answered {status}", runs.join(" and ")));
         }
     }
     let unserved = ledger.answers.values().filter(|status| **status != 200).count();
+    let forms: Vec<String> = forms.iter().map(|(form, count)| format!("{count} after {form}")).collect();
     let summary = format!(
-        "{} unsafe requests, {unserved} not served; {twice} ran twice, {refused} ran and were answered as not run",
-        ledger.answers.len()
+        "{} unsafe requests, {unserved} not served; {twice} ran twice, {refused} ran and were answered as not run ({})",
+        ledger.answers.len(),
+        forms.join(", ")
     );
     finish(&record, twice + refused > 0, &summary);
 }
