--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -573,10 +573,25 @@
     /// Writes the settings file, in the layout of the deploy file's template, and starts the node by the command of the
     /// deploy file.
     pub fn start(name: &str, zone: &str, region: &str, service: &str, upstream: SocketAddr, store: SocketAddr) -> Self {
+        Self::start_behind(name, zone, region, service, upstream, store, None)
+    }
+
+    /// Starts a node as [`start`](Self::start) does. `behind` is its link port and the address of a proxy in front of it.
+    pub fn start_behind(
+        name: &str,
+        zone: &str,
+        region: &str,
+        service: &str,
+        upstream: SocketAddr,
+        store: SocketAddr,
+        behind: Option<(SocketAddr, SocketAddr)>,
+    ) -> Self {
         let directory = std::env::var("WORK_DIR").map_or_else(|_| unable("WORK_DIR is not set"), PathBuf::from);
-        let [callers, link, control, ready, metrics] = [(); 5].map(|()| free_address());
+        let [callers, free_link, control, ready, metrics] = [(); 5].map(|()| free_address());
+        let link = behind.map_or(free_link, |(link, _)| link);
+        let advertised = behind.map_or(String::new(), |(_, proxy)| format!(r#""advertised":"{proxy}","#));
         let settings = format!(
-            r#"{{"host":"{name}","domain":"{zone}","region":"{region}","service":"{service}","callers":"{callers}","link":"{link}","control":"{control}","ready":"{ready}","metrics":"{metrics}","upstream":"{upstream}","store":"{store}","regions":["luzon","visayas"],"memory_mb":260,"descriptors_max":4100,"heartbeat_s":{HEARTBEAT_S},"grace_s":{GRACE_S},"retries":{{"ratio":0.2,"extra":60,"window_s":10}}}}"#
+            r#"{{"host":"{name}","domain":"{zone}","region":"{region}","service":"{service}","callers":"{callers}","link":"{link}",{advertised}"control":"{control}","ready":"{ready}","metrics":"{metrics}","upstream":"{upstream}","store":"{store}","regions":["luzon","visayas"],"memory_mb":260,"descriptors_max":4100,"heartbeat_s":{HEARTBEAT_S},"grace_s":{GRACE_S},"retries":{{"ratio":0.2,"extra":60,"window_s":10}}}}"#
         );
         let written = fs::write(directory.join(format!("{name}.json")), settings);
         written.unwrap_or_else(|error| unable(&format!("settings: {error}")));
