--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -5,6 +5,6 @@
 WORK_DIR=$(mktemp -d) || exit 2
 trap 'rm -rf "$WORK_DIR"' EXIT
 export WORK_DIR RECORD="$here/record.txt" NODE=target/release/mulberry-sidecar
-target/review-2/silent_upload
+target/review-2/crashed_service
 code=$?
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
--- a/review/standin-2/crashed_service.rs
+++ b/review/standin-2/crashed_service.rs
@@ -1,5 +1,5 @@
-//! All endpoints of one zone crash at the same moment and are back after some seconds. They are all endpoints of a small service,
-//! whose clients ask for the same page again and again.
+//! All endpoints of one zone crash at the same moment and are back after some seconds. They are all endpoints of a small service.
+//! Clients of one of its routes ask for the same page again and again, those of another one for pages of their own.
 
 #[path = "common.rs"]
 mod common;
@@ -22,6 +22,8 @@
 
 /// Time for which the endpoints are down: the default of `srv_crash`.
 const DOWN: Duration = Duration::from_secs(5);
+/// Time in which the system closes the connections of a process that has ended.
+const STOPPING: Duration = Duration::from_millis(5);
 const CRASH_AFTER: Duration = Duration::from_secs(4);
 /// Time after the endpoints are back from which on requests are counted as sent afterwards.
 const SETTLED_AFTER: Duration = Duration::from_secs(10);
@@ -77,6 +79,9 @@
             let name = request.field("x-request-id").unwrap_or("").to_string();
             self.record.line(&format!("run {name} {} at {}", request.target(), self.id));
             thread::sleep(WORK);
+            if self.crashed.load(Ordering::SeqCst) {
+                return;
+            }
             let fields = format!("X-Request-Id: {name}\r\nX-Response-Signature: s.{name}\r\nX-Server-Load: 1,0,{SLOTS}\r\n");
             if writer.write_all(&response("200 OK", &fields, name.as_bytes())).is_err() {
                 return;
@@ -84,10 +89,11 @@
         }
     }
 
-    /// Ends as a process that is killed: its connections are closed and its port has no listener.
+    /// Ends as a process that is killed: it answers nothing more, its connections are closed and its port has no listener.
     fn crash(&self) {
         self.reporter.silent.store(true, Ordering::SeqCst);
         self.crashed.store(true, Ordering::SeqCst);
+        thread::sleep(STOPPING);
         for stream in self.streams.lock().unwrap().drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
@@ -121,7 +127,7 @@
             return;
         }
         let id = format!("{name}-{number}");
-        let target = if kind == "board" { "/board/today".to_string() } else { format!("/status/{id}") };
+        let target = if kind == "board" { "/board/today".to_string() } else { format!("/{kind}/{id}") };
         let head = format!("GET {target} HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 1200\r\n\r\n");
         let is_after = after.load(Ordering::SeqCst);
         let mut inbox = match connection.take() {
@@ -156,7 +162,7 @@
 fn main() {
     let record = Record::create();
     let store = Store::start();
-    let routes = [route("status", "safe", "desk", 1.2, 0.6), route("board", "safe", "hub", 1.2, 0.3)];
+    let routes = [route("status", "safe", "desk", 1.2, 0.6), route("board", "safe", "hub", 1.2, 0.3), route("crew", "safe", "hub", 1.2, 0.3)];
     store.operator("config", &configuration(7, &routes, &["desk", "hub"]));
     let places = [
         (ZONE, "luzon", "hub"),
@@ -184,7 +190,7 @@
     let began = Instant::now();
     let mut clients = Vec::new();
     for machine in &machines {
-        for (kind, copies) in [("status", 2), ("board", 2)] {
+        for (kind, copies) in [("status", 2), ("board", 2), ("crew", 1)] {
             for copy in 0..copies {
                 let (name, callers) = (format!("{}-{kind}{copy}", machine.name), machine.callers);
                 let (record, counts, after, ended) = (record.clone(), counts.clone(), after.clone(), ended.clone());
@@ -195,10 +201,11 @@
     thread::sleep(CRASH_AFTER);
     if trouble() {
         record.line(&format!("the endpoints in {ZONE} crash"));
-        for (endpoint, (zone, ..)) in endpoints.iter().zip(&places) {
-            if *zone == ZONE {
-                endpoint.crash();
-            }
+        let crashing = endpoints.iter().zip(&places).filter(|(_, (zone, ..))| *zone == ZONE);
+        let crashing: Vec<_> = crashing.map(|(endpoint, _)| endpoint.clone()).collect();
+        let crashing: Vec<_> = crashing.into_iter().map(|endpoint| thread::spawn(move || endpoint.crash())).collect();
+        for crash in crashing {
+            let _ = crash.join();
         }
     }
     thread::sleep(DOWN);
@@ -228,7 +235,7 @@
     let share = |(asked, served): (u32, u32)| f64::from(served) / f64::from(asked.max(1));
     let mut starved = Vec::new();
     let mut parts = Vec::new();
-    for kind in ["status", "board"] {
+    for kind in ["status", "board", "crew"] {
         let ((asked, served), (asked_after, served_after)) = (total(Some(kind), false), total(Some(kind), true));
         parts.push(format!("{kind} {served}/{asked} (afterwards {served_after}/{asked_after})"));
         if share((asked, served)) < share(total(None, false)) / 4.0 {
