Count requests as they arrive, and keep their bodies in segments

Callers saw: a crowd that sends bodies of legal size and stops just short of their ends could end the process of a node, and while it stayed open ordinary uploads got 503. One caller that announced 20 MiB and sent 1 KiB kept out all others.

Cause: the budget took what was announced, so a caller that stopped held room for all of it. Bodies up to 64 KiB were not counted at all, and a connection may have 16 of them in progress. A chunked body grew by doubling, and every body was copied once more for the upstream. A body could arrive long after its request's deadline, and nobody gave way to others.

Change: http1::Body is a list of segments of at most 32 KiB, which are received in place and written to the upstream without a copy. Each request takes 8 KiB and what has arrived of it, from two fifths of memory_mb for large requests, or 17 fortieths of it for one alone, and a tenth for the others. What is announced is only compared with the room that there is. While there is none, the connection that has sent less than a segment for longest, for 1 s at least, gives its room to others, by the rule by which answers that nobody reads do. A body has to arrive until the deadline of its request (408). Callers without room are asked to return later the more of them there are.

--- a/src/http1.rs
+++ b/src/http1.rs
@@ -4,13 +4,16 @@
 //! completely before it is returned, so a truncated response is never taken for a complete one. Bytes after a message
 //! stay in the buffer, where the caller can check for them. See docs/design/platform.md for why `hyper` is not used.
 
+mod body;
 mod parse;
 mod reader;
 mod write;
 
 pub use {
+    body::{Body, SEGMENT_BYTES},
+    parse::{Framing, RequestHead},
     reader::{Limits, Reader},
-    write::{encode_request, encode_response, encode_response_head},
+    write::{encode_request, encode_request_head, encode_response, encode_response_head},
 };
 
 use {
@@ -110,7 +113,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Request {
     /// The body, without its framing.
-    pub body: Bytes,
+    pub body: Body,
     /// Whether the connection closes after this exchange.
     pub close: bool,
     /// The header fields, as they were received.
@@ -155,7 +158,7 @@
     /// The body exceeds the size limit.
     #[error("the body is longer than allowed")]
     BodyTooLarge,
-    /// There is no room for the body at the moment.
+    /// There is no room for the body at the moment; it holds the size that the message was about to take, in bytes.
     #[error("no room for the body")]
-    NoRoom,
+    NoRoom(u64),
 }
--- a/src/http1/parse.rs
+++ b/src/http1/parse.rs
@@ -1,6 +1,6 @@
 //! Parsing of message heads and of the framing of bodies.
 
-use super::{Error, Field, has_token};
+use super::{Body, Error, Field, Request, has_token};
 
 /// Maximum number of header fields in a message.
 const FIELDS_MAX: usize = 100;
@@ -19,13 +19,32 @@
 /// Head of a request.
 #[derive(Debug)]
 pub struct RequestHead {
+    /// Whether the connection closes after this exchange.
     pub close: bool,
+    /// The header fields, as they were received.
     pub fields: Vec<Field>,
+    /// What determines the end of the body.
     pub framing: Framing,
+    /// The method.
     pub method: String,
+    /// The request target, usually the path and query.
     pub target: String,
 }
 
+impl RequestHead {
+    /// Returns the request that consists of this head and a body.
+    #[must_use]
+    pub fn into_request(self, body: Body) -> Request {
+        Request {
+            body,
+            close: self.close,
+            fields: self.fields,
+            method: self.method,
+            target: self.target,
+        }
+    }
+}
+
 /// Head of a response.
 #[derive(Debug)]
 pub struct ResponseHead {
--- a/src/http1/reader.rs
+++ b/src/http1/reader.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
-        Error, Request, Response,
-        parse::{self, Framing},
+        Body, Error, Request, Response,
+        body::{Builder, Layout},
+        parse::{self, Framing, RequestHead},
     },
     bytes::{Buf, Bytes, BytesMut},
     std::time::Duration,
@@ -15,8 +16,6 @@
 
 /// Minimum buffer space for each read, in bytes; a response of the usual size is read in one call.
 const READ_BYTES: usize = 4096;
-/// Maximum buffer space for a read within a chunk, in bytes. The chunk is copied from there, so it is not held twice.
-const CHUNK_READ_BYTES: usize = 64 * 1024;
 /// Maximum length of the line with a chunk's size, in bytes; chunk extensions are rare and short.
 const CHUNK_LINE_BYTES_MAX: usize = 256;
 /// Maximum number of responses read, including interim ones, until the final one.
@@ -78,54 +77,62 @@
         limits: Limits,
         send_continue: impl AsyncFnOnce() -> std::io::Result<()>,
     ) -> Result<Request, Error> {
-        self.read_request_within(limits, |_| true, send_continue)
+        let head = self.read_request_head(limits, async |_| true).await?;
+        let reserve = async |_| true;
+        let body = self
+            .read_request_body(&head, limits, reserve, send_continue)
+            .await?;
+        Ok(head.into_request(body))
+    }
+
+    /// Reads the head of a request. `reserve` is called with the size of the head as far as it has arrived, in bytes,
+    /// before more of a long one is read, and returns whether there is room for it.
+    ///
+    /// # Errors
+    /// Returns an error if the head is truncated or malformed or exceeds a limit, if there is no room for it, or if the
+    /// connection fails.
+    pub async fn read_request_head(
+        &mut self,
+        limits: Limits,
+        reserve: impl AsyncFnMut(u64) -> bool,
+    ) -> Result<RequestHead, Error> {
+        let reading = self.read_head(limits.head_bytes, parse::parse_request, reserve);
+        timeout(limits.read_timeout, reading)
             .await
+            .map_err(|_| Error::Timeout)?
     }
 
-    /// Reads a request as [`read_request`](Self::read_request) does. `reserve` is called with the size of the body, in
-    /// bytes, before that much of it is read, and returns whether there is room for it.
+    /// Reads the body of the request whose head was read last. `reserve` is called with the size of the body in memory, in
+    /// bytes, before that much of it is read, and returns whether there is room for it. It is not asked for what is only
+    /// announced. `send_continue` is called once if the peer waits for `100 Continue` before it sends the body.
     ///
     /// # Errors
-    /// Returns [`Error::NoRoom`] if there is no room for the body, and the errors of `read_request`.
-    pub async fn read_request_within(
+    /// Returns [`Error::NoRoom`] if there is no room for the body, and otherwise an error if it is truncated or malformed
+    /// or exceeds a limit, or if the connection fails.
+    pub async fn read_request_body(
         &mut self,
+        head: &RequestHead,
         limits: Limits,
-        mut reserve: impl FnMut(u64) -> bool,
+        reserve: impl AsyncFnMut(u64) -> bool,
         send_continue: impl AsyncFnOnce() -> std::io::Result<()>,
-    ) -> Result<Request, Error> {
-        let reading = self.read_head(limits.head_bytes, parse::parse_request);
-        let head = timeout(limits.read_timeout, reading)
-            .await
-            .map_err(|_| Error::Timeout)??;
+    ) -> Result<Body, Error> {
         if let Framing::Length(length) = head.framing
             && length > limits.body_bytes
         {
             return Err(Error::BodyTooLarge);
         }
-        if let Framing::Length(length) = head.framing
-            && !reserve(length)
-        {
-            return Err(Error::NoRoom);
-        }
         if super::has_token(&head.fields, "expect", "100-continue") && !self.has_buffered() {
             send_continue().await?;
         }
-        let body = match head.framing {
-            Framing::Length(length) => self.read_sized(length, limits).await?,
-            Framing::Chunked => {
-                let reserve = async |bytes| reserve(bytes);
-                self.read_chunked(limits, reserve).await?
+        match head.framing {
+            Framing::Length(length) => {
+                self.read_sized(length, limits, Layout::Segmented, reserve)
+                    .await
             }
+            Framing::Chunked => self.read_chunked(limits, Layout::Segmented, reserve).await,
             // A request never ends with its connection.
-            Framing::UntilClose => Bytes::new(),
-        };
-        Ok(Request {
-            body,
-            close: head.close,
-            fields: head.fields,
-            method: head.method,
-            target: head.target,
-        })
+            Framing::UntilClose => Ok(Body::default()),
+        }
     }
 
     /// Reads a final response and skips interim ones. `is_head_request` states whether the request had the method
@@ -152,32 +159,30 @@
         &mut self,
         limits: Limits,
         is_head_request: bool,
-        mut reserve: impl AsyncFnMut(u64) -> bool,
+        reserve: impl AsyncFnMut(u64) -> bool,
     ) -> Result<Response, Error> {
         for _ in 0..RESPONSES_MAX {
             let head = self
-                .read_head(limits.head_bytes, |bytes| {
-                    parse::parse_response(bytes, is_head_request)
-                })
+                .read_head(
+                    limits.head_bytes,
+                    |bytes| parse::parse_response(bytes, is_head_request),
+                    async |_| true,
+                )
                 .await?;
             if (100..200).contains(&head.status) {
                 continue;
             }
+            let layout = Layout::Contiguous;
             let body = match head.framing {
-                Framing::Length(length) => {
-                    if length > limits.body_bytes {
-                        return Err(Error::BodyTooLarge);
-                    }
-                    if !reserve(length).await {
-                        return Err(Error::NoRoom);
-                    }
-                    self.read_sized(length, limits).await?
+                Framing::Length(length) if length > limits.body_bytes => {
+                    return Err(Error::BodyTooLarge);
                 }
-                Framing::Chunked => self.read_chunked(limits, reserve).await?,
-                Framing::UntilClose => self.read_until_close(limits, reserve).await?,
+                Framing::Length(length) => self.read_sized(length, limits, layout, reserve).await?,
+                Framing::Chunked => self.read_chunked(limits, layout, reserve).await?,
+                Framing::UntilClose => self.read_until_close(limits, reserve).await?.into(),
             };
             return Ok(Response {
-                body,
+                body: body.to_bytes(),
                 close: head.close,
                 fields: head.fields,
                 status: head.status,
@@ -186,8 +191,10 @@
         Err(Error::Malformed("too many interim responses"))
     }
 
-    /// Discards all bytes until the connection ends or fails. Returns whether it did so within `time_limit`.
+    /// Discards what arrives until the connection ends or fails, and gives back the memory of what was received. Returns
+    /// whether it did so within `time_limit`.
     pub async fn discard_until_close(&mut self, time_limit: Duration) -> bool {
+        self.buffer = BytesMut::new();
         let ending = async {
             loop {
                 self.buffer.clear();
@@ -203,6 +210,7 @@
         &mut self,
         bytes_max: usize,
         parse: impl Fn(&[u8]) -> Result<Option<(T, usize)>, Error>,
+        mut reserve: impl AsyncFnMut(u64) -> bool,
     ) -> Result<T, Error> {
         loop {
             if !self.buffer.is_empty()
@@ -217,61 +225,90 @@
             if self.buffer.len() > bytes_max {
                 return Err(Error::HeadTooLarge);
             }
+            let head_bytes = self.buffer.len() as u64;
+            if head_bytes > READ_BYTES as u64 && !reserve(head_bytes).await {
+                return Err(Error::NoRoom(head_bytes));
+            }
             self.read_more().await?;
         }
     }
 
-    async fn read_sized(&mut self, length: u64, limits: Limits) -> Result<Bytes, Error> {
-        if length > limits.body_bytes {
-            return Err(Error::BodyTooLarge);
-        }
+    async fn read_sized(
+        &mut self,
+        length: u64,
+        limits: Limits,
+        layout: Layout,
+        mut reserve: impl AsyncFnMut(u64) -> bool,
+    ) -> Result<Body, Error> {
         let length = usize::try_from(length).map_err(|_| Error::BodyTooLarge)?;
-        if length > self.buffer.len() {
-            // Growing step by step would reserve up to twice the length.
-            let missing = length - self.buffer.len();
-            self.buffer.reserve(missing + READ_BYTES);
-        }
-        while self.buffer.len() < length {
-            self.read_more_timed(limits).await?;
+        if length <= self.buffer.len() {
+            if !reserve(length as u64).await {
+                return Err(Error::NoRoom(length as u64));
+            }
+            return Ok(self.buffer.split_to(length).freeze().into());
         }
-        let body = self.buffer.split_to(length).freeze();
-        if length > READ_BYTES && self.buffer.is_empty() {
-            // The empty buffer would keep the memory of the body.
-            self.buffer = BytesMut::new();
+        let mut body = Builder::new(layout);
+        self.receive(&mut body, length, limits, &mut reserve)
+            .await?;
+        Ok(body.finish())
+    }
+
+    /// Receives the next `missing` bytes of a body. The first ones may be in the buffer; the others are read to their place
+    /// in the body.
+    async fn receive(
+        &mut self,
+        body: &mut Builder,
+        mut missing: usize,
+        limits: Limits,
+        reserve: &mut impl AsyncFnMut(u64) -> bool,
+    ) -> Result<(), Error> {
+        while missing > 0 {
+            if let Some(capacity) = body.next_capacity(missing) {
+                if !reserve(capacity as u64).await {
+                    return Err(Error::NoRoom(capacity as u64));
+                }
+                body.grow(missing);
+            }
+            let received = if !self.buffer.is_empty() {
+                let taken = body.put(&self.buffer[..missing.min(self.buffer.len())]);
+                self.buffer.advance(taken);
+                taken
+            } else if missing < READ_BYTES {
+                // What follows is read by the same call.
+                self.read_more_timed(limits).await?;
+                0
+            } else {
+                let mut space = body.space(missing);
+                let reading = self.io.read_buf(&mut space);
+                let read = timeout(limits.read_timeout, reading).await;
+                match read.map_err(|_| Error::Timeout)?? {
+                    0 => return Err(Error::Truncated),
+                    received => received,
+                }
+            };
+            missing -= received;
         }
-        Ok(body)
+        Ok(())
     }
 
     async fn read_chunked(
         &mut self,
         limits: Limits,
+        layout: Layout,
         mut reserve: impl AsyncFnMut(u64) -> bool,
-    ) -> Result<Bytes, Error> {
-        let mut body = BytesMut::new();
+    ) -> Result<Body, Error> {
+        let mut body = Builder::new(layout);
         loop {
             let size = self.read_chunk_size(limits).await?;
             if size == 0 {
                 self.discard_trailers(limits).await?;
-                return Ok(body.freeze());
+                return Ok(body.finish());
             }
-            let body_bytes = size.saturating_add(body.len() as u64);
-            if body_bytes > limits.body_bytes {
+            if size.saturating_add(body.len() as u64) > limits.body_bytes {
                 return Err(Error::BodyTooLarge);
             }
-            if !reserve(body_bytes).await {
-                return Err(Error::NoRoom);
-            }
-            let mut missing = usize::try_from(size).map_err(|_| Error::BodyTooLarge)?;
-            while missing > 0 {
-                if self.buffer.is_empty() {
-                    self.buffer.reserve(missing.min(CHUNK_READ_BYTES));
-                    self.read_more_timed(limits).await?;
-                }
-                let part = missing.min(self.buffer.len());
-                body.extend_from_slice(&self.buffer[..part]);
-                self.buffer.advance(part);
-                missing -= part;
-            }
+            let size = usize::try_from(size).map_err(|_| Error::BodyTooLarge)?;
+            self.receive(&mut body, size, limits, &mut reserve).await?;
             while self.buffer.len() < 2 {
                 self.read_more_timed(limits).await?;
             }
@@ -335,7 +372,7 @@
                 return Err(Error::BodyTooLarge);
             }
             if !reserve(body_bytes).await {
-                return Err(Error::NoRoom);
+                return Err(Error::NoRoom(body_bytes));
             }
             if self.fill().await? == 0 {
                 return Ok(std::mem::take(&mut self.buffer).freeze());
--- a/src/http1/write.rs
+++ b/src/http1/write.rs
@@ -13,19 +13,25 @@
 #[must_use]
 pub fn encode_request(method: &str, target: &str, fields: &[Field], body: &[u8]) -> Bytes {
     let mut bytes = BytesMut::with_capacity(HEAD_CAPACITY_BYTES + body.len());
-    bytes.put_slice(method.as_bytes());
-    bytes.put_u8(b' ');
-    bytes.put_slice(target.as_bytes());
-    bytes.put_slice(b" HTTP/1.1\r\n");
-    put_fields(&mut bytes, fields);
-    if !body.is_empty() || !matches!(method, "GET" | "HEAD" | "DELETE" | "OPTIONS") {
-        put_content_length(&mut bytes, body.len());
-    }
-    bytes.put_slice(b"\r\n");
+    put_request_head(&mut bytes, method, target, fields, body.len());
     bytes.put_slice(body);
     bytes.freeze()
 }
 
+/// Returns the encoded head of a request with a body of the given length, in bytes. `fields` must not contain the framing,
+/// which is added by that length.
+#[must_use]
+pub fn encode_request_head(
+    method: &str,
+    target: &str,
+    fields: &[Field],
+    body_length: usize,
+) -> Bytes {
+    let mut bytes = BytesMut::with_capacity(HEAD_CAPACITY_BYTES);
+    put_request_head(&mut bytes, method, target, fields, body_length);
+    bytes.freeze()
+}
+
 /// Returns the encoded head of a response with a body of the given length, in bytes. `fields` must not contain the
 /// framing, which is added by that length; `close` adds `Connection: close`.
 #[must_use]
@@ -50,6 +56,24 @@
     bytes.freeze()
 }
 
+fn put_request_head(
+    bytes: &mut BytesMut,
+    method: &str,
+    target: &str,
+    fields: &[Field],
+    body_length: usize,
+) {
+    bytes.put_slice(method.as_bytes());
+    bytes.put_u8(b' ');
+    bytes.put_slice(target.as_bytes());
+    bytes.put_slice(b" HTTP/1.1\r\n");
+    put_fields(bytes, fields);
+    if body_length > 0 || !matches!(method, "GET" | "HEAD" | "DELETE" | "OPTIONS") {
+        put_content_length(bytes, body_length);
+    }
+    bytes.put_slice(b"\r\n");
+}
+
 fn put_response_head(
     bytes: &mut BytesMut,
     status: u16,
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -40,6 +40,7 @@
 pub mod uploads;
 
 mod answer_room;
+mod body_room;
 mod forward;
 mod handle;
 mod ingress;
--- a/src/sidecar/answer_room.rs
+++ b/src/sidecar/answer_room.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         answer_budget::{OVERHEAD_BYTES, Share},
-        connections::CloseReason,
+        connections::{CloseReason, Memory},
         frame::Answer,
         node::Core,
     },
@@ -56,7 +56,9 @@
 }
 
 fn relieve(core: &Core, missing_bytes: u64, unread: Duration) {
-    let closed = core.callers.relieve(core.now(), missing_bytes, unread);
+    let closed = core
+        .callers
+        .relieve(core.now(), Memory::Answers, missing_bytes, unread);
     if closed > 0 {
         core.record_closed("callers", CloseReason::Memory, closed);
     }
--- a/src/sidecar/connection_set.rs
+++ b/src/sidecar/connection_set.rs
@@ -2,7 +2,7 @@
 //! them.
 
 use {
-    super::connections::{CloseReason, ConnectionId, Connections, Limits},
+    super::connections::{CloseReason, ConnectionId, Connections, Limits, Memory},
     crate::types::Moment,
     std::{
         cell::{Cell, RefCell},
@@ -74,11 +74,17 @@
         (Some(open), admission.replaced.map(|_| CloseReason::Idle))
     }
 
-    /// Closes connections that have stalled for at least `stalled_for`, until `missing_bytes` are released. Returns the
-    /// number of closed ones.
-    pub fn relieve(&self, now: Moment, missing_bytes: u64, stalled_for: Duration) -> usize {
+    /// Closes connections that hold memory and have stalled for at least `stalled_for`, until `missing_bytes` are released.
+    /// Returns the number of closed ones.
+    pub fn relieve(
+        &self,
+        now: Moment,
+        memory: Memory,
+        missing_bytes: u64,
+        stalled_for: Duration,
+    ) -> usize {
         let mut table = self.table.borrow_mut();
-        let closed = table.relieve(now, missing_bytes, stalled_for);
+        let closed = table.relieve(now, memory, missing_bytes, stalled_for);
         drop(table);
         for id in &closed {
             self.close(*id);
@@ -86,6 +92,13 @@
         closed.len()
     }
 
+    /// Returns the number of bytes that [`relieve`](Self::relieve) can release at most.
+    #[must_use]
+    pub fn relievable_bytes(&self, now: Moment, memory: Memory, stalled_for: Duration) -> u64 {
+        let table = self.table.borrow();
+        table.relievable_bytes(now, memory, stalled_for)
+    }
+
     /// Closes the connections whose callers read too slowly. Returns the reason for each.
     pub fn tick(&self, now: Moment) -> Vec<CloseReason> {
         let closed = self.table.borrow_mut().tick(now);
@@ -126,6 +139,12 @@
         self.set.table.borrow_mut().receive(self.id, now);
     }
 
+    /// Records that the request that is being received is about to take this much memory, in bytes.
+    pub fn grow_request(&self, now: Moment, held_bytes: u64) {
+        let mut table = self.set.table.borrow_mut();
+        table.grow_request(self.id, now, held_bytes);
+    }
+
     /// Records that a request will be answered.
     pub fn begin(&self) {
         self.set.table.borrow_mut().begin(self.id);
--- a/src/sidecar/connections.rs
+++ b/src/sidecar/connections.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: callers open more connections than the process may have descriptors, leave them open with or without a
 //! part of a request, or read their answers slowly or not at all. Idle connections make room for new ones. While memory
-//! is short, the connections whose callers have read nothing for longest are closed.
+//! is short, the connections are closed that hold some of it and whose callers have read or sent nothing for longest.
 
 use {
     crate::types::Moment,
@@ -25,7 +25,8 @@
     Excess,
     /// No request was in progress for the idle timeout, or for longest when another connection needed the place.
     Idle,
-    /// The memory for answers is exhausted, and the caller of this connection has read nothing for longest.
+    /// The memory for answers or for requests is exhausted, and the caller of this connection has read or sent nothing for
+    /// longest.
     Memory,
     /// The caller has read less than the minimum rate.
     Slow,
@@ -63,19 +64,52 @@
     measured_bytes: u64,
 }
 
+/// A request of which a part has arrived. A caller that sends less than a segment of a body counts as one that sends nothing.
+struct Receiving {
+    held_bytes: u64,
+    progress_at: Moment,
+    since: Moment,
+}
+
+/// Memory that connections hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Memory {
+    /// Answers that wait to be written.
+    Answers,
+    /// Requests that have arrived in part.
+    Requests,
+}
+
 struct Connection {
     closing: bool,
     /// Size of the answers that wait to be written, in bytes.
     held_bytes: u64,
     /// Time since when no request is in progress, if none is.
     idle_since: Moment,
-    /// Time at which the first byte of a request arrived whose rest is missing.
-    receiving_since: Option<Moment>,
+    /// The request whose rest is missing.
+    receiving: Option<Receiving>,
     /// Number of requests whose answers are not completely written.
     requests: usize,
     writing: Option<Writing>,
 }
 
+impl Connection {
+    /// Returns how much memory the connection holds, in bytes, and when its caller last read or sent some of that, `None` if
+    /// it does neither.
+    fn held(&self, memory: Memory) -> (u64, Option<Moment>) {
+        match memory {
+            Memory::Answers => {
+                let writing = self.writing.as_ref();
+                let progress_at = writing.map(|writing| writing.progress_at);
+                (self.held_bytes, progress_at)
+            }
+            Memory::Requests => self.receiving.as_ref().map_or((0, None), |receiving| {
+                (receiving.held_bytes, Some(receiving.progress_at))
+            }),
+        }
+    }
+}
+
 /// Connections and their limits.
 pub struct Connections {
     by_id: BTreeMap<ConnectionId, Connection>,
@@ -129,7 +163,7 @@
             closing: false,
             held_bytes: 0,
             idle_since: now,
-            receiving_since: None,
+            receiving: None,
             requests: 0,
             writing: None,
         };
@@ -142,9 +176,11 @@
             .by_id
             .iter()
             .filter(|(_, open)| !open.closing && open.requests == 0);
-        let candidates = unused.filter_map(|(id, open)| match open.receiving_since {
+        let candidates = unused.filter_map(|(id, open)| match &open.receiving {
             None => Some((false, open.idle_since, *id)),
-            Some(since) if now.since(since) > receive_timeout => Some((true, since, *id)),
+            Some(receiving) if now.since(receiving.since) > receive_timeout => {
+                Some((true, receiving.since, *id))
+            }
             Some(_) => None,
         });
         candidates.min().map(|(_, _, id)| id)
@@ -152,13 +188,30 @@
 
     /// Records that the first byte of a request has arrived.
     pub fn receive(&mut self, id: ConnectionId, now: Moment) {
-        self.update(id, |open| open.receiving_since = Some(now));
+        self.update(id, |open| {
+            open.receiving = Some(Receiving {
+                held_bytes: 0,
+                progress_at: now,
+                since: now,
+            });
+        });
+    }
+
+    /// Records that the request that is being received is about to take this much memory, in bytes, as another segment of it
+    /// arrives.
+    pub fn grow_request(&mut self, id: ConnectionId, now: Moment, held_bytes: u64) {
+        self.update(id, |open| {
+            if let Some(receiving) = &mut open.receiving {
+                receiving.held_bytes = held_bytes;
+                receiving.progress_at = now;
+            }
+        });
     }
 
     /// Records that a request is complete, or was rejected before, and will be answered.
     pub fn begin(&mut self, id: ConnectionId) {
         self.update(id, |open| {
-            open.receiving_since = None;
+            open.receiving = None;
             open.requests += 1;
         });
     }
@@ -214,27 +267,18 @@
         self.closing -= usize::from(removed.is_some_and(|removed| removed.closing));
     }
 
-    /// Returns the connections to close so that `missing_bytes` are released: those whose callers have read nothing for
-    /// longest, and for at least `stalled_for`. Connections that are being closed already count.
+    /// Returns the connections to close so that `missing_bytes` are released: those whose callers have read nothing, or sent
+    /// nothing, for longest, and for at least `stalled_for`. Connections that are being closed already count.
     pub fn relieve(
         &mut self,
         now: Moment,
+        memory: Memory,
         missing_bytes: u64,
         stalled_for: Duration,
     ) -> Vec<ConnectionId> {
-        let releasing = self.by_id.values().filter(|open| open.closing);
-        let mut released: u64 = releasing.map(|open| open.held_bytes).sum();
-        let writing = self.by_id.iter().filter_map(|(id, open)| {
-            let writing = open.writing.as_ref().filter(|_| !open.closing)?;
-            let stalled = now.since(writing.progress_at);
-            (stalled >= stalled_for && open.held_bytes > 0).then_some((stalled, open, *id))
-        });
-        let mut candidates: Vec<_> = writing
-            .map(|(stalled, open, id)| (Reverse(stalled), id, open.held_bytes))
-            .collect();
-        candidates.sort_unstable();
+        let mut released = self.releasing_bytes(memory);
         let mut closed = Vec::new();
-        for (_, id, held_bytes) in candidates {
+        for (id, held_bytes) in self.stalled(now, memory, stalled_for) {
             if released >= missing_bytes {
                 break;
             }
@@ -247,6 +291,45 @@
         closed
     }
 
+    /// Returns the number of bytes that [`relieve`](Self::relieve) can release at most.
+    #[must_use]
+    pub fn relievable_bytes(&self, now: Moment, memory: Memory, stalled_for: Duration) -> u64 {
+        let stalled = self.stalled(now, memory, stalled_for);
+        let stalled: u64 = stalled.iter().map(|(_, held_bytes)| held_bytes).sum();
+        self.releasing_bytes(memory) + stalled
+    }
+
+    fn releasing_bytes(&self, memory: Memory) -> u64 {
+        let releasing = self.by_id.values().filter(|open| open.closing);
+        releasing.map(|open| open.held(memory).0).sum()
+    }
+
+    /// Returns the connections that hold memory without progress and the bytes that they hold, longest without first.
+    fn stalled(
+        &self,
+        now: Moment,
+        memory: Memory,
+        stalled_for: Duration,
+    ) -> Vec<(ConnectionId, u64)> {
+        let open = self.by_id.iter().filter(|(_, open)| !open.closing);
+        let mut stalled: Vec<_> = open
+            .filter_map(|(id, open)| {
+                let (held_bytes, progress_at) = open.held(memory);
+                let stalled = now.since(progress_at?);
+                (stalled >= stalled_for && held_bytes > 0).then_some((
+                    Reverse(stalled),
+                    *id,
+                    held_bytes,
+                ))
+            })
+            .collect();
+        stalled.sort_unstable();
+        let stalled = stalled.into_iter();
+        stalled
+            .map(|(_, id, held_bytes)| (id, held_bytes))
+            .collect()
+    }
+
     /// Returns the connections to close because their callers have read nothing for the stall limit, or less than the
     /// minimum rate.
     pub fn tick(&mut self, now: Moment) -> Vec<(ConnectionId, CloseReason)> {
--- a/src/sidecar/forward.rs
+++ b/src/sidecar/forward.rs
@@ -19,13 +19,12 @@
         rollout::Phase,
     },
     crate::{
-        http1::Field,
+        http1::{Body, Field},
         refusal::Reason,
         traffic::quarantine::Fingerprint,
         types::{Host, Moment, Permille, Service, Version},
     },
     attempt::AttemptGuard,
-    bytes::Bytes,
     rand::Rng,
     std::{rc::Rc, sync::Arc, time::Duration},
     tokio::sync::oneshot,
@@ -54,7 +53,7 @@
 pub(super) struct Call {
     /// Account of the caller; `None` if the request needs no key and has none.
     pub account: Option<Arc<Account>>,
-    pub body: Bytes,
+    pub body: Body,
     pub deadline: Moment,
     pub fields: Vec<Field>,
     pub fingerprint: Fingerprint,
--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -21,7 +21,7 @@
             borrower::{self, QueryId},
             lease::Lease,
         },
-        http1::Field,
+        http1::{Body, Field},
         refusal::Reason,
         traffic::quarantine::Strike,
         types::{AccountName, Domain, Host, Moment, Region, Service, Version},
@@ -60,7 +60,7 @@
     /// Account of the caller, which the upstream is told.
     pub account: Option<AccountName>,
     /// Body.
-    pub body: Bytes,
+    pub body: Body,
     /// Service on whose host the request originated.
     pub caller: Service,
     /// Whether it may run more than once.
--- a/src/sidecar/ingress.rs
+++ b/src/sidecar/ingress.rs
@@ -11,11 +11,18 @@
 
 use {
     super::{
-        answer_budget::Share, answer_room, authentication::Origin, body_budget::Reservation,
-        connection_set::OpenConnection, connections::CloseReason, document::Limits, node::Core,
+        answer_budget::Share,
+        answer_room,
+        authentication::Origin,
+        body_budget::{OVERHEAD_BYTES, Reservation},
+        body_room,
+        connection_set::OpenConnection,
+        connections::CloseReason,
+        document::Limits,
+        node::Core,
     },
     crate::{
-        http1::{self, Error, Reader, Request},
+        http1::{self, Error, Framing, Reader, Request},
         types::Moment,
     },
     bytes::Bytes,
@@ -230,9 +237,19 @@
         let arrived = core.now();
         connection.open.receive(arrived);
         let mut room = core.body_budget.open();
-        let read = read_request(&mut reader, limits, &mut room, responses).await;
+        let read = Reading {
+            arrived,
+            connection,
+            core,
+            limits,
+            responses,
+            room: &mut room,
+        }
+        .read(&mut reader)
+        .await;
         if connection.closing.get() {
             // The connection closes with an earlier response, so this request is ignored.
+            drop((read, room));
             return reader.discard_until_close(limits.idle_timeout).await;
         }
         let guard = RequestGuard::new(core, connection);
@@ -248,13 +265,13 @@
             return true;
         }
         match read {
-            Ok(request) => {
+            Ok(mut request) => {
                 let last = request.close;
+                request.body = room.attach(request.body);
                 let origin = connection.origin(core);
                 let (core, connection) = (core.clone(), connection.clone());
                 running.spawn_local(async move {
                     let encoded = handle(&core, request, arrived, origin).await;
-                    drop(room);
                     connection
                         .open
                         .hold(encoded.head.len() + encoded.body.len());
@@ -272,6 +289,7 @@
                 };
                 // The writer has ended if the caller has gone.
                 let _ = sender.send(encoded);
+                drop(room);
                 // A connection that is closed with unread bytes is reset, and the response with it.
                 return reader.discard_until_close(REJECTED_LINGER).await;
             }
@@ -279,23 +297,58 @@
     }
 }
 
-async fn read_request(
-    reader: &mut Reader<OwnedReadHalf>,
+/// Reading of one request, whose memory is taken from the budget as it arrives.
+struct Reading<'a> {
+    arrived: Moment,
+    connection: &'a Connection,
+    core: &'a Core,
     limits: Limits,
-    room: &mut Reservation,
-    responses: &mpsc::Sender<Item>,
-) -> Result<Request, Error> {
-    let limits = http1::Limits {
-        body_bytes: limits.body_bytes,
-        head_bytes: limits.head_bytes as usize,
-        read_timeout: limits.head_timeout,
-    };
-    let send_continue = async || {
-        let broken_pipe = |_| std::io::ErrorKind::BrokenPipe.into();
-        responses.send(Item::Continue).await.map_err(broken_pipe)
-    };
-    let reserve = |body_bytes| room.try_grow(body_bytes);
-    reader
-        .read_request_within(limits, reserve, send_continue)
-        .await
+    responses: &'a mpsc::Sender<Item>,
+    room: &'a mut Reservation,
+}
+
+impl Reading<'_> {
+    /// Reads the request. Its body has to arrive until its deadline: later it could not be served.
+    async fn read(mut self, reader: &mut Reader<OwnedReadHalf>) -> Result<Request, Error> {
+        let body_bytes_max = self.core.body_budget.request_bytes_max() - OVERHEAD_BYTES;
+        let limits = http1::Limits {
+            body_bytes: self.limits.body_bytes.min(body_bytes_max),
+            head_bytes: self.limits.head_bytes as usize,
+            read_timeout: self.limits.head_timeout,
+        };
+        if !self.reserve(0).await {
+            return Err(Error::NoRoom(OVERHEAD_BYTES));
+        }
+        let head = reader
+            .read_request_head(limits, async |bytes| self.reserve(bytes).await)
+            .await?;
+        if let Framing::Length(length @ 1..) = head.framing
+            && length <= limits.body_bytes
+            && !body_room::wait_for_room(self.core, self.room, OVERHEAD_BYTES + length).await
+        {
+            return Err(Error::NoRoom(length));
+        }
+        let time_left = if head.framing == Framing::Length(0) {
+            limits.read_timeout
+        } else {
+            let limit = handler::time_limit(self.core, &head.fields, &head.target);
+            (self.arrived + limit).since(self.core.now())
+        };
+        let responses = self.responses;
+        let send_continue = async || {
+            let broken_pipe = |_| std::io::ErrorKind::BrokenPipe.into();
+            responses.send(Item::Continue).await.map_err(broken_pipe)
+        };
+        let reserve = async |bytes| self.reserve(bytes).await;
+        let reading = reader.read_request_body(&head, limits, reserve, send_continue);
+        let body = tokio::time::timeout(time_left, reading).await;
+        Ok(head.into_request(body.map_err(|_| Error::Timeout)??))
+    }
+
+    /// Takes memory for the request, besides what each request takes, in bytes. Returns whether there is room.
+    async fn reserve(&mut self, bytes: u64) -> bool {
+        let bytes = OVERHEAD_BYTES + bytes;
+        self.connection.open.grow_request(self.core.now(), bytes);
+        body_room::reserve(self.core, self.room, bytes).await
+    }
 }
--- a/src/sidecar/ingress/handler.rs
+++ b/src/sidecar/ingress/handler.rs
@@ -8,8 +8,8 @@
         refusal::Reason,
         sidecar::{
             authentication::{self, KEY_FIELD, Origin},
-            body_budget,
-            document::AccountField,
+            body_room,
+            document::{AccountField, Route},
             forward::{self, Attempts, Call, Reply},
             node::Core,
             permits,
@@ -18,7 +18,7 @@
         types::{Host, Moment},
     },
     bytes::Bytes,
-    std::{rc::Rc, time::Duration},
+    std::{rc::Rc, sync::Arc, time::Duration},
 };
 
 /// Timeout of a request whose caller states none. The route's timeout applies if it is shorter.
@@ -38,7 +38,7 @@
         Error::Timeout => 408,
         Error::HeadTooLarge => 431,
         Error::BodyTooLarge => 413,
-        Error::NoRoom => 503,
+        Error::NoRoom(_) => 503,
     };
     let now = core.now();
     core.log.record(
@@ -49,7 +49,10 @@
     core.metrics
         .outcome("", "rejected", &status.to_string(), Duration::ZERO);
     let fields = match error {
-        Error::NoRoom => vec![retry_after(forward::with_jitter(body_budget::RETRY_AFTER))],
+        Error::NoRoom(bytes) => {
+            let after = body_room::reject(core, *bytes);
+            vec![retry_after(forward::with_jitter(after))]
+        }
         _ => Vec::new(),
     };
     Some(encode(core, status, &fields, Bytes::new(), true))
@@ -233,14 +236,7 @@
     let Some(hostname) = http1::field_text(&request.fields, "host") else {
         return rejected(Reason::BadRequest, 400);
     };
-    let hostname = hostname.split(':').next().unwrap_or_default();
-    let path = request.target.split('?').next().unwrap_or_default();
-    let found = core
-        .index
-        .borrow()
-        .find_route(&hostname.to_ascii_lowercase(), path)
-        .cloned();
-    let Some(route) = found else {
+    let Some(route) = find_route(core, hostname, &request.target) else {
         return rejected(Reason::NoRoute, 404);
     };
     let account =
@@ -249,16 +245,18 @@
         return rejected(Reason::Unauthorized, 401);
     };
     let route_id = route.id();
-    let stated_timeout: Option<u64> = http1::field_text(&request.fields, header_names.time_left)
-        .and_then(|text| text.trim().parse().ok());
-    let stated_timeout = stated_timeout.map_or(DEFAULT_TIMEOUT, Duration::from_millis);
+    let stated_timeout = stated_timeout(core, &request.fields);
     let caller_deadline = arrived + stated_timeout;
     let deadline = arrived + stated_timeout.min(route.timeout);
     let deadline = core
         .stop_deadline()
         .map_or(deadline, |stop| stop.min(deadline));
-    let fingerprint =
-        Fingerprint::new(&route.name, &request.method, &request.target, &request.body);
+    let fingerprint = Fingerprint::of_segments(
+        &route.name,
+        &request.method,
+        &request.target,
+        request.body.segments(),
+    );
     let refused = core
         .refusal_history
         .borrow()
@@ -291,6 +289,29 @@
     })
 }
 
+/// Returns the time from the arrival of a request until its deadline, as far as its head tells.
+pub(super) fn time_limit(core: &Core, fields: &[Field], target: &str) -> Duration {
+    let stated = stated_timeout(core, fields);
+    let route =
+        http1::field_text(fields, "host").and_then(|hostname| find_route(core, hostname, target));
+    route.map_or(stated, |route| stated.min(route.timeout))
+}
+
+fn stated_timeout(core: &Core, fields: &[Field]) -> Duration {
+    let stated: Option<u64> = http1::field_text(fields, core.header_names.time_left)
+        .and_then(|text| text.trim().parse().ok());
+    stated.map_or(DEFAULT_TIMEOUT, Duration::from_millis)
+}
+
+fn find_route(core: &Core, hostname: &str, target: &str) -> Option<Arc<Route>> {
+    let hostname = hostname.split(':').next().unwrap_or_default();
+    let path = target.split('?').next().unwrap_or_default();
+    let index = core.index.borrow();
+    index
+        .find_route(&hostname.to_ascii_lowercase(), path)
+        .cloned()
+}
+
 impl std::fmt::Display for CallFields<'_> {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
         let Some(call) = self.call else {
--- a/src/sidecar/local_upstream/serve.rs
+++ b/src/sidecar/local_upstream/serve.rs
@@ -88,11 +88,11 @@
         return decline(core, &request, arrived, Reason::Leaving, Duration::ZERO);
     }
     let demand = request.demand(arrived);
-    let fingerprint = Fingerprint::new(
+    let fingerprint = Fingerprint::of_segments(
         request.service.as_str(),
         &request.method,
         &request.target,
-        &request.body,
+        request.body.segments(),
     );
     let instance = match state.accepting_instance(arrived, &request) {
         Ok(instance) => instance,
@@ -262,7 +262,13 @@
         left.as_millis().to_string(),
     ));
     let outgoing = Outgoing {
-        bytes: http1::encode_request(&request.method, &request.target, &fields, &request.body),
+        body: &request.body,
+        head: http1::encode_request_head(
+            &request.method,
+            &request.target,
+            &fields,
+            request.body.len(),
+        ),
         id: &request.id,
         timeout: left + DEADLINE_GRACE,
         body_bytes_max: BODY_BYTES_MAX.max(
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -38,6 +38,8 @@
     /// The number of connected nodes.
     pub peers: IntGauge,
     registry: Registry,
+    /// The memory of the requests that are held for callers and other nodes, in bytes.
+    pub request_bytes: IntGauge,
     retries: IntCounterVec,
     stages: HistogramVec,
     /// The latest known epoch of the store.
@@ -109,6 +111,10 @@
             )?,
             peers: IntGauge::new("mulberry_peers", "Nodes that are connected.")?,
             registry,
+            request_bytes: IntGauge::new(
+                "mulberry_request_bytes",
+                "Bytes of requests that are held for callers and other nodes.",
+            )?,
             retries: IntCounterVec::new(
                 Opts::new(
                     "mulberry_attempts_total",
@@ -135,6 +141,7 @@
         registry.register(Box::new(metrics.latency.clone()))?;
         registry.register(Box::new(metrics.outcomes.clone()))?;
         registry.register(Box::new(metrics.peers.clone()))?;
+        registry.register(Box::new(metrics.request_bytes.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
         registry.register(Box::new(metrics.stages.clone()))?;
         registry.register(Box::new(metrics.store_epoch.clone()))?;
--- a/src/sidecar/node/core.rs
+++ b/src/sidecar/node/core.rs
@@ -5,7 +5,7 @@
         node::Clock,
         sidecar::{
             answer_budget::AnswerBudget,
-            body_budget::BodyBudget,
+            body_budget::{BodyBudget, Demand},
             connection_set::ConnectionSet,
             dissemination::Scope,
             document::{Delta, Document, Index, Number},
@@ -53,8 +53,10 @@
     pub answer_budget: AnswerBudget,
     /// Connections of callers.
     pub callers: Rc<ConnectionSet>,
-    /// Memory for the bodies of requests, of callers and of other nodes.
+    /// Memory for the requests of callers and of other nodes.
     pub body_budget: BodyBudget,
+    /// Requests that had no room in it of late.
+    pub body_demand: RefCell<Demand>,
     /// Source of the current time.
     pub clock: Clock,
     /// Rollouts known to this node.
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -5,7 +5,8 @@
     crate::{
         refusal::Reason,
         sidecar::{
-            body_budget,
+            body_budget::OVERHEAD_BYTES,
+            body_room,
             dissemination::Scope,
             document::{Delta, Document, Number},
             evidence::Report,
@@ -232,23 +233,25 @@
 }
 
 /// Runs a request at the upstream on this host and sends its outcome back.
-fn serve(core: &Rc<Core>, link: &Rc<Link>, stream: StreamId, request: Request) {
+fn serve(core: &Rc<Core>, link: &Rc<Link>, stream: StreamId, mut request: Request) {
     let arrived = core.now();
     let mut room = core.body_budget.open();
-    if !room.try_grow(request.body.len() as u64) {
-        let declined = Outcome::Declined(Reason::Overloaded, body_budget::RETRY_AFTER);
+    let bytes = OVERHEAD_BYTES + request.body.len() as u64;
+    if !room.try_grow(bytes) {
+        let retry_after = body_room::reject(core, bytes);
+        let declined = Outcome::Declined(Reason::Overloaded, retry_after);
         let (core, link) = (core.clone(), link.clone());
         tokio::task::spawn_local(async move {
             outcome::send(&core, &link, stream, declined, arrived).await;
         });
         return;
     }
+    request.body = room.attach(request.body);
     let (cancel, cancelled) = oneshot::channel();
     link.serving.borrow_mut().insert(stream, cancel);
     let (core, link) = (core.clone(), link.clone());
     tokio::task::spawn_local(async move {
         let outcome = local_upstream::serve(&core, request, cancelled).await;
-        drop(room);
         link.serving.borrow_mut().remove(&stream);
         outcome::send(&core, &link, stream, outcome, arrived).await;
     });
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of a node on a platform, read from a JSON file. The whole file is checked before any value is used.
 
 use {
-    super::{answer_budget, connections},
+    super::{answer_budget, body_budget, connections},
     crate::types::{Domain, Host, Region, Service},
     serde::{Deserialize, Deserializer},
     std::{collections::BTreeSet, net::SocketAddr, path::Path, time::Duration},
@@ -165,6 +165,16 @@
         stated.or(derived).unwrap_or(answer_budget::DEFAULT_BYTES)
     }
 
+    /// Returns the limits on the memory for requests.
+    #[must_use]
+    pub fn body_limits(&self) -> body_budget::Limits {
+        let memory = self.memory_mb.map(|mb| u64::from(mb) << 20);
+        memory.map_or_else(
+            body_budget::Limits::default,
+            body_budget::Limits::for_memory,
+        )
+    }
+
     /// Returns the limits on the connections of callers. Their number is not limited if neither it nor that of the
     /// descriptors is given.
     #[must_use]
--- a/src/sidecar/upstream_pool.rs
+++ b/src/sidecar/upstream_pool.rs
@@ -7,10 +7,10 @@
 use {
     super::header_names::HeaderNames,
     crate::{
-        http1::{self, Field, Reader, Response},
+        http1::{self, Body, Field, Reader, Response},
         refusal::Reason,
     },
-    bytes::Bytes,
+    bytes::{Buf, Bytes},
     std::{
         cell::{Cell, RefCell},
         net::SocketAddr,
@@ -52,10 +52,12 @@
 
 /// A request to the upstream, and how to read its response.
 pub struct Outgoing<'a> {
+    /// The body of the request.
+    pub body: &'a Body,
     /// The maximum size of the body of the response, in bytes.
     pub body_bytes_max: u64,
-    /// The complete encoded request.
-    pub bytes: Bytes,
+    /// The encoded head of the request.
+    pub head: Bytes,
     /// The request ID, which the response repeats.
     pub id: &'a str,
     /// Whether the request has the method `HEAD`, so that the response has no body whatever its head says.
@@ -111,11 +113,7 @@
             None => self.dial().await.map_err(Failure::Unsent)?,
         };
         let lost = Failure::Sent(Reason::Lost);
-        connection
-            .writer
-            .write_all(&outgoing.bytes)
-            .await
-            .map_err(|_| lost)?;
+        connection.write(outgoing).await.map_err(|_| lost)?;
         let reading = self.read_response(&mut connection, outgoing, reserve);
         let response = match timeout(outgoing.timeout, reading).await {
             Ok(response) => response.map_err(Failure::Sent)?,
@@ -174,7 +172,7 @@
                     .reader
                     .read_response_within(limits, is_head_request, &mut reserve);
             let response = reading.await.map_err(|error| match error {
-                http1::Error::NoRoom => Reason::TooLarge,
+                http1::Error::NoRoom(_) => Reason::TooLarge,
                 _ => Reason::Lost,
             })?;
             let id = http1::field_text(&response.fields, self.header_names.request_id);
@@ -249,6 +247,17 @@
 }
 
 impl Connection {
+    /// Writes a request. The body is not copied.
+    async fn write(&mut self, outgoing: &Outgoing<'_>) -> std::io::Result<()> {
+        let mut head = outgoing.head.clone();
+        for segment in outgoing.body.segments() {
+            // The head is written by the same call as the first segment.
+            let mut bytes = std::mem::take(&mut head).chain(segment.clone());
+            self.writer.write_all_buf(&mut bytes).await?;
+        }
+        Ok(())
+    }
+
     /// Returns whether the idle connection is still open and has received no unexpected bytes.
     fn is_quiet(&self) -> bool {
         let mut byte = [0];
--- a/src/traffic/quarantine.rs
+++ b/src/traffic/quarantine.rs
@@ -36,12 +36,25 @@
     /// Creates the fingerprint of a request. `body` is the beginning of its body.
     #[must_use]
     pub fn new(service: &str, method: &str, target: &str, body: &[u8]) -> Self {
+        Self::of_segments(service, method, target, [body])
+    }
+
+    /// Creates the fingerprint of a request as [`new`](Self::new) does. The beginning of the body is the segments together.
+    #[must_use]
+    pub fn of_segments(
+        service: &str,
+        method: &str,
+        target: &str,
+        body: impl IntoIterator<Item = impl AsRef<[u8]>>,
+    ) -> Self {
         let mut hash = Xxh3::new();
         for text in [service, method, target] {
             hash.update(text.as_bytes());
             hash.update(b"\n");
         }
-        hash.update(body);
+        for segment in body {
+            hash.update(segment.as_ref());
+        }
         Self(hash.digest128())
     }
 }
--- a/tests/sidecar/connections.rs
+++ b/tests/sidecar/connections.rs
@@ -1,6 +1,6 @@
 use {
     mulberryshelf::{
-        sidecar::connections::{CloseReason, ConnectionId, Connections, Limits},
+        sidecar::connections::{CloseReason, ConnectionId, Connections, Limits, Memory},
         types::Moment,
     },
     std::time::Duration,
@@ -69,12 +69,15 @@
     let [first, second, third] = [0, 1, 2].map(|now| write(&mut table, now, 100));
     table.record_written(first, at(4), 40);
     let unread = Duration::from_secs(1);
-    assert_eq!(table.relieve(at(5), 150, unread), [second, third]);
+    assert_eq!(
+        table.relieve(at(5), Memory::Answers, 150, unread),
+        [second, third]
+    );
     // What they release is not asked of others again.
-    assert_eq!(table.relieve(at(5), 200, unread), []);
+    assert_eq!(table.relieve(at(5), Memory::Answers, 200, unread), []);
     table.remove(second);
     table.remove(third);
-    assert_eq!(table.relieve(at(5), 10, unread), [first]);
+    assert_eq!(table.relieve(at(5), Memory::Answers, 10, unread), [first]);
 }
 
 #[test]
@@ -82,7 +85,10 @@
     let mut table = Connections::new(LIMITS);
     let id = write(&mut table, 0, 100);
     table.record_written(id, at(5), 1);
-    assert_eq!(table.relieve(at(5), 100, Duration::from_millis(250)), []);
+    assert_eq!(
+        table.relieve(at(5), Memory::Answers, 100, Duration::from_millis(250)),
+        []
+    );
 }
 
 #[test]
@@ -115,3 +121,37 @@
     table.finish(busy, at(9));
     assert_eq!(table.idle_since(busy), Some(at(9)));
 }
+
+/// Begins to send a request, of which a part has arrived.
+fn send(table: &mut Connections, now: u64, bytes: u64) -> ConnectionId {
+    let id = admit(table, now);
+    table.receive(id, at(now));
+    table.grow_request(id, at(now), bytes);
+    id
+}
+
+/// Callers stopped just short of the end of their bodies and kept all memory for requests.
+#[test]
+fn callers_that_have_sent_nothing_for_longest_are_closed_for_memory() {
+    let mut table = Connections::new(LIMITS);
+    let (first, second) = (send(&mut table, 0, 100), send(&mut table, 1, 100));
+    let third = send(&mut table, 2, 100);
+    table.grow_request(first, at(4), 200);
+    let stalled = Duration::from_secs(2);
+    let memory = Memory::Requests;
+    assert_eq!(table.relievable_bytes(at(5), memory, stalled), 200);
+    assert_eq!(table.relieve(at(5), memory, 150, stalled), [second, third]);
+    // Both return their memory once they are closed.
+    assert_eq!(table.relieve(at(5), memory, 200, stalled), []);
+    assert_eq!(table.relieve(at(7), memory, 300, stalled), [first]);
+}
+
+/// A request that has arrived is served, so its connection isn't closed for the memory that it takes.
+#[test]
+fn request_that_has_arrived_does_not_count_as_one_that_stalls() {
+    let mut table = Connections::new(LIMITS);
+    let id = send(&mut table, 0, 100);
+    table.begin(id);
+    let relieved = table.relieve(at(9), Memory::Requests, 100, Duration::from_secs(1));
+    assert_eq!(relieved, []);
+}
--- a/tests/sidecar/http1.rs
+++ b/tests/sidecar/http1.rs
@@ -152,7 +152,7 @@
         let bytes = http1::encode_request("POST", "/a?b=c", &fields, &body);
         let read = requests(&bytes).unwrap();
         prop_assert_eq!(read.len(), 1);
-        prop_assert_eq!(&read[0].body[..], &body[..]);
+        prop_assert_eq!(read[0].body.to_bytes(), &body[..]);
         prop_assert!(read[0].fields.contains(&fields[0]));
     }
 }
@@ -185,3 +185,97 @@
         }
     }
 }
+
+/// Large bodies grew by doubling, so that up to three times their size was held.
+#[test]
+fn body_is_received_in_segments_as_it_arrives() {
+    let data: Vec<u8> = (0..100_000_u32)
+        .map(|number| number.to_le_bytes()[0])
+        .collect();
+    let chunked: Vec<u8> = data
+        .chunks(3)
+        .flat_map(|chunk| {
+            [
+                &[b'0' + u8::try_from(chunk.len()).unwrap()],
+                &b"\r\n"[..],
+                chunk,
+                b"\r\n",
+            ]
+            .concat()
+        })
+        .collect();
+    let length = format!("Content-Length: {}", data.len());
+    let messages = [
+        (&*length, data.clone()),
+        (
+            "Transfer-Encoding: chunked",
+            [&chunked[..], b"0\r\n\r\n"].concat(),
+        ),
+    ];
+    for (framing, bytes) in messages {
+        let message = [
+            format!("POST /a HTTP/1.1\r\n{framing}\r\n\r\n").as_bytes(),
+            &bytes,
+            b"GET /b",
+        ]
+        .concat();
+        let limits = Limits {
+            body_bytes: 100_000,
+            ..LIMITS
+        };
+        let mut sizes = Vec::new();
+        let (body, has_rest) = block_on(async {
+            let mut reader = Reader::new(&message[..]);
+            let head = reader
+                .read_request_head(limits, async |_| true)
+                .await
+                .unwrap();
+            let reserve = async |bytes| {
+                sizes.push(bytes);
+                true
+            };
+            let body = reader
+                .read_request_body(&head, limits, reserve, async || Ok(()))
+                .await;
+            (body.unwrap(), reader.wait_message().await.unwrap())
+        });
+        assert!(body.to_bytes() == data && has_rest);
+        assert!(
+            body.segments()
+                .all(|segment| segment.len() <= http1::SEGMENT_BYTES)
+        );
+        let (first, last) = (sizes[0], *sizes.last().unwrap());
+        assert!(
+            first <= http1::SEGMENT_BYTES as u64 && last < 140_000,
+            "{sizes:?}"
+        );
+        assert!(sizes.is_sorted(), "{sizes:?}");
+    }
+}
+
+/// A caller that announced a body took the memory for all of it, whether it sent it or not.
+#[test]
+fn body_that_is_only_announced_takes_a_segment() {
+    let message = b"POST /a HTTP/1.1\r\nContent-Length: 900000\r\n\r\nabc";
+    let limits = Limits {
+        body_bytes: 1_000_000,
+        ..LIMITS
+    };
+    let mut sizes = Vec::new();
+    let read = block_on(async {
+        let mut reader = Reader::new(&message[..]);
+        let head = reader
+            .read_request_head(limits, async |_| true)
+            .await
+            .unwrap();
+        let reserve = async |bytes| {
+            sizes.push(bytes);
+            true
+        };
+        reader
+            .read_request_body(&head, limits, reserve, async || Ok(()))
+            .await
+    });
+    assert!(matches!(read, Err(Error::Truncated)), "{read:?}");
+    assert_eq!(sizes, [http1::SEGMENT_BYTES as u64]);
+}
--- a/tests/sidecar/settings.rs
+++ b/tests/sidecar/settings.rs
@@ -52,6 +52,21 @@
     assert_eq!(stated, (3, 7, 4));
 }
 
+#[test]
+fn memory_for_requests_derives_from_that_of_the_host() {
+    let large_mb = |memory: Option<u32>| {
+        let settings = Settings::parse(&settings_json(|value| {
+            if let Some(memory) = memory {
+                value["memory_mb"] = memory.into();
+            }
+        }))
+        .unwrap();
+        settings.body_limits().large >> 20
+    };
+    assert_eq!(large_mb(None), 32);
+    assert_eq!(large_mb(Some(160)), 64);
+}
+
 #[test]
 fn unknown_and_negative_values_are_refused() {
     assert!(Settings::parse(&settings_json(|value| value["speed"] = 1.into())).is_err());
