Send large bodies to other nodes in parts that they grant

Callers saw: a body over 8 MiB got 503 at each node but the one beside its upstream, in calm too. Crowds at two nodes took the node beside the upstream, or their own, over its memory.

Cause: a request went in one frame, which has no room in the queue of a connection beyond 8 MiB. It was copied into the frame at the sender, and was whole in the receiver's memory, together with those of all other nodes, before the receiver could decline.

Change: a body above 60 KiB is announced. The receiver takes room for it from its budget, closing connections of callers that have stopped if it must, and asks for the parts, eight segments at a time; or it declines, before any of the body is sent. The request itself follows the last part. Until then it has certainly not run, so what is lost before is `unreachable`, and a request whose body is not complete is declined. Other frames pass between the parts. A cancelled request gives its room back at once. Frames are 40 MiB at most now, for answers.

--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -32,8 +32,9 @@
     tokio::io::{AsyncRead, AsyncReadExt},
 };
 
-/// Maximum length of a frame in bytes: a body of the usual maximum length, and its head.
-pub const FRAME_BYTES_MAX: usize = 72 * 1024 * 1024;
+/// Maximum length of a frame in bytes: an answer of the maximum length, and its head. Larger bodies of requests are sent in
+/// parts.
+pub const FRAME_BYTES_MAX: usize = 40 * 1024 * 1024;
 
 /// Address, location and incarnation of a node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -205,6 +206,21 @@
     PermitQuery(QueryId, AccountName, u32),
     /// Answers a query for permits of an account.
     PermitAnswer(QueryId, AccountName, borrower::Answer),
+    /// Step of sending a request whose body is large.
+    Transfer(StreamId, Transfer),
+}
+
+/// Step of sending a request whose body is too large for one frame.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Transfer {
+    /// Announces the body, and its length in bytes.
+    Announce(u64),
+    /// Asks for this many further parts of the body, as the sender of this frame has room for them.
+    Grant(u32),
+    /// Next part of the body.
+    Part(Bytes),
+    /// Request to the receiver's upstream, without the body, all parts of which were sent.
+    Request(Box<Request>),
 }
 
 /// Encodes a frame, preceded by its length. Documents and their differences are compressed, as configurations are
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -10,6 +10,7 @@
 mod recall;
 mod receive;
 mod region;
+mod transfer;
 
 pub(super) use broadcast::{push_confirmation, push_document, push_state, request_contacts};
 pub(super) use evacuations::push as push_evacuations;
--- a/src/sidecar/peers/link.rs
+++ b/src/sidecar/peers/link.rs
@@ -3,13 +3,16 @@
 mod writer;
 
 use {
-    super::{CONNECT_TIMEOUT, first_document, receive},
+    super::{
+        CONNECT_TIMEOUT, first_document, receive,
+        transfer::{self, DIRECT_BYTES_MAX, Transfers},
+    },
     crate::{
         refusal::Reason,
         sidecar::{
             answer_room::{self, LINK_WAIT},
             dissemination::Scope,
-            frame::{self, Contact, Frame, Outcome, Request, Status, StreamId},
+            frame::{self, Contact, Frame, Outcome, Request, Status, StreamId, Transfer},
             load_balancer::Load,
             node::Core,
             store_readers::Candidate,
@@ -47,6 +50,8 @@
 /// Request sent to the node and not answered yet. `sent` is set just before its first byte is written: only a request
 /// that was not sent is certain not to have run.
 pub(super) struct Pending {
+    /// Receives the numbers of parts of the body that the node has granted.
+    grants: mpsc::UnboundedSender<u32>,
     pub(super) repeatable: bool,
     pub(super) sent: bool,
     pub(super) outcome_sender: oneshot::Sender<(Outcome, Option<Load>)>,
@@ -74,6 +79,7 @@
     pub(super) queued_bytes: Cell<usize>,
     /// Notified when bytes of the queue were written.
     pub(super) dequeued: tokio::sync::Notify,
+    pub(super) transfers: RefCell<Transfers>,
 }
 
 impl Link {
@@ -115,6 +121,14 @@
         self.outgoing.send(Outgoing { bytes, stream }).is_ok()
     }
 
+    /// Passes on that the node has room for further parts of the body of a request.
+    pub(super) fn grant(&self, stream: StreamId, parts: u32) {
+        if let Some(pending) = self.pending.borrow().get(&stream) {
+            // The receiver is dropped once all parts are queued.
+            let _ = pending.grants.send(parts);
+        }
+    }
+
     /// Sends a ping. The time that the node has to answer counts from the first ping without an answer.
     pub(super) fn ping(&self, core: &Core, now: Moment) {
         if self.ping_sent_at.get().is_none() {
@@ -143,7 +157,7 @@
 pub(in crate::sidecar) async fn send_request(
     core: &Rc<Core>,
     host: &Host,
-    request: Request,
+    mut request: Request,
 ) -> (Outcome, Option<Load>) {
     let unreachable = Outcome::Declined(Reason::Unreachable, Duration::ZERO);
     let Some(link) = core.peers.links.borrow().get(host).cloned() else {
@@ -151,8 +165,10 @@
     };
     let stream = StreamId(link.next_stream.get());
     link.next_stream.set(stream.0 + 1);
-    let (outcome_sender, outcome) = oneshot::channel();
+    let (outcome_sender, mut outcome) = oneshot::channel();
+    let (grants, granted) = mpsc::unbounded_channel();
     let pending = Pending {
+        grants,
         repeatable: request.repeatable,
         sent: false,
         outcome_sender,
@@ -163,14 +179,32 @@
         finished: false,
         stream,
     };
-    if !link.send(&Frame::Request(stream, Box::new(request)), Some(stream)) {
-        guard.finished = true;
-        link.pending.borrow_mut().remove(&stream);
+    let lost = (Outcome::Unknown(Reason::Lost), None);
+    let frame = if request.body.len() <= DIRECT_BYTES_MAX {
+        Frame::Request(stream, Box::new(request))
+    } else {
+        let began = core.now();
+        let body = std::mem::take(&mut request.body);
+        let queued = tokio::select! {
+            biased;
+            // The node keeps what it has received of the body until the request is cancelled.
+            ended = &mut outcome => return ended.unwrap_or(lost),
+            queued = transfer::send(&link, stream, &body, granted) => queued,
+        };
+        if !queued {
+            return (unreachable, None);
+        }
+        let took = core.now().since(began);
+        request.time_left = request.time_left.saturating_sub(took);
+        request.worth_for = request.worth_for.saturating_sub(took);
+        Frame::Transfer(stream, Transfer::Request(Box::new(request)))
+    };
+    if !link.send(&frame, Some(stream)) {
         return (unreachable, None);
     }
     let ended = outcome.await;
     guard.finished = true;
-    ended.unwrap_or((Outcome::Unknown(Reason::Lost), None))
+    ended.unwrap_or(lost)
 }
 
 /// Cancels a request at the node if its future is dropped before the outcome has arrived.
@@ -184,7 +218,7 @@
     fn drop(&mut self) {
         if !self.finished {
             self.link.pending.borrow_mut().remove(&self.stream);
-            self.link.send(&Frame::Cancel(self.stream), None);
+            self.link.send_small(&Frame::Cancel(self.stream));
         }
     }
 }
@@ -233,6 +267,7 @@
         suspect: Cell::new(false),
         queued_bytes: Cell::new(0),
         dequeued: tokio::sync::Notify::new(),
+        transfers: RefCell::default(),
     });
     register(&core, &link);
     tokio::select! {
@@ -312,6 +347,7 @@
     first_document::forget(core, link);
     // Dropping the senders cancels the requests that run here on behalf of that node.
     link.serving.borrow_mut().clear();
+    link.transfers.borrow_mut().clear();
     for (_, pending) in link.pending.borrow_mut().drain() {
         let outcome = if pending.sent {
             Outcome::Unknown(Reason::Lost)
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -1,21 +1,22 @@
 //! Handles the frames received from other nodes.
 
 use {
-    super::{Link, broadcast, dial, evacuations, first_document, outcome},
+    super::{
+        Link, broadcast, dial, evacuations, first_document, outcome,
+        transfer::{self, Declined},
+    },
     crate::{
         refusal::Reason,
         sidecar::{
-            body_budget::OVERHEAD_BYTES,
-            body_room,
             dissemination::Scope,
             document::{Delta, Document, Number},
             evidence::Report,
-            frame::{Frame, Outcome, Request, StreamId},
+            frame::{Frame, Outcome, Request, StreamId, Transfer},
             load_balancer::AttemptResult,
             local_upstream,
             node::Core,
             permits,
-            rollout::Phase,
+            rollout::{Phase, RolloutState},
         },
         traffic::spill::Tier,
         types::Moment,
@@ -95,18 +96,7 @@
             evacuations::receive(core, host.as_str(), scope, &known);
         }
         Frame::Evidence(evidence, hops) => record_evidence(core, link, evidence, hops),
-        Frame::Ramp(scope, state) => {
-            let is_new = core.install_state(state.clone());
-            let is_held = core.rollout_states.borrow().get(&state.order.service) == Some(&state);
-            if is_held {
-                // The nodes that depend on this relay may not have it yet.
-                broadcast::push_state(core, scope, &state);
-            }
-            if is_new && state.phase != Phase::Running {
-                let ended = Frame::Ramp(Scope::Host, state);
-                core.peers.relay_within_region(&link.contact, &ended);
-            }
-        }
+        Frame::Ramp(scope, state) => receive_state(core, link, scope, state),
         Frame::Strikes(strikes) => {
             let new_strikes = core.local_upstream.merge_strikes(now, strikes);
             if !new_strikes.is_empty() {
@@ -121,10 +111,15 @@
         Frame::PermitAnswer(id, account, answer) => {
             permits::receive_answer(core, id, &account, answer);
         }
-        Frame::Request(stream, request) => serve(core, link, stream, *request),
+        Frame::Request(stream, request) => {
+            let admitted = transfer::admit(core, *request);
+            serve(core, link, stream, admitted);
+        }
         Frame::Cancel(stream) => {
             link.serving.borrow_mut().remove(&stream);
+            link.transfers.borrow_mut().cancel(stream);
         }
+        Frame::Transfer(stream, step) => receive_transfer(core, link, stream, step),
         Frame::Outcome(stream, outcome, load) => {
             outcome::receive(core, link, stream, outcome, load);
         }
@@ -232,24 +227,48 @@
     }
 }
 
-/// Runs a request at the upstream on this host and sends its outcome back.
-fn serve(core: &Rc<Core>, link: &Rc<Link>, stream: StreamId, mut request: Request) {
-    let arrived = core.now();
-    let mut room = core.body_budget.open();
-    let bytes = OVERHEAD_BYTES + request.body.len() as u64;
-    if !room.try_grow(bytes) {
-        let retry_after = body_room::reject(core, bytes);
-        let declined = Outcome::Declined(Reason::Overloaded, retry_after);
-        let (core, link) = (core.clone(), link.clone());
-        tokio::task::spawn_local(async move {
-            outcome::send(&core, &link, stream, declined, arrived).await;
-        });
-        return;
+/// Handles the state of a rollout, which the nodes that depend on this one may need.
+fn receive_state(core: &Rc<Core>, link: &Link, scope: Scope, state: RolloutState) {
+    let is_new = core.install_state(state.clone());
+    let is_held = core.rollout_states.borrow().get(&state.order.service) == Some(&state);
+    if is_held {
+        // The nodes that depend on this relay may not have it yet.
+        broadcast::push_state(core, scope, &state);
+    }
+    if is_new && state.phase != Phase::Running {
+        let ended = Frame::Ramp(Scope::Host, state);
+        core.peers.relay_within_region(&link.contact, &ended);
+    }
+}
+
+/// Handles a step of a request whose body is sent in parts.
+fn receive_transfer(core: &Rc<Core>, link: &Rc<Link>, stream: StreamId, step: Transfer) {
+    match step {
+        Transfer::Announce(body_bytes) => transfer::announced(core, link, stream, body_bytes),
+        Transfer::Grant(parts) => link.grant(stream, parts),
+        Transfer::Part(part) => transfer::receive(link, stream, part),
+        Transfer::Request(request) => {
+            let completed = transfer::complete(link, stream, *request);
+            serve(core, link, stream, completed);
+        }
     }
-    request.body = room.attach(request.body);
+}
+
+/// Runs a request at the upstream on this host and sends its outcome back, or declines it for a reason.
+fn serve(core: &Rc<Core>, link: &Rc<Link>, stream: StreamId, admitted: Result<Request, Declined>) {
+    let arrived = core.now();
+    let (core, link) = (core.clone(), link.clone());
+    let request = match admitted {
+        Ok(request) => request,
+        Err(declined) => {
+            tokio::task::spawn_local(async move {
+                transfer::decline(&core, &link, stream, declined, arrived).await;
+            });
+            return;
+        }
+    };
     let (cancel, cancelled) = oneshot::channel();
     link.serving.borrow_mut().insert(stream, cancel);
-    let (core, link) = (core.clone(), link.clone());
     tokio::task::spawn_local(async move {
         let outcome = local_upstream::serve(&core, request, cancelled).await;
         link.serving.borrow_mut().remove(&stream);
