Limit the time to send a request to the upstream

Callers saw: after uploads to endpoints that had gone silent, nothing of that service was served any more.

Cause: sending had no time limit, unlike receiving the response.

Change: the time limit of the exchange includes the sending.

Evidence: large_bodies::uploads_to_a_silent_upstream_return_their_slots failed before (503 for a request afterwards; the second upload had no room beside the first) and passes now.

--- a/src/sidecar/upstream_pool.rs
+++ b/src/sidecar/upstream_pool.rs
@@ -64,7 +64,7 @@
     pub is_head_request: bool,
     /// Whether the request may run more than once; decides how long a connection may have been idle.
     pub repeatable: bool,
-    /// The maximum time for the complete response.
+    /// The maximum time for sending the request and receiving the complete response.
     pub timeout: Duration,
 }
 
@@ -112,10 +112,13 @@
             Some(connection) => connection,
             None => self.dial().await.map_err(Failure::Unsent)?,
         };
-        let lost = Failure::Sent(Reason::Lost);
-        connection.write(outgoing).await.map_err(|_| lost)?;
-        let reading = self.read_response(&mut connection, outgoing, reserve);
-        let response = match timeout(outgoing.timeout, reading).await {
+        // An upstream that has gone silent does not read either, so the time limit includes the writing.
+        let exchange = async {
+            let written = connection.write(outgoing).await;
+            written.map_err(|_| Reason::Lost)?;
+            self.read_response(&mut connection, outgoing, reserve).await
+        };
+        let response = match timeout(outgoing.timeout, exchange).await {
             Ok(response) => response.map_err(Failure::Sent)?,
             Err(_) => return Err(Failure::Sent(Reason::Deadline)),
         };
