Bound what the system receives and a node has not read

Cause: received bytes that were not read yet count as memory of the host. The system buffers several megabytes for each connection, so connections that a node does not read for a moment, as 16 requests are in progress or the host is short of processor time, could hold more than the host has. A caller whose body was rejected was read for 2 s as fast as it sent, as was one behind a request that closes its connection.

Change: the connections of callers share an eighth of memory_mb, from 8 to 32 KiB each; one whose long body has room gets 32 KiB meanwhile. What is discarded ends at 4 MiB.

--- a/src/http1/reader.rs
+++ b/src/http1/reader.rs
@@ -192,18 +192,22 @@
     }
 
     /// Discards what arrives until the connection ends or fails, and gives back the memory of what was received. Returns
-    /// whether it did so within `time_limit`.
-    pub async fn discard_until_close(&mut self, time_limit: Duration) -> bool {
+    /// whether the connection ended within `time_limit` and before more than `bytes_max` had been discarded: a peer that
+    /// sends on would otherwise take processor time for as long as it likes.
+    pub async fn discard_until_close(&mut self, time_limit: Duration, bytes_max: usize) -> bool {
         self.buffer = BytesMut::new();
         let ending = async {
-            loop {
+            let mut discarded = 0;
+            while discarded <= bytes_max {
                 self.buffer.clear();
-                if !matches!(self.fill().await, Ok(1..)) {
-                    return;
+                match self.fill().await {
+                    Ok(bytes @ 1..) => discarded += bytes,
+                    _ => return true,
                 }
             }
+            false
         };
-        timeout(time_limit, ending).await.is_ok()
+        timeout(time_limit, ending).await.unwrap_or(false)
     }
 
     async fn read_head<T>(
--- a/src/sidecar/ingress.rs
+++ b/src/sidecar/ingress.rs
@@ -20,9 +20,10 @@
         connections::CloseReason,
         document::Limits,
         node::Core,
+        settings::RECEIVE_BUFFER_BYTES_MAX,
     },
     crate::{
-        http1::{self, Error, Framing, Reader, Request},
+        http1::{self, Error, Framing, Reader, Request, SEGMENT_BYTES},
         types::Moment,
     },
     bytes::Bytes,
@@ -42,6 +43,10 @@
 /// Time for which the rest of a rejected request is discarded, so that its caller can read the response.
 const REJECTED_LINGER: Duration = Duration::from_secs(2);
 
+/// Maximum number of bytes that are discarded then, or behind a request that is the last one of its connection: what a
+/// caller may have sent before it reads the response. One that sends more does not read it, and is reset.
+const DISCARDED_BYTES_MAX: usize = 4 * 1024 * 1024;
+
 /// Delay before the next attempt after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -113,6 +118,9 @@
 
 /// Accepts connections from callers and serves each in a task of its own. Never returns.
 pub(super) async fn accept_connections(core: Rc<Core>, listener: TcpListener) {
+    // Connections inherit the size. What the system has received and the node has not read is the host's memory as well.
+    let receive_buffer_bytes = core.settings.borrow().receive_buffer_bytes();
+    let _ = SockRef::from(&listener).set_recv_buffer_size(receive_buffer_bytes);
     loop {
         match listener.accept().await {
             Ok((stream, _)) if stream.set_nodelay(true).is_ok() => {
@@ -250,7 +258,9 @@
         if connection.closing.get() {
             // The connection closes with an earlier response, so this request is ignored.
             drop((read, room));
-            return reader.discard_until_close(limits.idle_timeout).await;
+            return reader
+                .discard_until_close(limits.idle_timeout, DISCARDED_BYTES_MAX)
+                .await;
         }
         let guard = RequestGuard::new(core, connection);
         connection
@@ -280,7 +290,9 @@
                     let _ = sender.send(encoded);
                 });
                 if last {
-                    return reader.discard_until_close(limits.idle_timeout).await;
+                    return reader
+                        .discard_until_close(limits.idle_timeout, DISCARDED_BYTES_MAX)
+                        .await;
                 }
             }
             Err(error) => {
@@ -291,12 +303,20 @@
                 let _ = sender.send(encoded);
                 drop(room);
                 // A connection that is closed with unread bytes is reset, and the response with it.
-                return reader.discard_until_close(REJECTED_LINGER).await;
+                return reader
+                    .discard_until_close(REJECTED_LINGER, DISCARDED_BYTES_MAX)
+                    .await;
             }
         }
     }
 }
 
+/// Sets the size of the system's buffer for what a caller sends. A body that has room is received faster with a larger one.
+fn set_receive_buffer(reader: &Reader<OwnedReadHalf>, bytes: usize) {
+    // With another size the body is received more slowly, or more of it is held than counted.
+    let _ = SockRef::from(reader.get_ref().as_ref()).set_recv_buffer_size(bytes);
+}
+
 /// Reading of one request, whose memory is taken from the budget as it arrives.
 struct Reading<'a> {
     arrived: Moment,
@@ -339,9 +359,20 @@
             let broken_pipe = |_| std::io::ErrorKind::BrokenPipe.into();
             responses.send(Item::Continue).await.map_err(broken_pipe)
         };
+        let is_long = match head.framing {
+            Framing::Length(length) => length > SEGMENT_BYTES as u64,
+            Framing::Chunked => true,
+            Framing::UntilClose => false,
+        };
+        if is_long {
+            set_receive_buffer(reader, RECEIVE_BUFFER_BYTES_MAX);
+        }
         let reserve = async |bytes| self.reserve(bytes).await;
         let reading = reader.read_request_body(&head, limits, reserve, send_continue);
         let body = tokio::time::timeout(time_left, reading).await;
+        if is_long {
+            set_receive_buffer(reader, self.core.settings.borrow().receive_buffer_bytes());
+        }
         Ok(head.into_request(body.map_err(|_| Error::Timeout)??))
     }
 
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -141,6 +141,11 @@
 /// Part of the descriptors that these connections may use, for each port.
 const CONTROL_DESCRIPTORS_DIVISOR: u32 = 32;
 
+/// Smallest and largest size of the system's buffer for what a caller sends, in bytes. Left to itself the system buffers
+/// several megabytes.
+const RECEIVE_BUFFER_BYTES_MIN: usize = 8 * 1024;
+pub(super) const RECEIVE_BUFFER_BYTES_MAX: usize = 32 * 1024;
+
 /// Retry budget of a service, shared by all nodes.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -175,6 +180,16 @@
         )
     }
 
+    /// Returns the size of the system's buffer for what a caller sends and the node has not read, in bytes. All connections
+    /// of callers together may use an eighth of the memory; the system holds up to half more than it is told.
+    #[must_use]
+    pub fn receive_buffer_bytes(&self) -> usize {
+        let connections = self.caller_limits().connections_max;
+        let memory = self.memory_mb.map(|mb| (mb as usize) << 20);
+        let share = memory.map_or(RECEIVE_BUFFER_BYTES_MAX, |memory| memory / 8 / connections);
+        share.clamp(RECEIVE_BUFFER_BYTES_MIN, RECEIVE_BUFFER_BYTES_MAX)
+    }
+
     /// Returns the limits on the connections of callers. Their number is not limited if neither it nor that of the
     /// descriptors is given.
     #[must_use]
--- a/tests/sidecar/http1.rs
+++ b/tests/sidecar/http1.rs
@@ -279,3 +279,18 @@
     assert!(matches!(read, Err(Error::Truncated)), "{read:?}");
     assert_eq!(sizes, [http1::SEGMENT_BYTES as u64]);
 }
+
+#[test]
+fn discarding_ends_at_its_limit() {
+    let closes_within = |bytes_max| {
+        block_on(async {
+            let bytes = vec![b'x'; 100_000];
+            let mut reader = Reader::new(&bytes[..]);
+            reader
+                .discard_until_close(Duration::from_secs(5), bytes_max)
+                .await
+        })
+    };
+    assert!(closes_within(100_000));
+    assert!(!closes_within(50_000));
+}
--- a/tests/sidecar/settings.rs
+++ b/tests/sidecar/settings.rs
@@ -52,19 +52,24 @@
     assert_eq!(stated, (3, 7, 4));
 }
 
+/// What the system has received and the node has not read is memory of the host, for each connection.
 #[test]
 fn memory_for_requests_derives_from_that_of_the_host() {
-    let large_mb = |memory: Option<u32>| {
+    let sizes = |memory: Option<u32>, descriptors: u32| {
         let settings = Settings::parse(&settings_json(|value| {
+            value["descriptors_max"] = descriptors.into();
             if let Some(memory) = memory {
                 value["memory_mb"] = memory.into();
             }
         }))
         .unwrap();
-        settings.body_limits().large >> 20
+        let large_mb = settings.body_limits().large >> 20;
+        (large_mb, settings.receive_buffer_bytes())
     };
-    assert_eq!(large_mb(None), 32);
-    assert_eq!(large_mb(Some(160)), 64);
+    assert_eq!(sizes(None, 4100), (32, 32 * 1024));
+    assert_eq!(sizes(Some(160), 4100), (64, 8 * 1024));
+    assert_eq!(sizes(Some(512), 4100), (204, 24_564));
+    assert_eq!(sizes(Some(160), 300), (64, 32 * 1024));
 }
 
 #[test]
