Soak callers that send large bodies and stop short of their ends

Cause: the soak's callers all behave, so that none of its runs showed what a crowd of others does to a node.

Seeds with faults get some, drawn by themselves, so that the other steps of a seed stay as they are. The nodes have 160 MiB by their settings, and one that used more afterwards breaks its promise.

--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -3,7 +3,8 @@
 
 use {
     crate::{
-        fleet::{DESK, GRACE, Machine},
+        fleet::{DESK, GRACE, MEMORY_MB, Machine},
+        hoarders,
         ledger::{BadMove, Closed, Disturbance},
         plan::{Fault, Plan, Weather},
         run::Soak,
@@ -105,6 +106,7 @@
         | Fault::Configure
         | Fault::Crash(..)
         | Fault::Drain(_)
+        | Fault::Hoard(..)
         | Fault::Misbehave(..)
         | Fault::Move { .. }
         | Fault::Reload(_)
@@ -119,6 +121,7 @@
         Fault::Configure => soak.configure(),
         Fault::Crash(index, time) => crash(&machines[index], time).await,
         Fault::Drain(index) => drain_and_replace(soak, index).await,
+        Fault::Hoard(index, time) => hoard(soak, index, time).await,
         Fault::Kill(index, time) => kill(soak, index, time).await?,
         Fault::KillAll(time) => {
             let all = (0..machines.len()).map(|index| {
@@ -211,6 +214,22 @@
     let _ = machine.announce().await;
 }
 
+/// Has callers keep their bodies back, and checks the memory of the node afterwards.
+async fn hoard(soak: &Soak, index: usize, time: Duration) {
+    let machine = &soak.fleet.machines[index];
+    hoarders::hold(machine.callers, time).await;
+    // A node that is down uses none.
+    let Some(peak_kb) = machine.memory_peak_kb() else {
+        return;
+    };
+    if peak_kb > MEMORY_MB * 1024 {
+        let name = &machine.name;
+        soak.broken(format!(
+            "{name} used {peak_kb} KiB of memory, of {MEMORY_MB} MiB"
+        ));
+    }
+}
+
 async fn kill(soak: &Soak, index: usize, time: Duration) -> io::Result<()> {
     let (machine, from) = (&soak.fleet.machines[index], Instant::now());
     machine.signal(Signal::KILL)?;
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -21,6 +21,8 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(1500);
 /// Longest time that a node may take to stop.
 pub const GRACE: Duration = Duration::from_secs(6);
+/// Memory that each node may use, in MiB.
+pub const MEMORY_MB: u64 = 160;
 /// Time after which a node that has not reported its readiness counts as not ready, as a paused one does.
 const READINESS_TIMEOUT: Duration = Duration::from_millis(500);
 /// Service that most machines belong to; its versions have rollouts.
@@ -112,7 +114,7 @@
             "advertised": proxy_address, "control": node_address(CONTROL_PORT),
             "ready": node_address(CONTROL_PORT), "metrics": node_address(METRICS_PORT), "upstream": endpoint.address(),
             "store": store, "heartbeat_s": HEARTBEAT.as_secs_f64(), "grace_s": GRACE.as_secs_f64(),
-            "retries": { "ratio": 0.2, "extra": 60, "window_s": 10 },
+            "memory_mb": MEMORY_MB, "retries": { "ratio": 0.2, "extra": 60, "window_s": 10 },
         });
         fs::write(
             ground.directory.join(format!("{name}.json")),
@@ -187,6 +189,16 @@
         Ok(())
     }
 
+    /// Returns the largest memory that the process of the node has used, in KiB; `None` if it does not run.
+    #[must_use]
+    pub fn memory_peak_kb(&self) -> Option<u64> {
+        let id = self.process.borrow().as_ref()?.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let mut lines = status.lines();
+        let peak = lines.find_map(|line| line.strip_prefix("VmHWM:"))?;
+        peak.trim().trim_end_matches(" kB").parse().ok()
+    }
+
     /// Returns whether the node reports that it is ready; `false` if it does not respond in time.
     pub async fn ready(&self) -> bool {
         let readiness = Caller::readiness(self.control);
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod callers;
 pub mod faults;
 pub mod fleet;
+pub mod hoarders;
 pub mod ledger;
 pub mod plan;
 pub mod proxy;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -32,6 +32,8 @@
 const CATCH_UP_TIME: Duration = Duration::from_secs(2);
 /// Upper bound of the time between two copies.
 const BACKUP_GAP_MS_MAX: u64 = 5000;
+/// Upper bound of the time between two crowds of callers that keep their bodies back.
+const HOARD_GAP_MS_MAX: u64 = 6000;
 /// One in this many seeds gives a plan with planned work only, in which no request may be lost.
 const PLANNED_ONE_IN: u64 = 3;
 
@@ -60,6 +62,8 @@
     Crash(usize, Duration),
     /// The endpoint drains and is replaced by another one.
     Drain(usize),
+    /// Callers send large bodies to the node, stop just short of their ends and keep their connections open.
+    Hoard(usize, Duration),
     /// The node is killed, and restarted after this time.
     Kill(usize, Duration),
     /// All nodes are killed, and restarted after this time.
@@ -167,6 +171,9 @@
         if !planned && matches!(seed % RESTORES_OF, 1 | 2) {
             add_restores(&mut steps, seed, length);
         }
+        if !planned {
+            add_hoards(&mut steps, seed, length, machines);
+        }
         steps.sort_by_key(|step| step.at);
         Self { planned, steps }
     }
@@ -214,6 +221,23 @@
     }
 }
 
+/// Adds callers that keep their bodies back.
+fn add_hoards(steps: &mut Vec<Step>, seed: u64, length: Duration, machines: usize) {
+    // Of its own, so that the other steps of a seed stay as they are.
+    let mut random = StdRng::seed_from_u64(seed.rotate_left(32));
+    let mut at = Duration::ZERO;
+    loop {
+        at += Duration::from_millis(random.random_range(0..HOARD_GAP_MS_MAX));
+        if at >= length {
+            return;
+        }
+        let machine = random.random_range(0..machines);
+        let time = Duration::from_millis(random.random_range(100..FAULT_MS_MAX));
+        let fault = Fault::Hoard(machine, time);
+        steps.push(Step { at, fault });
+    }
+}
+
 /// Returns whether all nodes are down or restart so near this time that some knowledge may be neither in the store nor with
 /// any node: what both have lost, such as the end of a rollout, nobody can know.
 fn all_nodes_restart(steps: &[Step], from: Duration, until: Duration) -> bool {
--- a/soak/tests/plan.rs
+++ b/soak/tests/plan.rs
@@ -51,6 +51,7 @@
         "Configure",
         "Crash",
         "Drain",
+        "Hoard",
         "Kill",
         "KillAll",
         "Link",
