Bound the time of a body without a route

Cause: the time in which a body has to arrive was what its caller stated if its request has no route, however long. A caller that sends a byte now and then kept its memory for as long while nobody else needed it.

Change: such a request has 30 s at most, like one whose caller states no time; it is not served anyway. Read in the code, no test.

--- a/src/sidecar/ingress/handler.rs
+++ b/src/sidecar/ingress/handler.rs
@@ -289,12 +289,13 @@
     })
 }
 
-/// Returns the time from the arrival of a request until its deadline, as far as its head tells.
+/// Returns the time from the arrival of a request until its deadline, as far as its head tells. A request without a route is
+/// not served, whatever time its caller states.
 pub(super) fn time_limit(core: &Core, fields: &[Field], target: &str) -> Duration {
     let stated = stated_timeout(core, fields);
     let route =
         http1::field_text(fields, "host").and_then(|hostname| find_route(core, hostname, target));
-    route.map_or(stated, |route| stated.min(route.timeout))
+    stated.min(route.map_or(DEFAULT_TIMEOUT, |route| route.timeout))
 }
 
 fn stated_timeout(core: &Core, fields: &[Field]) -> Duration {
