--- a/src/http1.rs
+++ b/src/http1.rs
@@ -12,14 +12,14 @@
 pub use {
     body::{Body, SEGMENT_BYTES},
     parse::{Framing, RequestHead},
-    reader::{Limits, Reader},
+    reader::Reader,
     write::{encode_request, encode_request_head, encode_response, encode_response_head},
 };
 
 use {
     bytes::Bytes,
     serde::{Deserialize, Serialize},
-    std::fmt,
+    std::{fmt, time::Duration},
 };
 
 /// A header field. Its name keeps the case in which it was received. The values of fields with credentials appear in no
@@ -137,6 +137,18 @@
     pub status: u16,
 }
 
+/// Limits on messages from a peer.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// The maximum size of a body, in bytes.
+    pub body_bytes: u64,
+    /// The maximum size of a head, in bytes.
+    pub head_bytes: usize,
+    /// The maximum time for the head of a request from its first byte on, and between reads of a body, unless that
+    /// ends with the connection.
+    pub read_timeout: Duration,
+}
+
 /// Error of reading a message.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
--- a/src/http1/reader.rs
+++ b/src/http1/reader.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Body, Error, Request, Response,
+        Body, Error, Limits, Request, Response,
         body::{Builder, Layout},
         parse::{self, Framing, RequestHead},
     },
@@ -21,18 +21,6 @@
 /// Maximum number of responses read, including interim ones, until the final one.
 const RESPONSES_MAX: usize = 8;
 
-/// Limits on messages from a peer.
-#[derive(Debug, Clone, Copy)]
-pub struct Limits {
-    /// The maximum size of a body, in bytes.
-    pub body_bytes: u64,
-    /// The maximum size of a head, in bytes.
-    pub head_bytes: usize,
-    /// The maximum time for the head of a request from its first byte on, and between reads of a body, unless that
-    /// ends with the connection.
-    pub read_timeout: Duration,
-}
-
 /// Receiving side of a connection.
 #[derive(Debug)]
 pub struct Reader<R> {
--- a/tests/sidecar/body_budget.rs
+++ b/tests/sidecar/body_budget.rs
@@ -103,6 +103,10 @@
     );
     drop(copy);
     assert_eq!(budget.held_bytes(), 0);
+    let mut room = budget.open();
+    assert!(room.try_grow(1024));
+    let empty = room.attach(Body::default());
+    assert_eq!((budget.held_bytes(), empty.len()), (1024, 0));
 }
 
 /// All callers of a crowd were asked to return after the same short time, and most were rejected again.
