--- a/soak/src/hoarders.rs
+++ b/soak/src/hoarders.rs
@@ -28,7 +28,7 @@
     let _ = timeout(time, holding.join_all()).await;
 }
 
-/// Returns a request without the last byte of its body, and what would follow.
+/// Returns a request without the last byte of its body, or without the chunk that ends it.
 fn request(number: usize) -> Vec<u8> {
     let is_sized = number.is_multiple_of(2);
     let framing = if is_sized {
