Use an upstream of before the start once it has announced itself after it

Cause: a restarted node took "the store holds no departure" for "it has not left", though an earlier process may have acknowledged one without a record. Nothing in a late report, nor in a backlog of them, tells it from a new one. Evidence: the restarted node logs `announced-early`, `departure outcome=read instance=none`, then `announced`.

Change: a process opens a port that earlier ones have not named, answers an announcement that may be from before its start with that address (`heartbeat_address`), and uses the upstream once it announces itself there. What arrives at an address that did not exist before was sent after the start. An upstream that does not follow is used 15 s after the start, the longest time that an announcement may be late. A kept announcement is never used itself. A peer that may have missed a departure says so with what it returns, and is not relied on: before, one that had been cut off brought an endpoint back.

--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -1,8 +1,8 @@
 //! The node for platforms on which an upstream is reachable only from the node on its own host, and on which the
 //! platform's store accepts the operator's orders. The decision modules ([`answer_budget`], [`authentication`],
 //! [`body_budget`], [`cold_start`], [`connections`], [`document`], [`evacuation`], [`fair_share`], [`freshness`],
-//! [`load_balancer`], [`queue`], [`regions`], [`retry_budget`], [`rollout`], [`shutdown`], [`store_readers`],
-//! [`uploads`]) use no clock, socket or task; the other modules do the input and output and call them. See
+//! [`load_balancer`], [`queue`], [`regions`], [`renewal`], [`retry_budget`], [`rollout`], [`shutdown`],
+//! [`store_readers`], [`uploads`]) use no clock, socket or task; the other modules do the input and output and call them. See
 //! docs/design/platform.md.
 
 pub mod answer_budget;
@@ -30,6 +30,7 @@
 pub mod queue;
 pub mod refusal_history;
 pub mod regions;
+pub mod renewal;
 pub mod retry_budget;
 pub mod rollout;
 pub mod settings;
--- a/src/sidecar/departure.rs
+++ b/src/sidecar/departure.rs
@@ -9,6 +9,7 @@
         handle::Announcement,
         history::Epoch,
         node::{Core, STORE_SOURCE},
+        renewal::ANNOUNCEMENT_DELAY_MAX,
         store::Store,
     },
     crate::types::Moment,
@@ -21,12 +22,10 @@
     tokio::{sync::Notify, time::timeout},
 };
 
-/// Maximum delay of an announcement; the platform may deliver it seconds late.
-pub(super) const ANNOUNCEMENT_DELAY_MAX: Duration = Duration::from_secs(15);
-
 /// Time for which the acknowledgement of a departure waits for its record. The sender takes an acknowledgement that
-/// arrives after a second for a failure, and leaves in any case, so it is not withheld while the store is away.
-const RECORD_TIMEOUT: Duration = Duration::from_millis(700);
+/// arrives after a second for a failure, and leaves in any case, so it is not withheld while the store is away. One that is
+/// sent without a record binds a restarted node all the same, see [`renewal`](super::renewal).
+pub(super) const RECORD_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Delay after a failed call to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -102,8 +101,8 @@
     }
 
     /// Waits until what is requested is read and what is submitted is written, at most for the time that an
-    /// acknowledgement may take.
-    pub async fn wait_settled(&self) {
+    /// acknowledgement may take. Returns whether that is done.
+    pub async fn wait_settled(&self) -> bool {
         let settling = async {
             loop {
                 let settled = self.settled.notified();
@@ -114,7 +113,7 @@
             }
         };
         // While the store is away, what was announced is acknowledged nevertheless.
-        let _ = timeout(RECORD_TIMEOUT, settling).await;
+        timeout(RECORD_TIMEOUT, settling).await.is_ok()
     }
 }
 
--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -146,6 +146,15 @@
     pub number: Number,
 }
 
+/// Whether a node had received all that a process had sent when that process ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Coverage {
+    /// Nothing that mattered was on its way then.
+    Complete,
+    /// A departure may be missing.
+    Partial,
+}
+
 /// State of a node that it announces to its peers.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
@@ -192,8 +201,9 @@
     Outcome(StreamId, Outcome, Load),
     /// Last announcement of the sender's upstream, which the receiver keeps for the next start of the sender.
     Registration(Announcement),
-    /// Last announcement of the receiver's own upstream, as the receiver sent it before it restarted.
-    Recall(Announcement),
+    /// Last announcement of the receiver's own upstream, as the receiver sent it before it restarted, and whether all that it
+    /// had sent has arrived.
+    Recall(Announcement, Coverage),
     /// Refers a node that has no document to another one, which has the document or is about to receive it.
     Referral(Host),
     /// What a node has read of the store. The receiver relays it to the scope, once it has the document in force.
--- a/src/sidecar/handle.rs
+++ b/src/sidecar/handle.rs
@@ -6,11 +6,12 @@
         connections::CloseReason,
         load_balancer::Offer,
         node::Core,
+        renewal::{ANNOUNCEMENT_DELAY_MAX, Arrival, Next},
         settings::{Error, Settings},
     },
     crate::types::Moment,
     serde::{Deserialize, Serialize},
-    std::{path::Path, rc::Rc},
+    std::{net::SocketAddr, path::Path, rc::Rc, time::Duration},
 };
 
 /// Announcement of the upstream on this host.
@@ -28,6 +29,14 @@
     pub offer: Offer,
 }
 
+impl Announcement {
+    /// Returns the start of the upstream, as the time since the Unix epoch by the clock of its host.
+    #[must_use]
+    pub fn started_after(&self) -> Duration {
+        Duration::from_millis(self.incarnation)
+    }
+}
+
 /// Handle of a running node.
 #[derive(Clone)]
 pub struct Handle {
@@ -47,14 +56,44 @@
 
     /// Applies an announcement of the upstream on this host. It is in force here when this returns, and that an upstream
     /// leaves is recorded in the store if the store answers in time, so that an acknowledgement is never sent before that.
-    pub async fn announce(&self, announcement: Announcement) {
-        let leaves = announcement.draining;
-        if self.core.local_upstream.announce(&self.core, announcement) {
+    /// Returns where the upstream should announce itself next.
+    pub async fn announce(&self, announcement: Announcement, arrival: Arrival) -> Next {
+        let upstream = &self.core.local_upstream;
+        let (leaves, instance) = (announcement.draining, announcement.instance.clone());
+        if upstream.announce(&self.core, announcement, arrival) {
             self.core.broadcast_status();
         }
-        if leaves || self.core.local_upstream.is_announcement_kept() {
-            self.wait_departure_settled().await;
+        if leaves {
+            self.wait_departure_settled(&instance).await;
         }
+        upstream
+            .renewal
+            .next(arrival, upstream.is_announcement_kept())
+    }
+
+    /// Returns the address to listen at for renewals of announcements, and the time for which it is needed; `None` if the
+    /// settings name no port for it.
+    #[must_use]
+    pub fn renewal_listener(&self) -> Option<(SocketAddr, Duration)> {
+        let settings = self.core.settings.borrow();
+        let listeners = [
+            settings.callers,
+            settings.control,
+            settings.link,
+            settings.metrics,
+            settings.ready,
+        ];
+        let taken = listeners.map(|address| address.port());
+        let started_at = Moment(self.core.contact.incarnation);
+        let ports = settings.renewal_ports?;
+        let port = ports.choose(started_at, settings.heartbeat, &taken)?;
+        let needed_for = ANNOUNCEMENT_DELAY_MAX + settings.heartbeat;
+        Some((SocketAddr::new(settings.control.ip(), port), needed_for))
+    }
+
+    /// Sets the address that upstreams are asked to renew their announcements at; `None` once nothing listens there.
+    pub fn set_renewal_address(&self, address: Option<SocketAddr>) {
+        self.core.local_upstream.renewal.set_address(address);
     }
 
     /// Records that the instance of the upstream is about to exit, in the same way as [`announce`](Self::announce).
@@ -62,12 +101,18 @@
         if self.core.local_upstream.unregister(&self.core, instance) {
             self.core.broadcast_status();
         }
-        self.wait_departure_settled().await;
+        self.wait_departure_settled(instance).await;
     }
 
-    async fn wait_departure_settled(&self) {
+    /// Waits until a departure is recorded, as long as its acknowledgement may take.
+    async fn wait_departure_settled(&self, instance: &str) {
         let record = &self.core.local_upstream.departure_record;
-        record.wait_settled().await;
+        if !record.wait_settled().await {
+            self.log(
+                "departure",
+                format_args!("outcome=acknowledged-unrecorded instance={instance}"),
+            );
+        }
     }
 
     /// Reads the settings again and puts them in force. Invalid settings leave those in force unchanged.
--- a/src/sidecar/local_upstream.rs
+++ b/src/sidecar/local_upstream.rs
@@ -21,6 +21,7 @@
         node::Core,
         pace::Pace,
         queue::{Action, Queue},
+        renewal::Renewal,
         rollout::RolloutState,
         upstream_pool::Pool,
     },
@@ -82,8 +83,10 @@
     departure: RefCell<Option<Departure>>,
     /// Record of the departure in the store.
     pub(super) departure_record: departure::Record,
-    /// Announcement that is kept until it is known whether its instance has left.
+    /// Announcement of an instance that may have left before this process started.
     early_announcement: RefCell<Option<Announcement>>,
+    /// Whether an announcement may be from before the start of this process.
+    pub(super) renewal: Renewal,
     quarantine: RefCell<Quarantine>,
     queue: RefCell<Queue>,
     registration: RefCell<Option<Registration>>,
@@ -100,13 +103,20 @@
         self.departure.borrow().clone()
     }
 
-    pub fn new(queue: Queue, quarantine: Quarantine, pool: Pool, heartbeat: Duration) -> Self {
+    pub fn new(
+        queue: Queue,
+        quarantine: Quarantine,
+        pool: Pool,
+        heartbeat: Duration,
+        started_at: Moment,
+    ) -> Self {
         Self {
             heartbeat,
             late_limits: RefCell::default(),
             departure: RefCell::default(),
             departure_record: departure::Record::default(),
             early_announcement: RefCell::default(),
+            renewal: Renewal::new(started_at),
             quarantine: RefCell::new(quarantine),
             queue: RefCell::new(queue),
             registration: RefCell::default(),
--- a/src/sidecar/local_upstream/registration.rs
+++ b/src/sidecar/local_upstream/registration.rs
@@ -5,17 +5,17 @@
     super::LocalUpstream,
     crate::{
         sidecar::{
-            departure::{ANNOUNCEMENT_DELAY_MAX, Departure, unix_ms},
+            departure::{Departure, unix_ms},
+            frame::Coverage,
             handle::Announcement,
             node::Core,
+            renewal::Arrival,
         },
         types::{Host, Moment},
     },
     std::time::Duration,
 };
 
-/// Time by which an upstream may have started before its node without that node having run before.
-const START_INTERVAL_MAX: Duration = Duration::from_secs(1);
 /// Maximum time by which the start of an upstream may seem to lie in the future: the time of day of a host may jump by
 /// seconds.
 const CLOCK_JUMP_MAX: Duration = Duration::from_secs(600);
@@ -52,57 +52,51 @@
 
 impl LocalUpstream {
     /// Registers the upstream by its announcement, or updates the registration. Returns whether the offer to new
-    /// requests has changed. Announcements that arrive late or out of order are ignored; one that may have been made
-    /// before a departure that is not known yet is kept until it is.
-    pub fn announce(&self, core: &Core, announcement: Announcement) -> bool {
-        if self.may_have_left(core, &announcement) && self.registration.borrow().is_none() {
+    /// requests has changed. Announcements that arrive late or out of order are ignored, and so is one that may have been
+    /// made before this process started, until the upstream announces itself again.
+    pub fn announce(&self, core: &Core, announcement: Announcement, arrival: Arrival) -> bool {
+        let (now, instance) = (core.now(), &announcement.instance);
+        let sequence = announcement.sequence;
+        if self.renewal.may_be_outdated(now, &announcement, arrival) {
+            self.departure_record.request();
             core.log.record(
-                core.now(),
+                now,
                 "upstream",
-                format_args!("outcome=announced-early instance={}", announcement.instance),
+                format_args!("outcome=announced-early instance={instance} sequence={sequence}"),
             );
             *self.early_announcement.borrow_mut() = Some(announcement);
             return false;
         }
+        if self.early_announcement.take().is_some() {
+            core.log.record(
+                now,
+                "upstream",
+                format_args!(
+                    "outcome=renewed instance={instance} sequence={sequence} at={arrival:?}"
+                ),
+            );
+        }
         self.register(core, announcement, Origin::Upstream)
     }
 
-    /// Returns whether an announcement is kept until it is known whether its instance has left.
+    /// Returns whether the last announcement may have been made before this process started.
     pub fn is_announcement_kept(&self) -> bool {
         self.early_announcement.borrow().is_some()
     }
 
-    /// Returns whether an earlier process of this node may have acknowledged the departure of an upstream, and has that
-    /// looked up in the store. Once no announcement from before the start of this process can arrive any more, none has.
-    fn may_have_left(&self, core: &Core, announcement: &Announcement) -> bool {
-        let started_at = Moment(core.contact.incarnation);
-        let age_at_start = unix_ms(started_at).saturating_sub(announcement.incarnation);
-        let may_have_left = !announcement.draining
-            && !self.departure_record.is_known()
-            && core.now().since(started_at) < ANNOUNCEMENT_DELAY_MAX
-            && Duration::from_millis(age_at_start) > START_INTERVAL_MAX;
-        if may_have_left {
-            self.departure_record.request();
-        }
-        may_have_left
-    }
-
-    /// Puts the departure in force that an earlier process of this node has recorded, and then the announcement that was
-    /// kept until it was known. Returns whether the offer to new requests has changed.
+    /// Puts the departure in force that an earlier process of this node has recorded. Returns whether the offer to new
+    /// requests has changed.
     pub fn restore_departure(&self, core: &Core, departure: Option<Departure>) -> bool {
-        let mut changed = false;
-        if let Some(departure) = departure {
-            let late = |current: &Registration| {
-                !current.is_draining() && departure.covers(core.now(), &current.last_announcement)
-            };
-            if self.registration.borrow().as_ref().is_some_and(late) {
-                changed = self.unregister(core, &departure.instance);
-            }
-            self.departure.borrow_mut().get_or_insert(departure);
-        }
-        let early = self.early_announcement.take();
-        early.is_some_and(|announcement| self.register(core, announcement, Origin::Upstream))
-            || changed
+        let Some(departure) = departure else {
+            return false;
+        };
+        let late = |current: &Registration| {
+            !current.is_draining() && departure.covers(core.now(), &current.last_announcement)
+        };
+        let is_late = self.registration.borrow().as_ref().is_some_and(late);
+        let changed = is_late && self.unregister(core, &departure.instance);
+        self.departure.borrow_mut().get_or_insert(departure);
+        changed
     }
 
     fn register(&self, core: &Core, mut announcement: Announcement, origin: Origin) -> bool {
@@ -183,6 +177,9 @@
                 current.last_announcement.incarnation == announcement.incarnation
                     && current.is_draining()
             });
+            if origin == Origin::Peer || !announcement.draining {
+                self.renewal.settle();
+            }
             if announcement.draining && !was_draining {
                 self.record_departure(core, &announcement.instance, Some(announcement.incarnation));
             }
@@ -237,13 +234,34 @@
     }
 
     /// Registers the upstream by the announcement that a peer kept from before this node restarted, unless a newer one
-    /// is known. The upstream itself has usually gone on running, and one that was about to stop stays withdrawn.
-    /// Returns whether the offer to new requests has changed.
-    pub fn recall(&self, core: &Core, mut announcement: Announcement, peer: &Host) -> bool {
+    /// is known. The upstream itself has usually gone on running, and one that was about to stop stays withdrawn. If the
+    /// peer may have missed a departure, the upstream is not used before it announces itself. Returns whether the offer to
+    /// new requests has changed.
+    pub fn recall(
+        &self,
+        core: &Core,
+        mut announcement: Announcement,
+        coverage: Coverage,
+        peer: &Host,
+    ) -> bool {
         announcement.offer.cold = Duration::ZERO;
         let (instance, draining) = (announcement.instance.clone(), announcement.draining);
-        // The peer may have missed a later departure, which is put in force once it is read.
-        self.may_have_left(core, &announcement);
+        let now = core.now();
+        if self
+            .renewal
+            .may_be_outdated(now, &announcement, Arrival::Control)
+        {
+            // A departure may be recorded just now, which is put in force once it is read.
+            self.departure_record.request();
+            if coverage == Coverage::Partial {
+                core.log.record(
+                    now,
+                    "upstream",
+                    format_args!("outcome=recalled-partially instance={instance} peer={peer}"),
+                );
+                return false;
+            }
+        }
         let changed = self.register(core, announcement, Origin::Peer);
         if changed {
             core.log.record(
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -37,6 +37,7 @@
         error::{Error, Result},
         node::Clock,
         traffic::quarantine::Quarantine,
+        types::Moment,
     },
     std::{
         cell::{Cell, RefCell},
@@ -121,6 +122,7 @@
                 Quarantine::default(),
                 Pool::new(settings.upstream, header_names),
                 settings.heartbeat,
+                Moment(contact.incarnation),
             ),
             epoch: Cell::default(),
             epoch_changed: Notify::new(),
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -21,7 +21,6 @@
     super::{
         document::Number,
         frame::{Contact, Frame, Outcome, StreamId},
-        handle::Announcement,
         metrics::Metrics,
         neighbours::{self, KnownNode, NODES_PER_REMOTE_REGION},
         node::Core,
@@ -36,6 +35,7 @@
     },
     link::{Link, run},
     rand::{SeedableRng, rngs::StdRng},
+    recall::Kept,
     std::{
         cell::{Cell, RefCell},
         collections::{BTreeMap, HashMap},
@@ -87,7 +87,7 @@
     contact: Contact,
     dialing: bool,
     lost_since: Option<Moment>,
-    registration: Option<Announcement>,
+    registration: Option<Kept>,
 }
 
 /// The other nodes that are known, and the connections to them.
--- a/src/sidecar/peers/link.rs
+++ b/src/sidecar/peers/link.rs
@@ -4,7 +4,9 @@
 
 use {
     super::{
-        CONNECT_TIMEOUT, first_document, receive,
+        CONNECT_TIMEOUT, first_document,
+        recall::End,
+        receive,
         transfer::{self, DIRECT_BYTES_MAX, Transfers},
     },
     crate::{
@@ -61,6 +63,8 @@
 pub(super) struct Link {
     pub(super) contact: Contact,
     pub(super) received_at: Cell<Moment>,
+    /// Time at which a node that had not responded was last heard again.
+    pub(super) heard_again_at: Cell<Option<Moment>>,
     pub(super) next_stream: Cell<u64>,
     pub(super) outgoing: mpsc::UnboundedSender<Outgoing>,
     pub(super) pending: RefCell<HashMap<StreamId, Pending>>,
@@ -254,6 +258,7 @@
     let link = Rc::new(Link {
         contact: contact.clone(),
         received_at: Cell::new(core.now()),
+        heard_again_at: Cell::default(),
         next_stream: Cell::new(0),
         outgoing,
         pending: RefCell::default(),
@@ -270,12 +275,12 @@
         transfers: RefCell::default(),
     });
     register(&core, &link);
-    tokio::select! {
-        () = writer::run(&link, writer, queue) => {}
-        () = read(&core, &link, reader, buffer) => {}
-        () = link.closing.notified() => {}
-    }
-    unregister(&core, &link);
+    let end = tokio::select! {
+        () = writer::run(&link, writer, queue) => End::Broken,
+        end = read(&core, &link, reader, buffer) => end,
+        () = link.closing.notified() => End::Broken,
+    };
+    unregister(&core, &link, end);
 }
 
 /// Makes a connection the current one to its node, and sends the state that a new connection needs.
@@ -305,8 +310,8 @@
         ),
     );
     core.permits.reconnect(&host);
-    if let Some(announcement) = core.peers.kept_registration(&host) {
-        link.send(&Frame::Recall(announcement), None);
+    if let Some(recall) = core.peers.recall_for(core.now(), link) {
+        link.send(&recall, None);
     }
     if link.contact.region == core.contact.region
         && let Some(announcement) = core.local_upstream.last_announcement()
@@ -324,12 +329,13 @@
 }
 
 /// Removes a closed connection, and ends the requests in progress on it in both directions.
-fn unregister(core: &Core, link: &Rc<Link>) {
+fn unregister(core: &Core, link: &Rc<Link>, end: End) {
     let host = &link.contact.host;
     core.peers
         .open_links
         .borrow_mut()
         .retain(|open| !Rc::ptr_eq(open, link));
+    core.peers.record_end(core.now(), link, end);
     let current = core
         .peers
         .links
@@ -359,7 +365,12 @@
     }
 }
 
-async fn read(core: &Rc<Core>, link: &Rc<Link>, mut reader: OwnedReadHalf, mut buffer: BytesMut) {
+async fn read(
+    core: &Rc<Core>,
+    link: &Rc<Link>,
+    mut reader: OwnedReadHalf,
+    mut buffer: BytesMut,
+) -> End {
     loop {
         // An answer is counted twice for a moment, as it is copied out of its frame.
         let mut share = core.answer_budget.open();
@@ -370,7 +381,7 @@
         };
         match frame::read_within(&mut reader, &mut buffer, reserve).await {
             Ok(Some(frame)) => receive::receive(core, link, frame),
-            Ok(None) => return,
+            Ok(None) => return End::Closed,
             Err(error) => {
                 let peer = &link.contact.host;
                 let now = core.now();
@@ -379,7 +390,7 @@
                     "peer",
                     format_args!("outcome=failed peer={peer} cause=\"{error}\""),
                 );
-                return;
+                return End::Broken;
             }
         }
     }
--- a/src/sidecar/peers/receive.rs
+++ b/src/sidecar/peers/receive.rs
@@ -39,6 +39,7 @@
     let current = core.peers.links.borrow().get(host).cloned();
     let current = current.unwrap_or_else(|| link.clone());
     if link.suspect.replace(false) {
+        link.heard_again_at.set(Some(now));
         core.log
             .record(now, "peer", format_args!("outcome=heard peer={host}"));
         update_offer(core, &current, now);
@@ -60,9 +61,14 @@
             core.peers.candidates_changed.notify_waiters();
             record_document(core, &current, number);
         }
-        Frame::Registration(announcement) => core.peers.keep_registration(host, announcement),
-        Frame::Recall(announcement) => {
-            if core.local_upstream.recall(core, announcement, host) {
+        Frame::Registration(announcement) => {
+            core.peers.keep_registration(&link.contact, announcement);
+        }
+        Frame::Recall(announcement, coverage) => {
+            if core
+                .local_upstream
+                .recall(core, announcement, coverage, host)
+            {
                 core.broadcast_status();
             }
         }
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of a node on a platform, read from a JSON file. The whole file is checked before any value is used.
 
 use {
-    super::{answer_budget, body_budget, connections},
+    super::{answer_budget, body_budget, connections, renewal},
     crate::types::{Domain, Host, Region, Service},
     serde::{Deserialize, Deserializer},
     std::{collections::BTreeSet, net::SocketAddr, path::Path, time::Duration},
@@ -68,6 +68,10 @@
     /// All regions of the mesh, among which the accounts' limits are divided; empty for the host's region alone.
     #[serde(default)]
     pub regions: BTreeSet<Region>,
+    /// The ports of the control address from which a process takes one to be announced to after its start; absent if the
+    /// upstream does not follow the address that a response names. It is used again later then.
+    #[serde(default)]
+    pub renewal_ports: Option<renewal::Ports>,
     /// The retry budget of each service, shared by all nodes.
     pub retries: Retries,
     /// The service of the upstream on this host.
@@ -290,6 +294,12 @@
                 settings.connections.stall.is_zero(),
                 "connections.stall_s is 0",
             ),
+            (
+                settings
+                    .renewal_ports
+                    .is_some_and(|ports| ports.first > ports.last),
+                "renewal_ports.first is above renewal_ports.last",
+            ),
             (settings.memory_mb == Some(0), "memory_mb is 0"),
             (settings.descriptors_max == Some(0), "descriptors_max is 0"),
         ];
