End the quarantine of a request by a trial

The page that clients poll was refused at every node from then on, with 503 and `quarantined`, for as long as it was asked for.

Cause: every request that runs where an upstream crashes gets a strike, two strikes from any two crashes quarantine it, and only a success clears them. What is quarantined does not run, so it never has one.

Change: a quarantined request runs again as a trial, one run at one upstream of all, and its outcome decides. 5 s after the last crash, or 60 s if it was sent again when a crash was known and had not been answered there before; none after two such repeated crashes. An answer clears the strikes everywhere, a crash strikes nothing beside the trial. A first node that knows the strikes refuses the request itself, with the time until the trial. A request that is struck while it waits in the queue does not run any more. The product's own nodes have the same mechanism.

tests/quarantine.rs: a strike has a new field, which requests_beside_a_struck_one_are_not_blamed now checks as well.

--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -116,15 +116,19 @@
         proxy.merge_strikes(vec![strike]);
     }
     let not_run = Failure::NotRun;
-    let offer = proxy.gate.check(&head).map_err(not_run)?;
+    let ticket = proxy.next_ticket();
+    let trial = Some(ticket).filter(|_| {
+        let router = proxy.router();
+        router.trial_host(&head.service, head.fingerprint) == Some(&proxy.host)
+    });
+    let mut slot = proxy.gate.slot(ticket);
+    let offer = proxy.gate.check(&head, trial).map_err(not_run)?;
     let limits = limits(proxy, &head);
-    let entering = proxy
-        .gate
-        .acquire_slot(proxy.next_ticket(), deadline, offer.slots, &limits);
-    let mut slot = entering.await.map_err(not_run)?;
+    let entering = slot.acquire(deadline, offer.slots, &limits);
+    entering.await.map_err(not_run)?;
     // While the request was queued, the upstream may have begun to drain, or the same request may
     // have crashed it and be quarantined.
-    let offer = proxy.gate.check(&head).map_err(not_run)?;
+    let offer = proxy.gate.check(&head, trial).map_err(not_run)?;
     let (id, service) = (head.id.clone(), head.service.clone());
     let (mut connection, response) =
         send_to_upstream(proxy, &offer, head, recv, deadline, &slot).await?;
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -10,7 +10,13 @@
     crate::{
         body::{Body, Writer},
         refusal::Reason,
-        traffic::{Choice, Query, endpoint::Load, outcome::Kind, quarantine::Fingerprint, retry},
+        traffic::{
+            Choice, Query,
+            endpoint::Load,
+            outcome::Kind,
+            quarantine::{Fingerprint, Verdict},
+            retry,
+        },
         types::{Host, Version},
         wire::{Answer, Failure, Part, Refusal, Request as Head},
     },
@@ -73,15 +79,20 @@
     let mut tried = Vec::new();
     let mut earlier: Option<Failure> = None;
     loop {
-        if proxy.gate.is_quarantined(outgoing.fingerprint) {
-            return Err(combine_failures(
-                earlier,
-                Failure::NotRun(Reason::Quarantined),
-            ));
-        }
-        let selection = selection(call, &tried);
-        let choice = match proxy.router().choose(proxy.now(), selection) {
+        let (now, selection) = (proxy.now(), selection(call, &tried));
+        let chosen = match proxy.gate.judge(outgoing.fingerprint) {
+            Verdict::Allowed => proxy.router().choose(now, selection),
+            Verdict::Trial => proxy
+                .router()
+                .choose_trial(now, selection, outgoing.fingerprint),
+            Verdict::Quarantined(_) => Err(Reason::Quarantined),
+        };
+        let choice = match chosen {
             Ok(choice) => choice,
+            Err(Reason::Quarantined) => {
+                let refused = Failure::NotRun(Reason::Quarantined);
+                return Err(combine_failures(earlier, refused));
+            }
             Err(reason) => return Err(earlier.unwrap_or(Failure::NotRun(reason))),
         };
         tried.push(choice.host.clone());
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -10,7 +10,7 @@
         traffic::{
             admission::{Action, Limit, Queue, Ticket},
             endpoint::Load,
-            quarantine::{Crash, Fingerprint, Quarantine, Strike},
+            quarantine::{Crash, Fingerprint, Quarantine, Strike, Verdict},
         },
         types::Moment,
         wire::Request as Head,
@@ -97,57 +97,36 @@
     ///
     /// # Errors
     /// Returns the reason if the upstream accepts no new requests or is of another service or
-    /// version, or if the request is quarantined.
-    pub fn check(&self, head: &Head) -> Result<Offer, Reason> {
+    /// version, or if the request is quarantined. `trial` is the ticket of a request that may run as a
+    /// trial, at the upstream that trials of it run at.
+    pub fn check(&self, head: &Head, trial: Option<Ticket>) -> Result<Offer, Reason> {
         let now = self.clock.now();
         let mut state = self.state();
         let offer = state.offer.clone().ok_or(Reason::Leaving)?;
         if Some(&offer.version) != head.version.as_ref() || offer.service != head.service {
             return Err(Reason::WrongVersion);
         }
-        if state.quarantine.check(now, head.fingerprint) {
-            return Err(Reason::Quarantined);
+        let quarantine = &mut state.quarantine;
+        match quarantine.judge(now, head.fingerprint, Duration::ZERO) {
+            Verdict::Allowed => Ok(offer),
+            Verdict::Trial
+                if trial.is_some_and(|ticket| quarantine.try_begin_trial(now, ticket)) =>
+            {
+                Ok(offer)
+            }
+            Verdict::Quarantined(_) | Verdict::Trial => Err(Reason::Quarantined),
         }
-        Ok(offer)
     }
 
-    /// Waits for a slot.
-    ///
-    /// # Errors
-    /// Returns the reason if the queue is full or no slot becomes free in time.
-    pub async fn acquire_slot(
-        &self,
-        ticket: Ticket,
-        deadline: Moment,
-        slots: u32,
-        limits: &Limits,
-    ) -> Result<Slot, Reason> {
-        let (sender, mut receiver) = oneshot::channel();
-        let mut slot = Slot {
+    /// Returns the guard of a request, which has no slot yet. If the request is a trial, dropping the
+    /// guard ends the trial.
+    #[must_use]
+    pub fn slot(&self, ticket: Ticket) -> Slot {
+        Slot {
             answered: false,
             gate: self.clone(),
             started: None,
             ticket,
-        };
-        {
-            let mut state = self.state();
-            state.queue.set_limits(slots, limits);
-            state.waiting.insert(ticket, sender);
-            let actions = state.queue.arrive(self.clock.now(), ticket, deadline);
-            state.apply(actions);
-        }
-        loop {
-            let decision = tokio::select! {
-                biased;
-                decision = &mut receiver => decision,
-                () = tokio::time::sleep(TICK_INTERVAL) => {
-                    self.tick();
-                    continue;
-                }
-            };
-            decision.unwrap_or(Err(Reason::Overloaded))?;
-            slot.started = Some(self.clock.now());
-            return Ok(slot);
         }
     }
 
@@ -164,11 +143,12 @@
         self.state().queue.load()
     }
 
-    /// Returns whether a request is quarantined. The call also renews its strikes.
+    /// Returns whether a request may run. The call also renews its strikes.
     #[must_use]
-    pub fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
+    pub fn judge(&self, fingerprint: Fingerprint) -> Verdict {
         let now = self.clock.now();
-        self.state().quarantine.check(now, fingerprint)
+        let mut state = self.state();
+        state.quarantine.judge(now, fingerprint, Duration::ZERO)
     }
 
     /// Returns the strikes against a request, if there are any.
@@ -228,6 +208,40 @@
 }
 
 impl Slot {
+    /// Waits for a slot.
+    ///
+    /// # Errors
+    /// Returns the reason if the queue is full or no slot becomes free in time.
+    pub async fn acquire(
+        &mut self,
+        deadline: Moment,
+        slots: u32,
+        limits: &Limits,
+    ) -> Result<(), Reason> {
+        let (sender, mut receiver) = oneshot::channel();
+        let now = self.gate.clock.now();
+        {
+            let mut state = self.gate.state();
+            state.queue.set_limits(slots, limits);
+            state.waiting.insert(self.ticket, sender);
+            let actions = state.queue.arrive(now, self.ticket, deadline);
+            state.apply(actions);
+        }
+        loop {
+            let decision = tokio::select! {
+                biased;
+                decision = &mut receiver => decision,
+                () = tokio::time::sleep(TICK_INTERVAL) => {
+                    self.gate.tick();
+                    continue;
+                }
+            };
+            decision.unwrap_or(Err(Reason::Overloaded))?;
+            self.started = Some(self.gate.clock.now());
+            return Ok(());
+        }
+    }
+
     /// Records that the request is sent to the upstream.
     pub fn record_sent(&self, fingerprint: Fingerprint) {
         let mut state = self.gate.state();
--- a/src/sidecar/forward.rs
+++ b/src/sidecar/forward.rs
@@ -21,7 +21,7 @@
     crate::{
         http1::{Body, Field},
         refusal::Reason,
-        traffic::quarantine::Fingerprint,
+        traffic::quarantine::{Fingerprint, Verdict},
         types::{Host, Moment, Permille, Service, Version},
     },
     attempt::AttemptGuard,
@@ -167,8 +167,17 @@
 impl Forwarder<'_> {
     async fn run(&mut self) -> Reply {
         loop {
-            let place = match self.choose() {
+            let (verdict, trial_host) = self.judge();
+            if let Verdict::Quarantined(after) = verdict {
+                self.retry_after = after;
+                return self.final_reply(Reason::Quarantined);
+            }
+            let chosen = self.choose(trial_host.as_ref());
+            let place = match chosen {
                 Ok(place) => place,
+                Err(_) if verdict == Verdict::Trial => {
+                    return self.final_reply(Reason::Quarantined);
+                }
                 Err(cause) => return self.unavailable_reply(cause),
             };
             self.attempts.hosts.push(place.host.clone());
@@ -187,23 +196,40 @@
         }
     }
 
-    fn choose(&self) -> Result<Choice, Unavailable> {
+    /// Returns whether the request may run, and the host for its next trial if it is quarantined.
+    fn judge(&self) -> (Verdict, Option<Host>) {
+        let upstream = &self.core.local_upstream;
+        if !upstream.has_strikes() {
+            return (Verdict::Allowed, None);
+        }
+        let fingerprint = Fingerprint::of_segments(
+            self.service.as_str(),
+            &self.call.method,
+            &self.call.target,
+            self.call.body.segments(),
+        );
+        local_upstream::judge(self.core, &self.service, fingerprint, &self.regions)
+    }
+
+    /// Chooses the upstream for the next attempt: that of `host` if it is given.
+    fn choose(&self, host: Option<&Host>) -> Result<Choice, Unavailable> {
         let now = self.core.now();
         let rollout = self.rollout();
         let mut load_balancer = self.core.load_balancer.borrow_mut();
         let mut choose = |version_filter| {
-            load_balancer.choose(
-                now,
-                load_balancer::Request {
-                    account: self.call.account_id(),
-                    tried: &self.attempts.hosts,
-                    regions: &self.regions,
-                    priority: self.call.priority(),
-                    service: &self.service,
-                    version_filter,
-                    worth_for: self.call.full_value_until.since(now),
-                },
-            )
+            let request = load_balancer::Request {
+                account: self.call.account_id(),
+                tried: &self.attempts.hosts,
+                regions: &self.regions,
+                priority: self.call.priority(),
+                service: &self.service,
+                version_filter,
+                worth_for: self.call.full_value_until.since(now),
+            };
+            match host {
+                Some(host) => load_balancer.choose_host(host, request),
+                None => load_balancer.choose(now, request),
+            }
         };
         let Some((version, share)) = rollout else {
             return choose(None);
@@ -298,6 +324,9 @@
             let by = (self.call.account_id(), self.call.priority());
             load_balancer.record_decline(now, &place.host, by, retry_after);
         }
+        if reason == Reason::Quarantined && !retry_after.is_zero() {
+            self.retry_after = Some(retry_after);
+        }
         if self.attempts.declines >= DECLINES_MAX || reason == Reason::Quarantined {
             return Next::Done(self.final_reply(reason));
         }
--- a/src/sidecar/load_balancer.rs
+++ b/src/sidecar/load_balancer.rs
@@ -22,10 +22,10 @@
 };
 
 use {
-    super::{fair_share::Requester, load_level::Levels, pace::Estimate},
+    super::{fair_share::Requester, load_level::Levels, pace::Estimate, regions::Restriction},
     crate::{
-        traffic::spill::Tier,
-        types::{Host, Moment, Permille, Service, Version},
+        traffic::{quarantine::Fingerprint, spill::Tier},
+        types::{Host, Moment, Permille, Region, Service, Version},
     },
     endpoint::{CROSS_DOMAIN_COST, Endpoint},
     rand::{SeedableRng, rngs::StdRng, seq::IndexedRandom},
@@ -208,6 +208,47 @@
         })
     }
 
+    /// Returns the host whose upstream trials of a quarantined request run at: the one with the highest hash of host and
+    /// request among those of the nearest region that has the service. All nodes of a region agree on it, as they are
+    /// connected to each other. `regions` are those in which the request may run.
+    #[must_use]
+    pub fn trial_host(
+        &self,
+        service: &Service,
+        fingerprint: Fingerprint,
+        regions: &Restriction,
+    ) -> Option<(&Host, &Region)> {
+        let is_remote = |endpoint: &Endpoint| endpoint.tier == Tier::Remote;
+        self.endpoints
+            .iter()
+            .filter(|(_, endpoint)| {
+                endpoint.offer.service == *service && regions.permits(&endpoint.region)
+            })
+            .max_by_key(|(host, endpoint)| (!is_remote(endpoint), fingerprint.rank(host.as_str())))
+            .map(|(host, endpoint)| (host, &endpoint.region))
+    }
+
+    /// Chooses a host for a request if it is eligible, as [`choose`](Self::choose) does among all.
+    ///
+    /// # Errors
+    /// Returns the reason if the upstream of the host can't be chosen.
+    pub fn choose_host(&mut self, host: &Host, request: Request) -> Result<Choice, Unavailable> {
+        let endpoint = self
+            .endpoints
+            .get_mut(host)
+            .filter(|endpoint| {
+                request
+                    .version_filter
+                    .is_none_or(|side| side.admits(&endpoint.offer.version))
+            })
+            .ok_or(Unavailable::NoUpstream)?;
+        endpoint.own_requests += 1;
+        Ok(Choice {
+            version: endpoint.offer.version.clone(),
+            host: host.clone(),
+        })
+    }
+
     /// Records the result of an attempt, and the load that the upstream's node reported with its answer.
     pub fn record_result(
         &mut self,
--- a/src/sidecar/local_upstream.rs
+++ b/src/sidecar/local_upstream.rs
@@ -7,9 +7,10 @@
 
 mod registration;
 mod serve;
+mod trial;
 mod warm_up;
 
-pub(super) use serve::serve;
+pub(super) use {serve::serve, trial::judge};
 
 use {
     super::{
@@ -22,14 +23,14 @@
         pace::Pace,
         queue::{Action, Queue},
         renewal::Renewal,
-        rollout::RolloutState,
+        rollout::{Phase, RolloutState},
         upstream_pool::Pool,
     },
     crate::{
         refusal::Reason,
         traffic::{
             admission::Ticket,
-            quarantine::{Crash, Quarantine, Strike},
+            quarantine::{Crash, Fingerprint, Quarantine, Strike},
         },
         types::{Moment, Service},
     },
@@ -50,6 +51,9 @@
 /// Time for which an upstream that refuses connections receives no requests, unless it announces itself earlier.
 const DOWN_PERIOD: Duration = Duration::from_secs(2);
 
+/// Maximum number of strikes that are logged for one crash.
+const LOGGED_STRIKES_MAX: usize = 8;
+
 /// Decision of the queue: the request may run, or it is declined with a reason and the time after which capacity is
 /// expected.
 type Decision = Result<(), (Reason, Duration)>;
@@ -179,6 +183,11 @@
         !self.running.borrow().is_empty()
     }
 
+    /// Returns whether this node knows of a request with strikes.
+    pub fn has_strikes(&self) -> bool {
+        !self.quarantine.borrow().is_empty()
+    }
+
     pub fn strikes(&self) -> Vec<Strike> {
         self.quarantine.borrow().strikes()
     }
@@ -191,15 +200,60 @@
     }
 
     /// Records a crash of the upstream as a strike against the requests that ran there, including those whose
-    /// callers had gone, and broadcasts the strikes.
+    /// callers had gone, and broadcasts the strikes. The end of an upstream of the old version after a successful rollout
+    /// is no crash: the platform stops it as soon as the rollout has succeeded.
     fn record_crash(&self, core: &Core) {
-        let crash = Crash(rand::random());
-        let strikes = self.quarantine.borrow_mut().record_crash(core.now(), crash);
+        let registration = self.registration.borrow();
+        if let Some(current) = registration.as_ref() {
+            self.record_crash_of(core, &current.last_announcement.offer);
+        }
+    }
+
+    /// Records a crash of the upstream with this offer as [`record_crash`](Self::record_crash) does.
+    fn record_crash_of(&self, core: &Core, offer: &Offer) {
+        if Self::is_replaced(core, offer) {
+            return;
+        }
+        let (now, crash) = (core.now(), Crash(rand::random()));
+        let strikes = self.quarantine.borrow_mut().record_crash(now, crash);
+        for strike in strikes.iter().take(LOGGED_STRIKES_MAX) {
+            core.log.record(
+                now,
+                "quarantine",
+                format_args!(
+                    "outcome=struck request={} crash={:016x} strikes={} repeated={} requests={}",
+                    strike.fingerprint,
+                    crash.0,
+                    strike.crashes.len(),
+                    strike.repeated.len(),
+                    strikes.len()
+                ),
+            );
+        }
         if !strikes.is_empty() {
             core.peers.broadcast(&Frame::Strikes(strikes));
         }
     }
 
+    /// Returns whether a rollout to another version than that of the upstream has succeeded.
+    fn is_replaced(core: &Core, offer: &Offer) -> bool {
+        let states = core.rollout_states.borrow();
+        let state = states.get(&offer.service);
+        state
+            .is_some_and(|state| state.phase == Phase::Succeeded && state.order.to != offer.version)
+    }
+
+    /// Returns whether a request that was admitted has been quarantined since.
+    fn quarantined_while_waiting(
+        &self,
+        now: Moment,
+        ticket: Ticket,
+        fingerprint: Fingerprint,
+    ) -> bool {
+        let mut quarantine = self.quarantine.borrow_mut();
+        !quarantine.is_trial(ticket) && quarantine.check(now, fingerprint)
+    }
+
     pub(super) fn decline_waiting(&self, core: &Core, outcome: Arguments) {
         core.log
             .record(core.now(), "upstream", format_args!("outcome={outcome}"));
--- a/src/sidecar/local_upstream/registration.rs
+++ b/src/sidecar/local_upstream/registration.rs
@@ -142,11 +142,11 @@
                 current.last_announcement.incarnation != announcement.incarnation
             });
             // An upstream that starts again without having left before has crashed.
-            let was_active = registration
+            let active = registration
                 .as_ref()
-                .is_some_and(|current| !current.is_draining());
-            if restarted && was_active {
-                self.record_crash(core);
+                .filter(|current| !current.is_draining());
+            if let Some(active) = active.filter(|_| restarted) {
+                self.record_crash_of(core, &active.last_announcement.offer);
             }
             if restarted {
                 self.forget_warm_up();
--- a/src/sidecar/local_upstream/serve.rs
+++ b/src/sidecar/local_upstream/serve.rs
@@ -5,7 +5,7 @@
 //! requests that ran there receive strikes.
 
 use {
-    super::{Running, warm_up::check_if_due},
+    super::{Running, trial, warm_up::check_if_due},
     crate::{
         http1::{self, Field},
         refusal::Reason,
@@ -57,6 +57,11 @@
             .borrow_mut()
             .finish(now, self.ticket, self.answered);
         if let Some(strike) = strike {
+            self.core.log.record(
+                now,
+                "quarantine",
+                format_args!("outcome=cleared request={}", strike.fingerprint),
+            );
             self.core.peers.broadcast(&Frame::Strikes(vec![strike]));
         }
         let mut queue = state.queue.borrow_mut();
@@ -98,11 +103,11 @@
         Ok(instance) => instance,
         Err(reason) => return decline(core, &request, arrived, reason, Duration::ZERO),
     };
-    if state.quarantine.borrow_mut().check(arrived, fingerprint) {
-        return decline(core, &request, arrived, Reason::Quarantined, Duration::ZERO);
-    }
     let ticket = Ticket(state.next_ticket.get());
     state.next_ticket.set(ticket.0 + 1);
+    if let Err(after) = trial::admit(core, &request, fingerprint, ticket) {
+        return decline(core, &request, arrived, Reason::Quarantined, after);
+    }
     let (sender, mut decision) = oneshot::channel();
     state.waiting.borrow_mut().insert(ticket, sender);
     let mut slot = Slot {
@@ -134,6 +139,10 @@
     if !core.permits_here(&request) {
         return decline(core, &request, arrived, Reason::Region, Duration::ZERO);
     }
+    // So may the strikes: the same request may have crashed another upstream.
+    if state.quarantined_while_waiting(core.now(), ticket, fingerprint) {
+        return decline(core, &request, arrived, Reason::Quarantined, Duration::ZERO);
+    }
     let started = begin_run(core, &request, ticket, fingerprint, arrived);
     let left = demand.deadline.since(started);
     let running = run(core, &request, &instance, left);
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -12,6 +12,7 @@
     },
     endpoint::{Endpoint, Id, Load, Policy},
     group::{Criteria, Group},
+    quarantine::Fingerprint,
     rand::{SeedableRng, rngs::StdRng},
     retry::{Attempt, Budget, Denial, Stage, Verdict},
     slotmap::SlotMap,
@@ -176,15 +177,19 @@
         let endpoint = Endpoint::new(now, host.clone(), offer.slots);
         let id = self.endpoints.insert(endpoint);
         self.ids.insert(host, id);
-        let tier = if record.contact.domain == self.domain {
+        let tier = self.tier_of(record);
+        let group = self.groups.entry(offer.version.clone()).or_default();
+        group.add(tier, id);
+    }
+
+    fn tier_of(&self, record: &Record) -> Tier {
+        if record.contact.domain == self.domain {
             Tier::Own
         } else if record.contact.region == self.region {
             Tier::Region
         } else {
             Tier::Remote
-        };
-        let group = self.groups.entry(offer.version.clone()).or_default();
-        group.add(tier, id);
+        }
     }
 
     /// Returns the membership record of a host, or `None` if the host is unknown.
@@ -252,6 +257,53 @@
         })
     }
 
+    /// Returns the host whose upstream trials of a quarantined request run at: the one that ranks
+    /// highest for the request among those of the service that accept new requests.
+    #[must_use]
+    pub fn trial_host(&self, service: &Service, fingerprint: Fingerprint) -> Option<&Host> {
+        self.hosts_of(service)
+            .filter(|record| record.state == State::Ready)
+            .map(|record| &record.contact.host)
+            .max_by_key(|host| fingerprint.rank(host.as_str()))
+    }
+
+    /// Chooses the upstream for a trial of a quarantined request and counts the attempt as in flight.
+    /// Requests that the route sends to another version than that of this upstream are not tried.
+    ///
+    /// # Errors
+    /// Returns the reason if there is no route or no such upstream; the request has then not run.
+    pub fn choose_trial(
+        &mut self,
+        now: Moment,
+        query: Query,
+        fingerprint: Fingerprint,
+    ) -> Result<Choice, Reason> {
+        let route = self.route(query.service, query.path)?;
+        let version = route
+            .choose_version(query.id)
+            .ok_or(Reason::NoRoute)?
+            .clone();
+        let host = self
+            .trial_host(query.service, fingerprint)
+            .filter(|host| !query.avoid.contains(host))
+            .cloned()
+            .ok_or(Reason::Quarantined)?;
+        let record = self.record(&host).ok_or(Reason::Quarantined)?;
+        let tier = self.tier_of(record);
+        let is_version = ready_offer(record).is_some_and(|offer| offer.version == version);
+        let id = self.ids.get(&host).copied();
+        let id = id.filter(|_| is_version).ok_or(Reason::Quarantined)?;
+        self.endpoints[id].begin();
+        Ok(Choice {
+            at: now,
+            host,
+            id,
+            route,
+            tier,
+            version,
+        })
+    }
+
     /// Records how an attempt ended, and the load that came back with the answer if there was one.
     pub fn finish(
         &mut self,
--- a/src/traffic/quarantine.rs
+++ b/src/traffic/quarantine.rs
@@ -1,7 +1,14 @@
 //! Quarantine of requests that crash upstreams, which would otherwise bring down one upstream after
 //! the other. When an upstream crashes, the requests that ran there get a strike; the second strike
 //! quarantines a request. A success clears the strikes, because a request that crashes upstreams
-//! does not succeed. See docs/design/requests.md.
+//! does not succeed.
+//!
+//! Upstreams also crash for reasons of their own, several at the same moment or one soon after the
+//! other, and then whatever ran on two of them is quarantined. As it does not run any more, nothing
+//! else would tell it from a request that does crash upstreams. So it runs again as a trial, alone
+//! and at one upstream of all: soon, unless it has crashed an upstream that it began to run at when
+//! another crash was known, and had not succeeded there before. The number of such repeated crashes,
+//! among which those of trials count, is bounded. See docs/design/requests.md.
 
 use {
     super::admission::Ticket,
@@ -16,6 +23,9 @@
 
 /// The number of strikes at which a request is refused.
 pub const STRIKES_MAX: usize = 2;
+/// The time from the last crash to a trial, by the number of repeated crashes. After more of them
+/// none is granted. The first one is about the time in which an upstream that crashed is back.
+pub const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(5), Duration::from_secs(60)];
 /// How long a strike counts after the request was last seen.
 pub const STRIKE_RETENTION: Duration = Duration::from_secs(3600);
 /// How long a request that was cancelled or late is assumed to run on at its upstream.
@@ -25,6 +35,8 @@
 const LINGERING_MAX: usize = 256;
 /// The maximum number of cleared strikes that are remembered per request.
 const CLEARED_MAX: usize = 8;
+/// The maximum number of requests that are remembered to have succeeded.
+const SUCCESSES_MAX: usize = 1024;
 /// The maximum number of requests with strikes that one node remembers.
 pub const ENTRIES_MAX: usize = 4096;
 
@@ -57,6 +69,22 @@
         }
         Self(hash.digest128())
     }
+
+    /// Returns the rank of a place for the trials of this request. The highest one among several is
+    /// the place of a trial, and all nodes that know the same places agree on it.
+    #[must_use]
+    pub fn rank(self, place: &str) -> u64 {
+        let mut hash = Xxh3::new();
+        hash.update(&self.0.to_le_bytes());
+        hash.update(place.as_bytes());
+        hash.digest()
+    }
+}
+
+impl std::fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
 }
 
 /// Identifies one crash of one upstream.
@@ -73,21 +101,49 @@
     pub crashes: Vec<Crash>,
     /// The fingerprint of the request.
     pub fingerprint: Fingerprint,
+    /// Those of the crashes that are repeated: of an upstream that began to run the request when
+    /// another crash was known.
+    pub repeated: Vec<Crash>,
 }
 
 #[derive(Debug)]
 struct Entry {
     cleared: Vec<Crash>,
     crashes: Vec<Crash>,
+    /// When this node last learned of a crash.
+    crashed: Moment,
     last_seen: Moment,
+    repeated: Vec<Crash>,
 }
 
 impl Entry {
+    fn new(now: Moment) -> Self {
+        Self {
+            cleared: Vec::new(),
+            crashes: Vec::new(),
+            crashed: now,
+            last_seen: now,
+            repeated: Vec::new(),
+        }
+    }
+
+    /// Returns when the next trial is due, or `None` if none is granted any more.
+    fn next_trial(&self) -> Option<Moment> {
+        let delay = TRIAL_DELAYS.get(self.repeated.len())?;
+        Some(self.crashed + *delay)
+    }
+
     fn is_quarantined(&self) -> bool {
         self.crashes.len() >= STRIKES_MAX
     }
 
-    fn merge(&mut self, strike: Strike) {
+    /// Merges a strike. Returns whether it contains a crash that was not known.
+    fn merge(&mut self, strike: Strike) -> bool {
+        let is_new = |crash: &Crash, known: &[Crash]| !known.contains(crash);
+        let has_crash = (strike.crashes.iter())
+            .any(|crash| is_new(crash, &self.crashes) && is_new(crash, &self.cleared))
+            || (strike.repeated.iter())
+                .any(|crash| is_new(crash, &self.repeated) && is_new(crash, &self.cleared));
         for crash in strike.cleared {
             if !self.cleared.contains(&crash) {
                 self.cleared.push(crash);
@@ -95,11 +151,17 @@
         }
         let excess = self.cleared.len().saturating_sub(CLEARED_MAX);
         self.cleared.drain(..excess);
-        self.crashes.extend(strike.crashes);
-        self.crashes.sort_unstable();
-        self.crashes.dedup();
-        self.crashes.retain(|crash| !self.cleared.contains(crash));
-        self.crashes.truncate(STRIKES_MAX);
+        let cleared = &self.cleared;
+        let join = |known: &mut Vec<Crash>, others: Vec<Crash>, max| {
+            known.extend(others);
+            known.sort_unstable();
+            known.dedup();
+            known.retain(|crash| !cleared.contains(crash));
+            known.truncate(max);
+        };
+        join(&mut self.crashes, strike.crashes, STRIKES_MAX);
+        join(&mut self.repeated, strike.repeated, TRIAL_DELAYS.len());
+        has_crash
     }
 }
 
@@ -107,13 +169,53 @@
 #[derive(Debug)]
 struct Lingering {
     ended: Moment,
-    fingerprint: Fingerprint,
+    run: Run,
 }
 
 #[derive(Debug)]
 struct Running {
     blamed: bool,
+    run: Run,
+}
+
+/// A run of a request at the upstream.
+#[derive(Debug, Clone, Copy)]
+struct Run {
     fingerprint: Fingerprint,
+    /// Whether it began when a crash was known, and the request had not succeeded here before.
+    is_repeat: bool,
+    is_trial: bool,
+}
+
+/// The requests that have succeeded at this upstream of late. A request takes the place of another
+/// one by chance, so that the memory is bounded and those that are sent often stay.
+#[derive(Debug, Default)]
+struct Successes(Vec<Option<Fingerprint>>);
+
+impl Successes {
+    fn place(fingerprint: Fingerprint) -> usize {
+        usize::try_from(fingerprint.0 % SUCCESSES_MAX as u128).unwrap_or_default()
+    }
+
+    fn insert(&mut self, fingerprint: Fingerprint) {
+        self.0.resize(SUCCESSES_MAX, None);
+        self.0[Self::place(fingerprint)] = Some(fingerprint);
+    }
+
+    fn contains(&self, fingerprint: Fingerprint) -> bool {
+        self.0.get(Self::place(fingerprint)) == Some(&Some(fingerprint))
+    }
+}
+
+/// Whether a request may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It may run.
+    Allowed,
+    /// It may not; the time is that until its next trial, if there is one.
+    Quarantined(Option<Duration>),
+    /// It may run as a trial, at the upstream that trials of it run at.
+    Trial,
 }
 
 /// The requests with strikes that one node knows of, and the requests that run at its upstream.
@@ -122,6 +224,9 @@
     disabled: bool,
     lingering: VecDeque<Lingering>,
     running: BTreeMap<Ticket, Running>,
+    successes: Successes,
+    /// The trial that was admitted, until it ends.
+    trial: Option<Ticket>,
     entries: HashMap<Fingerprint, Entry>,
 }
 
@@ -149,29 +254,90 @@
         entry.is_quarantined()
     }
 
+    /// Returns whether no request has strikes, so that none has to be looked up.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Records a request that is passed to the upstream.
     pub fn begin(&mut self, ticket: Ticket, fingerprint: Fingerprint) {
+        let is_trial = self.is_trial(ticket);
+        let is_known = self.is_struck(fingerprint) && !self.successes.contains(fingerprint);
         let running = Running {
             blamed: false,
-            fingerprint,
+            run: Run {
+                fingerprint,
+                is_repeat: is_trial || is_known,
+                is_trial,
+            },
         };
         self.running.insert(ticket, running);
     }
 
+    /// Returns whether a request may run, and renews its strikes like [`check`](Self::check). `stagger` is added to the time
+    /// before a trial, so that nodes that each take another upstream for the one of a trial do not begin one at the same
+    /// time.
+    pub fn judge(&mut self, now: Moment, fingerprint: Fingerprint, stagger: Duration) -> Verdict {
+        if !self.check(now, fingerprint) {
+            return Verdict::Allowed;
+        }
+        let entry = self.entries.get(&fingerprint);
+        let Some(due) = entry.and_then(Entry::next_trial) else {
+            return Verdict::Quarantined(None);
+        };
+        let left = (due + stagger).since(now);
+        if left.is_zero() {
+            Verdict::Trial
+        } else {
+            Verdict::Quarantined(Some(left))
+        }
+    }
+
+    /// Admits a request as a trial. Returns `false` while another one runs at this upstream, or may still run there.
+    pub fn try_begin_trial(&mut self, now: Moment, ticket: Ticket) -> bool {
+        let lingers = self
+            .lingering
+            .iter()
+            .any(|lingering| lingering.run.is_trial && now.since(lingering.ended) < LINGER_TIME);
+        if self.is_trial(ticket) {
+            return true;
+        }
+        if self.trial.is_some() || lingers {
+            return false;
+        }
+        self.trial = Some(ticket);
+        true
+    }
+
+    /// Returns whether a request was admitted as a trial.
+    #[must_use]
+    pub fn is_trial(&self, ticket: Ticket) -> bool {
+        self.trial == Some(ticket)
+    }
+
     /// Records the end of a request. Returns the update for other nodes if it clears strikes.
     pub fn finish(&mut self, now: Moment, ticket: Ticket, answered: bool) -> Option<Strike> {
+        self.trial.take_if(|trial| *trial == ticket);
         let running = self.running.remove(&ticket)?;
         if !answered {
             if !running.blamed {
-                self.add_lingering(now, running.fingerprint);
+                self.add_lingering(now, running.run);
             }
             return None;
         }
-        let entry = self.entries.get_mut(&running.fingerprint)?;
+        let fingerprint = running.run.fingerprint;
+        self.successes.insert(fingerprint);
+        let entry = self.entries.get_mut(&fingerprint)?;
+        let mut cleared = std::mem::take(&mut entry.crashes);
+        cleared.append(&mut entry.repeated);
+        cleared.sort_unstable();
+        cleared.dedup();
         let update = Strike {
-            cleared: std::mem::take(&mut entry.crashes),
+            cleared,
             crashes: Vec::new(),
-            fingerprint: running.fingerprint,
+            fingerprint,
+            repeated: Vec::new(),
         };
         entry.merge(update.clone());
         (!update.cleared.is_empty()).then_some(update)
@@ -184,18 +350,16 @@
         newest.is_some_and(|lingering| now.since(lingering.ended) < LINGER_TIME)
     }
 
-    fn add_lingering(&mut self, now: Moment, fingerprint: Fingerprint) {
+    fn add_lingering(&mut self, now: Moment, run: Run) {
         if self.lingering.len() >= LINGERING_MAX {
             self.lingering.pop_front();
         }
-        self.lingering.push_back(Lingering {
-            ended: now,
-            fingerprint,
-        });
+        self.lingering.push_back(Lingering { ended: now, run });
     }
 
     /// Removes a request that turned out not to have run.
     pub fn remove(&mut self, ticket: Ticket) {
+        self.trial.take_if(|trial| *trial == ticket);
         self.running.remove(&ticket);
     }
 
@@ -221,7 +385,8 @@
 
     /// Records that the upstream has crashed, and returns the resulting strikes. The crash is
     /// attributed to the requests that ran there and to those that ended without an answer shortly
-    /// before. If any of these already has a strike, only those with strikes get another.
+    /// before. If any of these was a trial, only that one gets a strike; otherwise, if any already
+    /// has a strike, only those with strikes get another.
     pub fn record_crash(&mut self, now: Moment, crash: Crash) -> Vec<Strike> {
         let lingering = std::mem::take(&mut self.lingering);
         if self.disabled {
@@ -230,31 +395,39 @@
         let lingering = lingering
             .into_iter()
             .filter(|lingering| now.since(lingering.ended) < LINGER_TIME)
-            .map(|lingering| lingering.fingerprint);
+            .map(|lingering| lingering.run);
         let running = self.running.values_mut().filter(|running| !running.blamed);
         let running = running.map(|running| {
             running.blamed = true;
-            running.fingerprint
+            running.run
         });
-        let mut blamed: Vec<Fingerprint> = running.chain(lingering).collect();
-        blamed.sort_unstable();
-        blamed.dedup();
+        let suspects: Vec<Run> = running.chain(lingering).collect();
+        let had_trial = suspects.iter().any(|run| run.is_trial);
+        let suspects = suspects
+            .into_iter()
+            .filter(|run| run.is_trial || !had_trial);
+        // Whether the runs of each request are all repeated.
+        let mut blamed: BTreeMap<Fingerprint, bool> = BTreeMap::new();
+        for run in suspects {
+            *blamed.entry(run.fingerprint).or_insert(true) &= run.is_repeat;
+        }
         if blamed
-            .iter()
+            .keys()
             .any(|fingerprint| self.is_struck(*fingerprint))
         {
-            blamed.retain(|fingerprint| self.is_struck(*fingerprint));
+            blamed.retain(|fingerprint, _| self.is_struck(*fingerprint));
         }
-        for fingerprint in &blamed {
+        for (fingerprint, is_repeated) in &blamed {
             let strike = Strike {
                 cleared: Vec::new(),
                 crashes: vec![crash],
                 fingerprint: *fingerprint,
+                repeated: is_repeated.then_some(crash).into_iter().collect(),
             };
             self.merge(now, strike);
         }
         blamed
-            .into_iter()
+            .into_keys()
             .filter_map(|fingerprint| self.strike(fingerprint))
             .collect()
     }
@@ -272,6 +445,7 @@
             cleared: entry.cleared.clone(),
             crashes: entry.crashes.clone(),
             fingerprint,
+            repeated: entry.repeated.clone(),
         })
     }
 
@@ -284,16 +458,20 @@
         if !known && self.entries.len() >= ENTRIES_MAX {
             self.evict_one();
         }
-        let entry = self.entries.entry(strike.fingerprint).or_insert(Entry {
-            cleared: Vec::new(),
-            crashes: Vec::new(),
-            last_seen: now,
-        });
+        let entry = self
+            .entries
+            .entry(strike.fingerprint)
+            .or_insert_with(|| Entry::new(now));
         entry.last_seen = now;
-        let count = |entry: &Entry| entry.cleared.len() + entry.crashes.len();
-        let before = (count(entry), entry.cleared.len());
-        entry.merge(strike);
-        before != (count(entry), entry.cleared.len())
+        let count = |entry: &Entry| {
+            let crashes = entry.crashes.len() + entry.repeated.len();
+            (crashes + entry.cleared.len(), entry.cleared.len())
+        };
+        let before = count(entry);
+        if entry.merge(strike) {
+            entry.crashed = now;
+        }
+        before != count(entry)
     }
 
     /// Removes the request with the fewest strikes, and among those the one seen least recently.
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -10,7 +10,9 @@
     mulberryshelf::{
         traffic::{
             admission::Ticket,
-            quarantine::{Crash, Fingerprint, Quarantine, STRIKE_RETENTION, Strike},
+            quarantine::{
+                Crash, Fingerprint, Quarantine, STRIKE_RETENTION, Strike, TRIAL_DELAYS, Verdict,
+            },
         },
         types::Moment,
     },
@@ -22,10 +24,16 @@
 const OTHER: Fingerprint = Fingerprint(2);
 
 fn strike(fingerprint: Fingerprint, crashes: &[u64]) -> Strike {
+    repeated_strike(fingerprint, crashes, &[])
+}
+
+fn repeated_strike(fingerprint: Fingerprint, crashes: &[u64], repeated: &[u64]) -> Strike {
+    let list = |ids: &[u64]| ids.iter().copied().map(Crash).collect();
     Strike {
         cleared: Vec::new(),
-        crashes: crashes.iter().copied().map(Crash).collect(),
+        crashes: list(crashes),
         fingerprint,
+        repeated: list(repeated),
     }
 }
 
@@ -66,7 +74,7 @@
     quarantine.begin(Ticket(1), POISON);
     quarantine.begin(Ticket(2), OTHER);
     let strikes = quarantine.record_crash_during(NOW, Crash(2), Ticket(2));
-    assert_eq!(strikes, [strike(POISON, &[1, 2])]);
+    assert_eq!(strikes, [repeated_strike(POISON, &[1, 2], &[2])]);
     assert_eq!(quarantine.record_crash_during(NOW, Crash(3), Ticket(1)), []);
     assert_eq!(quarantine.strike(OTHER), None);
 }
@@ -135,6 +143,93 @@
     );
 }
 
+/// The upstreams at which a request ran crashed at the same moment for a reason of their own. It was
+/// refused from then on, at all nodes, for as long as it was asked for.
+#[test]
+fn request_that_ran_where_upstreams_crashed_together_runs_again_soon() {
+    let mut elsewhere = Quarantine::default();
+    let mut quarantine = Quarantine::default();
+    for (ticket, node) in [(1, &mut quarantine), (2, &mut elsewhere)] {
+        node.begin(Ticket(ticket), OTHER);
+    }
+    for strike in elsewhere.record_crash(NOW, Crash(2)) {
+        quarantine.merge(NOW, strike);
+    }
+    quarantine.record_crash(NOW, Crash(1));
+    let left = Some(TRIAL_DELAYS[0]);
+    let judged = quarantine.judge(NOW, OTHER, Duration::ZERO);
+    assert_eq!(judged, Verdict::Quarantined(left));
+    let later = NOW + TRIAL_DELAYS[0];
+    assert_eq!(
+        quarantine.judge(later, OTHER, Duration::ZERO),
+        Verdict::Trial
+    );
+    assert!(quarantine.try_begin_trial(later, Ticket(3)));
+    assert!(!quarantine.try_begin_trial(later, Ticket(4)));
+    quarantine.begin(Ticket(3), OTHER);
+    let cleared = quarantine.finish(later, Ticket(3), true).unwrap();
+    for node in [&mut quarantine, &mut elsewhere] {
+        node.merge(later, cleared.clone());
+        assert_eq!(node.judge(later, OTHER, Duration::ZERO), Verdict::Allowed);
+    }
+}
+
+/// Of what ran on upstreams that crash together and soon after each other, a request that has succeeded
+/// there before is tried soon. One that is not known to have succeeded is tried late, once.
+#[test]
+fn request_that_has_never_succeeded_is_tried_late_and_once() {
+    let mut quarantine = Quarantine::default();
+    quarantine.begin(Ticket(1), OTHER);
+    quarantine.finish(NOW, Ticket(1), true);
+    for (number, fingerprint) in [(1, OTHER), (2, POISON)] {
+        quarantine.merge(NOW, strike(fingerprint, &[1]));
+        quarantine.begin(Ticket(10 + number), fingerprint);
+    }
+    quarantine.record_crash(NOW, Crash(2));
+    let judge = |quarantine: &mut Quarantine, after, fingerprint| {
+        quarantine.judge(NOW + after, fingerprint, Duration::ZERO)
+    };
+    let [soon, late] = TRIAL_DELAYS;
+    assert_eq!(judge(&mut quarantine, soon, OTHER), Verdict::Trial);
+    assert_eq!(
+        judge(&mut quarantine, soon, POISON),
+        Verdict::Quarantined(Some(late.saturating_sub(soon)))
+    );
+    assert_eq!(judge(&mut quarantine, late, POISON), Verdict::Trial);
+    let tried_at = NOW + late;
+    assert!(quarantine.try_begin_trial(tried_at, Ticket(20)));
+    quarantine.begin(Ticket(20), POISON);
+    quarantine.begin(Ticket(21), Fingerprint(3));
+    quarantine.record_crash(tried_at, Crash(3));
+    assert_eq!(
+        judge(&mut quarantine, late * 10, POISON),
+        Verdict::Quarantined(None)
+    );
+    // What ran beside a trial has no part in its crash.
+    assert_eq!(quarantine.strike(Fingerprint(3)), None);
+}
+
+/// A trial whose caller has gone may still run and crash its upstream, so no other one begins meanwhile,
+/// and its crash counts.
+#[test]
+fn cancelled_trial_counts_until_it_cannot_run_any_more() {
+    let mut quarantine = Quarantine::default();
+    quarantine.merge(NOW, strike(POISON, &[1, 2]));
+    let tried_at = NOW + TRIAL_DELAYS[0];
+    assert!(quarantine.try_begin_trial(tried_at, Ticket(1)));
+    quarantine.begin(Ticket(1), POISON);
+    quarantine.finish(tried_at, Ticket(1), false);
+    assert!(!quarantine.try_begin_trial(tried_at + Duration::from_secs(9), Ticket(2)));
+    quarantine.record_crash(tried_at + Duration::from_secs(9), Crash(3));
+    let strike = quarantine.strike(POISON).unwrap();
+    assert_eq!(strike.repeated, [Crash(3)]);
+    let declined = tried_at + Duration::from_secs(30);
+    assert!(quarantine.try_begin_trial(declined, Ticket(3)));
+    quarantine.finish(declined, Ticket(3), false);
+    // A trial that was never sent takes no one's place.
+    assert!(quarantine.try_begin_trial(declined, Ticket(4)));
+}
+
 fn crashed_upstreams(test: &TestMesh) -> usize {
     let hosts = test.hosts[1..].iter();
     hosts.filter(|host| host.upstream.is_dead()).count()
