Soak endpoints that crash together, and departures lost with all processes

It now kills all endpoints of a failure domain at once, and has an endpoint leave while the store refuses all calls, all nodes killed 0.5 s after that, and eight announcements arrive late, some of them after the store is back. Nodes of the soak have ports for renewals.

--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -50,6 +50,11 @@
 const NEW_VERSION: &str = "v2";
 /// Number of machines that run the new version during a rollout.
 const NEW_VERSION_MACHINES: usize = 2;
+/// Time from the acknowledgement of a departure until all nodes are killed, and until they start again.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
+/// Number of announcements that arrive after the departure that they precede, and the time between them.
+const LATE_ANNOUNCEMENTS: u32 = 8;
+const LATE_GAP: Duration = Duration::from_millis(150);
 /// Interval at which a wait checks its condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for which a machine counts as disturbed after a fault has ended, since the updates that it missed have to reach
@@ -99,12 +104,15 @@
         | Fault::Pause(index, _)
         | Fault::Reset(index)
         | Fault::Restart(index) => index..index + 1,
-        Fault::KillAll(_) | Fault::Restore { .. } | Fault::RestartAll(_) | Fault::Store(..) => {
-            0..count
-        }
+        Fault::KillAll(_)
+        | Fault::Leave(..)
+        | Fault::Restore { .. }
+        | Fault::RestartAll(_)
+        | Fault::Store(..) => 0..count,
         Fault::BackUp
         | Fault::Configure
         | Fault::Crash(..)
+        | Fault::CrashDomain(..)
         | Fault::Drain(_)
         | Fault::Hoard(..)
         | Fault::Misbehave(..)
@@ -120,16 +128,25 @@
         Fault::BackUp => *soak.backup.borrow_mut() = soak.fleet.store.back_up(),
         Fault::Configure => soak.configure(),
         Fault::Crash(index, time) => crash(&machines[index], time).await,
+        Fault::CrashDomain(index, time) => {
+            let domain = machines[index].endpoint.identity().domain;
+            let mut crashes = Vec::new();
+            for (index, machine) in machines.iter().enumerate() {
+                if machine.endpoint.identity().domain == domain {
+                    let soak = soak.clone();
+                    crashes.push(tokio::task::spawn_local(async move {
+                        crash(&soak.fleet.machines[index], time).await;
+                        Ok(())
+                    }));
+                }
+            }
+            join_all(crashes).await?;
+        }
         Fault::Drain(index) => drain_and_replace(soak, index).await,
         Fault::Hoard(index, time) => hoard(soak, index, time).await,
         Fault::Kill(index, time) => kill(soak, index, time).await?,
-        Fault::KillAll(time) => {
-            let all = (0..machines.len()).map(|index| {
-                let soak = soak.clone();
-                tokio::task::spawn_local(async move { kill(&soak, index, time).await })
-            });
-            join_all(all.collect()).await?;
-        }
+        Fault::KillAll(time) => kill_all(soak, time).await?,
+        Fault::Leave(index, time) => leave(soak, index, time).await?,
         Fault::Link(index, weather, time) => {
             machines[index].links.set(weather);
             tokio::time::sleep(time).await;
@@ -239,6 +256,50 @@
     Ok(())
 }
 
+async fn kill_all(soak: &Rc<Soak>, time: Duration) -> io::Result<()> {
+    let all = (0..soak.fleet.machines.len()).map(|index| {
+        let soak = soak.clone();
+        tokio::task::spawn_local(async move { kill(&soak, index, time).await })
+    });
+    join_all(all.collect()).await
+}
+
+/// Has the endpoint of a machine leave while the store is away, and kills all nodes. Announcements from before its departure
+/// arrive while the store is away, and after it is back. The endpoint serves on for this time, and is replaced.
+async fn leave(soak: &Rc<Soak>, index: usize, time: Duration) -> io::Result<()> {
+    let machine = &soak.fleet.machines[index];
+    if !try_claim(machine) {
+        return Ok(());
+    }
+    let version = machine.endpoint.identity().version;
+    soak.fleet.store.behave(Mode::Refuses);
+    machine.presence.set(None);
+    let acknowledged = machine.endpoint.leave(machine.control).await == Some(200);
+    let from = Instant::now() + DRAIN_TIME;
+    tokio::time::sleep(RESTART_DELAY).await;
+    kill_all(soak, RESTART_DELAY).await?;
+    for number in 0..LATE_ANNOUNCEMENTS {
+        tokio::time::sleep(LATE_GAP).await;
+        // The node may not listen yet.
+        let _ = machine
+            .endpoint
+            .announce_at(machine.control, Presence::Ready)
+            .await;
+        if number == LATE_ANNOUNCEMENTS / 2 {
+            soak.fleet.store.behave(Mode::Serves);
+        }
+    }
+    tokio::time::sleep(DRAIN_TIME + time).await;
+    machine.endpoint.kill();
+    if acknowledged {
+        record_closed(soak, index, from);
+    }
+    tokio::time::sleep(REPLACEMENT_DELAY).await;
+    machine.replace_endpoint(&version).await;
+    machine.changing.set(false);
+    Ok(())
+}
+
 async fn pause(soak: &Soak, index: usize, time: Duration) -> io::Result<()> {
     let (machine, from) = (&soak.fleet.machines[index], Instant::now());
     machine.signal(Signal::STOP)?;
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -42,6 +42,8 @@
 const CONTROL_PORT: u16 = 8144;
 const LINK_PORT: u16 = 8146;
 const METRICS_PORT: u16 = 7380;
+/// Ports from which a node takes one for renewals of announcements; the first and the last one.
+const RENEWAL_PORTS: (u16, u16) = (7381, 7395);
 /// Difference between the last bytes of the addresses of a machine's proxy and its node.
 const PROXY_ADDRESS_OFFSET: u8 = 128;
 
@@ -114,7 +116,7 @@
             "advertised": proxy_address, "control": node_address(CONTROL_PORT),
             "ready": node_address(CONTROL_PORT), "metrics": node_address(METRICS_PORT), "upstream": endpoint.address(),
             "store": store, "heartbeat_s": HEARTBEAT.as_secs_f64(), "grace_s": GRACE.as_secs_f64(),
-            "memory_mb": MEMORY_MB, "retries": { "ratio": 0.2, "extra": 60, "window_s": 10 },
+            "renewal_ports": { "first": RENEWAL_PORTS.0, "last": RENEWAL_PORTS.1 }, "memory_mb": MEMORY_MB, "retries": { "ratio": 0.2, "extra": 60, "window_s": 10 },
         });
         fs::write(
             ground.directory.join(format!("{name}.json")),
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -26,6 +26,9 @@
 const REWRITE_DELAY_MS_MAX: u64 = 500;
 /// Upper bound of the number of rows that others write then.
 const OTHER_ROWS_MAX: u64 = 30;
+/// Upper bound of the time for which the endpoints of a failure domain are down together, or an endpoint serves on after
+/// it has left.
+const TOGETHER_MS_MAX: u64 = 6000;
 /// Time that nodes which are asked to stop at one moment take to stop and start.
 const RESTART_TIME: Duration = Duration::from_secs(3);
 /// Time in which nodes read the store after a start, or write again what it has lost.
@@ -60,6 +63,8 @@
     Configure,
     /// The endpoint is killed, and restarted after this time.
     Crash(usize, Duration),
+    /// All endpoints of the machine's failure domain are killed at the same moment, and restarted after this time.
+    CrashDomain(usize, Duration),
     /// The endpoint drains and is replaced by another one.
     Drain(usize),
     /// Callers send large bodies to the node, stop just short of their ends and keep their connections open.
@@ -68,6 +73,9 @@
     Kill(usize, Duration),
     /// All nodes are killed, and restarted after this time.
     KillAll(Duration),
+    /// The endpoint leaves while the store is away and serves on for this time. All nodes are killed once that is
+    /// acknowledged, and announcements from before arrive late.
+    Leave(usize, Duration),
     /// The links to the node are delayed or silenced.
     Link(usize, Weather, Duration),
     /// The endpoint misbehaves.
@@ -173,6 +181,7 @@
         }
         if !planned {
             add_hoards(&mut steps, seed, length, machines);
+            add_losses(&mut steps, seed, length, machines);
         }
         steps.sort_by_key(|step| step.at);
         Self { planned, steps }
@@ -238,6 +247,27 @@
     }
 }
 
+/// Adds endpoints that crash together, and at times one that leaves right before all nodes are killed.
+fn add_losses(steps: &mut Vec<Step>, seed: u64, length: Duration, machines: usize) {
+    // Of its own, so that the other steps of a seed stay as they are.
+    let mut random = StdRng::seed_from_u64(seed.rotate_left(16) ^ u64::MAX);
+    let has_restores = steps
+        .iter()
+        .any(|step| matches!(step.fault, Fault::Restore { .. }));
+    for _ in 0..random.random_range(0..3) {
+        let machine = random.random_range(0..machines);
+        let time = Duration::from_millis(random.random_range(500..TOGETHER_MS_MAX));
+        let at = length.mul_f64(random.random_range(0.1..0.9));
+        // Nobody can know what the store has lost and no node remembers.
+        let fault = if random.random() || has_restores {
+            Fault::CrashDomain(machine, time)
+        } else {
+            Fault::Leave(machine, time)
+        };
+        steps.push(Step { at, fault });
+    }
+}
+
 /// Returns whether all nodes are down or restart so near this time that some knowledge may be neither in the store nor with
 /// any node: what both have lost, such as the end of a rollout, nobody can know.
 fn all_nodes_restart(steps: &[Step], from: Duration, until: Duration) -> bool {
