Settle by peers only if they have missed nothing, and test renewals

A peer that may have missed a departure and returns that the upstream leaves marked the node as informed, so that a late announcement of another start of the upstream would have been used. What such a peer says of leaving still holds; it settles nothing. The end of an upstream that has said that it leaves is no crash any more on the users' platform, as it is none at the product's own nodes.

--- a/src/sidecar/local_upstream.rs
+++ b/src/sidecar/local_upstream.rs
@@ -200,11 +200,14 @@
     }
 
     /// Records a crash of the upstream as a strike against the requests that ran there, including those whose
-    /// callers had gone, and broadcasts the strikes. The end of an upstream of the old version after a successful rollout
-    /// is no crash: the platform stops it as soon as the rollout has succeeded.
+    /// callers had gone, and broadcasts the strikes. The end of an upstream that is about to stop is no crash, nor is that of
+    /// the old version after a successful rollout: the platform stops it as soon as the rollout has succeeded.
     fn record_crash(&self, core: &Core) {
         let registration = self.registration.borrow();
-        if let Some(current) = registration.as_ref() {
+        if let Some(current) = registration
+            .as_ref()
+            .filter(|current| !current.is_draining())
+        {
             self.record_crash_of(core, &current.last_announcement.offer);
         }
     }
--- a/src/sidecar/local_upstream/registration.rs
+++ b/src/sidecar/local_upstream/registration.rs
@@ -31,8 +31,8 @@
 /// Source of an announcement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Origin {
-    /// A peer that has kept it since before this node restarted.
-    Peer,
+    /// A peer that has kept it since before this node restarted, and what it covers.
+    Peer(Coverage),
     /// The upstream itself.
     Upstream,
 }
@@ -50,6 +50,22 @@
     incarnation > unix_ms(now + CLOCK_JUMP_MAX)
 }
 
+/// Logs that a start of the upstream has announced itself for the first time.
+fn log_start(core: &Core, announcement: &Announcement) {
+    core.log.record(
+        core.now(),
+        "upstream",
+        format_args!(
+            "outcome=announced instance={} service={} version={} slots={} incarnation={}",
+            announcement.instance,
+            announcement.offer.service,
+            announcement.offer.version,
+            announcement.offer.slots,
+            announcement.incarnation
+        ),
+    );
+}
+
 impl LocalUpstream {
     /// Registers the upstream by its announcement, or updates the registration. Returns whether the offer to new
     /// requests has changed. Announcements that arrive late or out of order are ignored, and so is one that may have been
@@ -152,18 +168,7 @@
                 self.forget_warm_up();
                 self.pool.close_idle();
                 self.counts.borrow_mut().clear();
-                core.log.record(
-                    now,
-                    "upstream",
-                    format_args!(
-                        "outcome=announced instance={} service={} version={} slots={} incarnation={}",
-                        announcement.instance,
-                        announcement.offer.service,
-                        announcement.offer.version,
-                        announcement.offer.slots,
-                        announcement.incarnation
-                    ),
-                );
+                log_start(core, &announcement);
             }
             {
                 let mut queue = self.queue.borrow_mut();
@@ -177,7 +182,11 @@
                 current.last_announcement.incarnation == announcement.incarnation
                     && current.is_draining()
             });
-            if origin == Origin::Peer || !announcement.draining {
+            let is_settled = match origin {
+                Origin::Peer(coverage) => coverage == Coverage::Complete,
+                Origin::Upstream => !announcement.draining,
+            };
+            if is_settled {
                 self.renewal.settle();
             }
             if announcement.draining && !was_draining {
@@ -262,7 +271,7 @@
                 return false;
             }
         }
-        let changed = self.register(core, announcement, Origin::Peer);
+        let changed = self.register(core, announcement, Origin::Peer(coverage));
         if changed {
             core.log.record(
                 core.now(),
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -45,6 +45,7 @@
 mod refusal_history;
 #[path = "sidecar/regions.rs"]
 mod regions;
+mod renewal;
 #[path = "sidecar/retry_budget.rs"]
 mod retry_budget;
 #[path = "sidecar/rollout.rs"]
--- a/tests/sidecar/settings.rs
+++ b/tests/sidecar/settings.rs
@@ -6,6 +6,7 @@
         "callers": "127.0.0.1:1", "link": "127.0.0.1:2", "control": "127.0.0.1:3",
         "ready": "127.0.0.1:4", "metrics": "127.0.0.1:5", "upstream": "127.0.0.1:6",
         "store": "127.0.0.1:7", "heartbeat_s": 1.5, "grace_s": 6,
+        "renewal_ports": { "first": 7380, "last": 7395 },
         "retries": { "ratio": 0.2, "extra": 60, "window_s": 10 },
     });
     edit(&mut value);
@@ -23,6 +24,7 @@
     let faulty = settings_json(|value| {
         value["heartbeat_s"] = 0.into();
         value["retries"]["ratio"] = 11.into();
+        value["renewal_ports"]["last"] = 7379.into();
         value["grace_s"] = 0.into();
     });
     let fault = Settings::parse(&faulty).unwrap_err();
