--- a/src/sidecar/handle.rs
+++ b/src/sidecar/handle.rs
@@ -30,9 +30,9 @@
 }
 
 impl Announcement {
-    /// Returns the start of the upstream, as the time since the Unix epoch by the clock of its host.
+    /// Returns the time of the upstream's start since the Unix epoch, by the clock of its host.
     #[must_use]
-    pub fn started_after(&self) -> Duration {
+    pub fn start_since_epoch(&self) -> Duration {
         Duration::from_millis(self.incarnation)
     }
 }
--- a/src/sidecar/renewal.rs
+++ b/src/sidecar/renewal.rs
@@ -94,8 +94,8 @@
         announcement: &Announcement,
         arrival: Arrival,
     ) -> bool {
-        let age_at_start =
-            Duration::from_micros(self.started_at.0).saturating_sub(announcement.started_after());
+        let age_at_start = Duration::from_micros(self.started_at.0)
+            .saturating_sub(announcement.start_since_epoch());
         arrival == Arrival::Control
             && !announcement.draining
             && !self.is_settled.get()
--- a/src/traffic/quarantine.rs
+++ b/src/traffic/quarantine.rs
@@ -8,7 +8,8 @@
 //! else would tell it from a request that does crash upstreams. So it runs again as a trial, alone
 //! and at one upstream of all: soon, unless it has crashed an upstream that it began to run at when
 //! another crash was known, and had not succeeded there before. The number of such repeated crashes,
-//! among which those of trials count, is bounded. See docs/design/requests.md.
+//! among which those of trials count, is bounded. See docs/design/requests.md and
+//! docs/design/quarantine.md.
 
 use {
     super::admission::Ticket,
@@ -139,11 +140,12 @@
 
     /// Merges a strike. Returns whether it contains a crash that was not known.
     fn merge(&mut self, strike: Strike) -> bool {
-        let is_new = |crash: &Crash, known: &[Crash]| !known.contains(crash);
-        let has_crash = (strike.crashes.iter())
-            .any(|crash| is_new(crash, &self.crashes) && is_new(crash, &self.cleared))
-            || (strike.repeated.iter())
-                .any(|crash| is_new(crash, &self.repeated) && is_new(crash, &self.cleared));
+        let has_new = |crashes: &[Crash], known: &[Crash]| {
+            let mut crashes = crashes.iter();
+            crashes.any(|crash| !known.contains(crash) && !self.cleared.contains(crash))
+        };
+        let has_crash =
+            has_new(&strike.crashes, &self.crashes) || has_new(&strike.repeated, &self.repeated);
         for crash in strike.cleared {
             if !self.cleared.contains(&crash) {
                 self.cleared.push(crash);
@@ -275,9 +277,9 @@
         self.running.insert(ticket, running);
     }
 
-    /// Returns whether a request may run, and renews its strikes like [`check`](Self::check). `stagger` is added to the time
-    /// before a trial, so that nodes that each take another upstream for the one of a trial do not begin one at the same
-    /// time.
+    /// Returns whether a request may run, and renews its strikes like [`check`](Self::check).
+    /// `stagger` is added to the time before a trial, so that nodes that each take another upstream
+    /// for the one of a trial do not begin one at the same time.
     pub fn judge(&mut self, now: Moment, fingerprint: Fingerprint, stagger: Duration) -> Verdict {
         if !self.check(now, fingerprint) {
             return Verdict::Allowed;
@@ -294,20 +296,16 @@
         }
     }
 
-    /// Admits a request as a trial. Returns `false` while another one runs at this upstream, or may still run there.
+    /// Admits a request as a trial. Returns `false` while another one runs at this upstream, or may
+    /// still run there.
     pub fn try_begin_trial(&mut self, now: Moment, ticket: Ticket) -> bool {
-        let lingers = self
-            .lingering
-            .iter()
+        let mut lingering = self.lingering.iter();
+        let lingers = lingering
             .any(|lingering| lingering.run.is_trial && now.since(lingering.ended) < LINGER_TIME);
-        if self.is_trial(ticket) {
-            return true;
-        }
-        if self.trial.is_some() || lingers {
-            return false;
+        if self.trial.is_none() && !lingers {
+            self.trial = Some(ticket);
         }
-        self.trial = Some(ticket);
-        true
+        self.is_trial(ticket)
     }
 
     /// Returns whether a request was admitted as a trial.
