Look for the host of a trial only if one is due

The node of an upstream looked through all nodes of the mesh, under the router's lock, for each request that reached it, though the result only matters for a quarantined request whose trial is due. It asks the quarantine first now, which is a lookup by hash. Decisions stay as they are.

--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -14,7 +14,7 @@
         member::Offer,
         refusal::Reason,
         resource::Limits,
-        traffic::endpoint::Load,
+        traffic::{endpoint::Load, quarantine::Verdict},
         types::{Moment, Service},
         wire::{Answer, Failure, Part, Refusal, Request as Head},
     },
@@ -117,10 +117,11 @@
     }
     let not_run = Failure::NotRun;
     let ticket = proxy.next_ticket();
-    let trial = Some(ticket).filter(|_| {
+    let is_trial = proxy.gate.judge(head.fingerprint) == Verdict::Trial && {
         let router = proxy.router();
         router.trial_host(&head.service, head.fingerprint) == Some(&proxy.host)
-    });
+    };
+    let trial = is_trial.then_some(ticket);
     let mut slot = proxy.gate.slot(ticket);
     let offer = proxy.gate.check(&head, trial).map_err(not_run)?;
     let limits = limits(proxy, &head);
