--- a/review/standin-3/odd_report.rs
+++ b/review/standin-3/odd_report.rs
@@ -1,5 +1,6 @@
-//! An endpoint says that it leaves, and its node acknowledges that. Then a liveness report of another writer arrives, in
-//! which fields are missing. The endpoint must not be used again.
+//! An endpoint says that it leaves, and its node acknowledges that. The endpoint must not be used again, whatever odd
+//! liveness report of another writer arrives: `missing`, after the acknowledgement, one in which fields are missing, or
+//! `large`, before it, one with a number that is too large.
 
 mod common;
 
@@ -27,7 +28,11 @@
 }
 
 fn run() -> i32 {
-    let path = std::env::args().nth(1).unwrap_or("record.txt".into());
+    let mut arguments = std::env::args().skip(1);
+    let (Some(kind), Some(path)) = (arguments.next(), arguments.next()) else {
+        eprintln!("usage: odd_report missing|large RECORD");
+        return 2;
+    };
     let record = Record::new();
     let folder = Folder::new();
     let store = Store::start();
@@ -84,8 +89,26 @@
 
     let leaving = &machines[0];
     let endpoint = &leaving.endpoint;
-    endpoint.reporting.store(false, Ordering::SeqCst);
+    let odd = |what: &str, body: String| {
+        let answer = put_report(leaving.control, &endpoint.instance, &body);
+        let status = answer.map(|answer| answer.status());
+        record.note(format!(
+            "odd      report of another writer {what}; answer {status:?}: {body}"
+        ));
+    };
+    let (address, born) = (endpoint.address, endpoint.born);
+    if trouble() && kind == "large" {
+        odd(
+            "with a sequence that is too large",
+            format!(
+                "{{\"service\":\"desk\",\"address\":\"{address}\",\"zone\":\"za\",\"version\":\"v1\",\"slots\":12,\
+                 \"state\":\"ready\",\"cold_remaining_s\":0,\"sequence\":18446744073709551615,\"born\":{born}}}"
+            ),
+        );
+    }
+    thread::sleep(Duration::from_secs(1));
     endpoint.draining.store(true, Ordering::SeqCst);
+    endpoint.reporting.store(kind == "large", Ordering::SeqCst);
     let status = endpoint.report(leaving.control);
     let acknowledged = record.now();
     record.note(format!(
@@ -97,15 +120,15 @@
         return 2;
     }
     thread::sleep(Duration::from_millis(500));
-    if trouble() {
-        let body = format!(
-            "{{\"service\":\"desk\",\"address\":\"{}\",\"version\":\"v1\",\"slots\":12,\"state\":\"ready\",\"sequence\":1,\"born\":{}}}",
-            endpoint.address,
-            unix_ms()
+    if trouble() && kind == "missing" {
+        odd(
+            "without zone and cold_remaining_s",
+            format!(
+                "{{\"service\":\"desk\",\"address\":\"{address}\",\"version\":\"v1\",\"slots\":12,\"state\":\"ready\",\
+                 \"sequence\":1,\"born\":{}}}",
+                unix_ms()
+            ),
         );
-        let answer = put_report(leaving.control, &endpoint.instance, &body);
-        let status = answer.map(|answer| answer.status());
-        record.note(format!("odd      report of another writer without zone and cold_remaining_s; answer {status:?}: {body}"));
     }
     thread::sleep(SERVES_ON);
     record.note(format!("end      {} exits", endpoint.instance));
