Review: a report with another service's name makes an endpoint run foreign requests

Cause: nothing compares the service of a liveness report with the settings of the node, and reports with missing fields are used.

--- a/review/standin-3/common.rs
+++ b/review/standin-3/common.rs
@@ -718,7 +718,7 @@
                 200
             };
             let fields = format!("X-Request-Id: {id}\r\nX-Response-Signature: s.{id}\r\n");
-            let body = format!("{} {id}", self.instance);
+            let body = format!("{} {} {id}", self.service, self.instance);
             if writer
                 .write_all(&answer(status, &fields, body.as_bytes()))
                 .is_err()
