Review: number the cases by gravity again

Cause: a case with no doubt about its disruption is added before them. Change: review/11 to review/13 are now review/12 to review/14; their contents are the same.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,7 +4,7 @@
 cd "$here/../.." || exit 2
 [ -x target/review-3/odd_report ] || { echo "run review/build-3.sh first" >&2; exit 2; }
 [ -x target/release/mulberry-sidecar ] || { echo "build the programs of the deploy file first" >&2; exit 2; }
-target/review-3/odd_report large "$here/record.txt"
+target/review-3/odd_report missing "$here/record.txt"
 status=$?
 [ $status -le 1 ] || exit 2
 exit $status
