Review: uploads stranded by a machine that loses power are never given up

Cause: a connection that was replaced by a newer one to the same node is not pinged, so the room that its bodies have taken in the receiver's budget is never returned.

--- a/review/standin-3/common.rs
+++ b/review/standin-3/common.rs
@@ -543,16 +543,21 @@
     String::from_utf8_lossy(&bytes).into()
 }
 
-/// A route of the configuration: its name, which is also its prefix, its type and its service.
-pub struct Route(pub &'static str, pub &'static str, pub &'static str);
+/// A route of the configuration: its name, which is also its prefix, its type, its service and its time-out in seconds.
+pub struct Route(
+    pub &'static str,
+    pub &'static str,
+    pub &'static str,
+    pub f64,
+);
 
 pub fn configuration(number: u32, routes: &[Route]) -> String {
     let mut resources = Vec::new();
     let mut services = Vec::new();
-    for Route(name, kind, service) in routes {
+    for Route(name, kind, service, timeout) in routes {
         resources.push(format!(
             "{{\"resource_type\":\"routes\",\"metadata\":{{\"name\":\"{name}\"}},\"spec\":{{\"hostname\":\"desk.example\",\
-             \"prefix\":\"/{name}/\",\"type\":\"{kind}\",\"timeout_s\":1.5,\"target_latency_s\":0.6,\"priority\":1,\
+             \"prefix\":\"/{name}/\",\"type\":\"{kind}\",\"timeout_s\":{timeout},\"target_latency_s\":0.6,\"priority\":1,\
              \"service\":\"{service}\",\"max_attempts\":2}}}}"
         ));
         if !services.contains(service) {
@@ -567,7 +572,7 @@
     }
     resources.push(
         "{\"resource_type\":\"limits\",\"metadata\":{},\"spec\":{\"max_header_bytes\":16384,\
-         \"max_body_bytes\":1048576,\"header_timeout_s\":3,\"idle_timeout_s\":15}}"
+         \"max_body_bytes\":67108864,\"header_timeout_s\":3,\"idle_timeout_s\":15}}"
             .into(),
     );
     format!(
@@ -824,14 +829,18 @@
         zone: &str,
         region: &str,
         endpoint: Arc<Endpoint>,
+        advertised: Option<SocketAddr>,
     ) -> Self {
         let ip = endpoint.address.ip();
         let [link, callers, ready, control, metrics] =
             [8146, 8147, 8141, 8144, 7380].map(|port| SocketAddr::new(ip, port));
+        let advertised = advertised.map_or(String::new(), |address| {
+            format!("\"advertised\":\"{address}\",")
+        });
         let settings = folder.join(format!("{name}.json"));
         let text = format!(
             "{{\"host\":\"{name}\",\"domain\":\"{zone}\",\"region\":\"{region}\",\"service\":\"{}\",\"callers\":\"{callers}\",\
-             \"link\":\"{link}\",\"control\":\"{control}\",\"ready\":\"{ready}\",\"metrics\":\"{metrics}\",\
+             \"link\":\"{link}\",{advertised}\"control\":\"{control}\",\"ready\":\"{ready}\",\"metrics\":\"{metrics}\",\
              \"upstream\":\"{}\",\"store\":\"{}\",\"regions\":[\"ra\",\"rb\"],\"memory_mb\":260,\"descriptors_max\":4100,\
              \"renewal_ports\":{{\"first\":7380,\"last\":7395}},\"heartbeat_s\":1.5,\"grace_s\":6,\
              \"retries\":{{\"ratio\":0.2,\"extra\":60,\"window_s\":10}}}}",
@@ -931,6 +940,134 @@
     }
 }
 
+// --- The network between two regions ----------------------------------------------------------------------------------
+
+/// One direction of the link between two regions, shared by all connections.
+#[derive(Clone)]
+pub struct Direction {
+    bits_per_second: f64,
+    delay: Duration,
+    free_at: Arc<Mutex<Instant>>,
+}
+
+impl Direction {
+    pub fn new(bits_per_second: f64, delay: Duration) -> Self {
+        Self {
+            bits_per_second,
+            delay,
+            free_at: Arc::new(Mutex::new(Instant::now())),
+        }
+    }
+
+    /// Returns when bytes that are sent now arrive.
+    fn arrival(&self, bytes: usize) -> Instant {
+        let mut free_at = self.free_at.lock().unwrap();
+        let sending = Duration::from_secs_f64(bytes as f64 * 8.0 / self.bits_per_second);
+        *free_at = (*free_at).max(Instant::now()) + sending;
+        *free_at + self.delay
+    }
+}
+
+/// Passes the connections to a machine on, with the delay and the rate of the link between the regions.
+#[derive(Clone)]
+pub struct Proxy {
+    /// Connections opened up to this number carry nothing any more, and stay open.
+    silent_up_to: Arc<AtomicU64>,
+    opened: Arc<AtomicU64>,
+    /// Whether the machine has no power, so that new connections to it get no response.
+    dark: Arc<AtomicBool>,
+}
+
+impl Proxy {
+    pub fn start(
+        listen: SocketAddr,
+        target: SocketAddr,
+        there: Direction,
+        back: Direction,
+    ) -> Self {
+        let proxy = Self {
+            silent_up_to: Arc::default(),
+            opened: Arc::new(AtomicU64::new(0)),
+            dark: Arc::default(),
+        };
+        let listener =
+            TcpListener::bind(listen).unwrap_or_else(|_| give_up("the proxy's port is taken"));
+        let accepting = proxy.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let number = accepting.opened.fetch_add(1, Ordering::SeqCst) + 1;
+                if accepting.dark.load(Ordering::SeqCst) {
+                    accepting.silent_up_to.fetch_max(number, Ordering::SeqCst);
+                    // Nothing answers, and the connection stays open.
+                    std::mem::forget(stream);
+                    continue;
+                }
+                let Ok(server) = TcpStream::connect(target) else {
+                    continue;
+                };
+                let _ = (stream.set_nodelay(true), server.set_nodelay(true));
+                let (Ok(client), Ok(other)) = (stream.try_clone(), server.try_clone()) else {
+                    continue;
+                };
+                accepting.pass(number, client, server, there.clone());
+                accepting.pass(number, other, stream, back.clone());
+            }
+        });
+        proxy
+    }
+
+    /// Ends all that open connections carry, in both directions, without closing them.
+    pub fn silence(&self) {
+        let opened = self.opened.load(Ordering::SeqCst);
+        self.silent_up_to.fetch_max(opened, Ordering::SeqCst);
+    }
+
+    pub fn set_dark(&self, is_dark: bool) {
+        self.dark.store(is_dark, Ordering::SeqCst);
+    }
+
+    fn is_silent(&self, number: u64) -> bool {
+        number <= self.silent_up_to.load(Ordering::SeqCst)
+    }
+
+    fn pass(&self, number: u64, mut from: TcpStream, mut to: TcpStream, direction: Direction) {
+        let (sender, receiver) = std::sync::mpsc::sync_channel::<(Instant, Vec<u8>)>(32);
+        let proxy = self.clone();
+        thread::spawn(move || {
+            let mut buffer = vec![0; 8 * 1024];
+            loop {
+                let read = from.read(&mut buffer).unwrap_or(0);
+                if proxy.is_silent(number) {
+                    std::mem::forget((from, sender));
+                    return;
+                }
+                let arrival = direction.arrival(read.max(1));
+                let part = buffer[..read].to_vec();
+                if sender.send((arrival, part)).is_err() || read == 0 {
+                    return;
+                }
+            }
+        });
+        let proxy = self.clone();
+        thread::spawn(move || {
+            while let Ok((arrival, part)) = receiver.recv() {
+                thread::sleep(arrival.saturating_duration_since(Instant::now()));
+                if proxy.is_silent(number) {
+                    std::mem::forget((to, receiver));
+                    return;
+                }
+                if part.is_empty() || to.write_all(&part).is_err() {
+                    let _ = to.shutdown(std::net::Shutdown::Both);
+                    return;
+                }
+            }
+            if proxy.is_silent(number) {
+                std::mem::forget(to);
+            }
+        });
+    }
+}
+
 // --- Clients ------------------------------------------------------------------------------------------------------
 
 /// Answer that a client has received; the status is 0 if the connection ended first.
@@ -941,38 +1078,68 @@
     pub answered: f64,
     pub status: u16,
     pub body: String,
-    pub signed: bool,
+    pub retry_after: f64,
 }
 
-/// Sends one request on a connection of its own and waits for its answer.
-pub fn request(
+/// Sends one request on a connection of its own and waits for its answer. `None` if nothing listens.
+pub fn send(
     record: &Record,
     machine: SocketAddr,
     method: &str,
     target: &str,
     id: &str,
-) -> Reply {
+    body: &[u8],
+    deadline: Duration,
+) -> Option<Reply> {
+    let mut stream = TcpStream::connect_timeout(&machine, Duration::from_secs(1)).ok()?;
+    let limit = deadline + Duration::from_millis(500);
+    stream.set_read_timeout(Some(limit)).ok()?;
+    stream.set_write_timeout(Some(limit)).ok()?;
     let sent = record.now();
-    record.note(format!("send     {id} {method} {target}"));
+    record.note(format!(
+        "send     {id} {method} {target} {} bytes",
+        body.len()
+    ));
     let length = if method == "GET" {
-        ""
+        String::new()
     } else {
-        "Content-Length: 0\r\n"
+        format!("Content-Length: {}\r\n", body.len())
     };
-    let text = format!(
-        "{method} {target} HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 2500\r\n{length}\r\n"
+    let head = format!(
+        "{method} {target} HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {}\r\n{length}\r\n",
+        deadline.as_millis()
     );
-    let message = call(machine, text.as_bytes(), Duration::from_millis(2500)).unwrap_or_default();
+    // An answer may come before all of the body is sent.
+    let _ = stream
+        .write_all(head.as_bytes())
+        .and_then(|()| stream.write_all(body));
+    let message = read_message(&mut BufReader::new(stream)).unwrap_or_default();
     let body = String::from_utf8_lossy(&message.body).into_owned();
     record.note(format!("answer   {id} {} {body}", message.status()));
-    Reply {
+    let retry_after = message
+        .field("retry-after")
+        .and_then(|text| text.parse().ok());
+    Some(Reply {
         id: id.into(),
         sent,
         answered: record.now(),
         status: message.status(),
         body,
-        signed: message.field("x-response-signature").is_some(),
-    }
+        retry_after: retry_after.unwrap_or(0.0),
+    })
+}
+
+/// Sends a request without a body, as [`send`] does, to a machine that listens.
+pub fn request(
+    record: &Record,
+    machine: SocketAddr,
+    method: &str,
+    target: &str,
+    id: &str,
+) -> Reply {
+    let deadline = Duration::from_millis(2500);
+    send(record, machine, method, target, id, b"", deadline)
+        .unwrap_or_else(|| give_up("a node does not listen"))
 }
 
 /// Whether the script is to cause the trouble.
--- a/review/standin-3/foreign_report.rs
+++ b/review/standin-3/foreign_report.rs
@@ -33,9 +33,9 @@
     let folder = Folder::new();
     let store = Store::start();
     let routes = [
-        Route("status", "safe", "desk"),
-        Route("board", "safe", "hub"),
-        Route("crew", "unsafe", "hub"),
+        Route("status", "safe", "desk", 1.5),
+        Route("board", "safe", "hub", 1.5),
+        Route("crew", "unsafe", "hub", 1.5),
     ];
     store.put("op", "config", &configuration(1, &routes));
     let machines: Vec<Machine> = [(1, "desk"), (2, "desk"), (3, "hub"), (4, "hub")]
@@ -49,7 +49,7 @@
                 "v1",
             );
             let (name, zone) = (format!("sidecar-{number}"), format!("z{}", number % 2));
-            Machine::start(&folder.0, &store, &name, &zone, "ra", endpoint)
+            Machine::start(&folder.0, &store, &name, &zone, "ra", endpoint, None)
         })
         .collect();
     if !wait_until(Duration::from_secs(10), || {
--- a/review/standin-3/odd_report.rs
+++ b/review/standin-3/odd_report.rs
@@ -37,8 +37,8 @@
     let folder = Folder::new();
     let store = Store::start();
     let routes = [
-        Route("status", "safe", "desk"),
-        Route("reserve", "unsafe", "desk"),
+        Route("status", "safe", "desk", 1.5),
+        Route("reserve", "unsafe", "desk", 1.5),
     ];
     store.put("op", "config", &configuration(1, &routes));
     let machines: Vec<Machine> = (1..=3)
@@ -51,7 +51,7 @@
                 "v1",
             );
             let (name, zone) = (format!("sidecar-{number}"), format!("z{number}"));
-            Machine::start(&folder.0, &store, &name, &zone, "ra", endpoint)
+            Machine::start(&folder.0, &store, &name, &zone, "ra", endpoint, None)
         })
         .collect();
     if !wait_until(Duration::from_secs(10), || {
