Refuse announcements of another service than the host's

With a service that nobody calls, a live endpoint got no request any more.

Cause: a node compared only the address of a report with its settings, not the service. The log of the node shows it: `upstream outcome=announced ... service=hub` at a node that started with service=desk.

Change: the service has to be the one that the settings name when a start of the upstream first announces itself, and the same start keeps it.

--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -54,6 +54,6 @@
 mod upstream_pool;
 
 pub use {
-    handle::{Announcement, Handle},
+    handle::{Announcement, Handle, Refusal},
     node::Node,
 };
--- a/src/sidecar/handle.rs
+++ b/src/sidecar/handle.rs
@@ -9,7 +9,7 @@
         renewal::{ANNOUNCEMENT_DELAY_MAX, Arrival, Next},
         settings::{Error, Settings},
     },
-    crate::types::Moment,
+    crate::types::{Moment, Service},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, path::Path, rc::Rc, time::Duration},
 };
@@ -35,6 +35,26 @@
     pub fn start_since_epoch(&self) -> Duration {
         Duration::from_millis(self.incarnation)
     }
+
+    /// Returns whether both are of the same start of an upstream.
+    #[must_use]
+    pub fn is_same_start(&self, other: &Self) -> bool {
+        self.incarnation == other.incarnation && self.instance == other.instance
+    }
+}
+
+/// Reason why an announcement is refused. It is not the upstream's own then, and changes nothing. See
+/// docs/design/announcements.md.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    /// It names another service than the settings, or than the upstream when it started.
+    #[error("the upstream of this host is of the service {expected}, not {claimed}")]
+    Service {
+        /// Service that the announcement names.
+        claimed: Service,
+        /// Service that it would have to name.
+        expected: Service,
+    },
 }
 
 /// Handle of a running node.
@@ -57,8 +77,16 @@
     /// Applies an announcement of the upstream on this host. It is in force here when this returns, and that an upstream
     /// leaves is recorded in the store if the store answers in time, so that an acknowledgement is never sent before that.
     /// Returns where the upstream should announce itself next.
-    pub async fn announce(&self, announcement: Announcement, arrival: Arrival) -> Next {
+    ///
+    /// # Errors
+    /// Returns the reason if the announcement is not of the upstream that the settings name. It has changed nothing then.
+    pub async fn announce(
+        &self,
+        announcement: Announcement,
+        arrival: Arrival,
+    ) -> Result<Next, Refusal> {
         let upstream = &self.core.local_upstream;
+        upstream.check_claim(&self.core, &announcement)?;
         let (leaves, instance) = (announcement.draining, announcement.instance.clone());
         if upstream.announce(&self.core, announcement, arrival) {
             self.core.broadcast_status();
@@ -66,9 +94,8 @@
         if leaves {
             self.wait_departure_settled(&instance).await;
         }
-        upstream
-            .renewal
-            .next(arrival, upstream.is_announcement_kept())
+        let is_kept = upstream.is_announcement_kept();
+        Ok(upstream.renewal.next(arrival, is_kept))
     }
 
     /// Returns the address to listen at for renewals of announcements, and the time for which it is needed; `None` if the
--- a/src/sidecar/local_upstream/registration.rs
+++ b/src/sidecar/local_upstream/registration.rs
@@ -7,11 +7,11 @@
         sidecar::{
             departure::{Departure, unix_ms},
             frame::Coverage,
-            handle::Announcement,
+            handle::{Announcement, Refusal},
             node::Core,
             renewal::Arrival,
         },
-        types::{Host, Moment},
+        types::{Host, Moment, Service},
     },
     std::time::Duration,
 };
@@ -67,6 +67,37 @@
 }
 
 impl LocalUpstream {
+    /// Checks that an announcement is of the service of this host's upstream. The settings name it when a start of the
+    /// upstream first announces itself; that start keeps it then, also when the settings change.
+    ///
+    /// # Errors
+    /// Returns the refusal of an announcement of another service, which comes from another writer.
+    pub fn check_claim(&self, core: &Core, announcement: &Announcement) -> Result<(), Refusal> {
+        let claimed = &announcement.offer.service;
+        let expected = self
+            .service_of_start(announcement)
+            .unwrap_or_else(|| core.settings.borrow().service.clone());
+        if *claimed == expected {
+            return Ok(());
+        }
+        Err(Refusal::Service {
+            claimed: claimed.clone(),
+            expected,
+        })
+    }
+
+    /// Returns the service that the same start of the upstream has named before, `None` if it has not announced itself.
+    fn service_of_start(&self, announcement: &Announcement) -> Option<Service> {
+        let registration = self.registration.borrow();
+        let registered = registration
+            .as_ref()
+            .map(|current| &current.last_announcement);
+        let early = self.early_announcement.borrow();
+        let mut known = registered.into_iter().chain(early.as_ref());
+        let same = known.find(|known| known.is_same_start(announcement))?;
+        Some(same.offer.service.clone())
+    }
+
     /// Registers the upstream by its announcement, or updates the registration. Returns whether the offer to new
     /// requests has changed. Announcements that arrive late or out of order are ignored, and so is one that may have been
     /// made before this process started, until the upstream announces itself again.
