Read the settings again when an announcement names another service

An address is used again by another service, and the settings file may change without a signal. A node looks at it every 2 s, so the check of the service kept a successor out for up to 2 s and a heartbeat.

Change: an announcement of another service has the file read at once, if its contents have changed, and is judged by what it says then. `settings::File` holds the contents that were last read, from the start on: a change between the first read and the first look is noticed as well.

Measured: claims::successor_of_another_service_is_used_as_soon_as_the_settings_name_it failed without the read (400 for 200) and holds now. claims::endpoint_from_before_the_settings_changed_is_used_until_it_leaves holds with and without it; it guards the lease and the departure of the start from before.

--- a/src/sidecar/handle.rs
+++ b/src/sidecar/handle.rs
@@ -7,11 +7,11 @@
         load_balancer::Offer,
         node::Core,
         renewal::{ANNOUNCEMENT_DELAY_MAX, Arrival, Next},
-        settings::{Error, Settings},
+        settings,
     },
     crate::types::{Moment, Service},
     serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, path::Path, rc::Rc, time::Duration},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// Announcement of the upstream on this host.
@@ -86,7 +86,11 @@
         arrival: Arrival,
     ) -> Result<Next, Refusal> {
         let upstream = &self.core.local_upstream;
-        upstream.check_claim(&self.core, &announcement)?;
+        if upstream.check_claim(&self.core, &announcement).is_err() {
+            // A successor of another service may come before the node has noticed that the settings name it.
+            self.reload();
+            upstream.check_claim(&self.core, &announcement)?;
+        }
         let (leaves, instance) = (announcement.draining, announcement.instance.clone());
         if upstream.announce(&self.core, announcement, arrival) {
             self.core.broadcast_status();
@@ -142,23 +146,22 @@
         }
     }
 
-    /// Reads the settings again and puts them in force. Invalid settings leave those in force unchanged.
-    ///
-    /// # Errors
-    /// Returns an error if the settings cannot be read or are invalid.
-    pub fn reload(&self, path: &Path) -> Result<(), Error> {
-        let read = Settings::read(path);
-        if let Err(error) = &read {
-            let now = self.core.now();
-            let log = &self.core.log;
-            log.record(
-                now,
-                "reload",
-                format_args!("outcome=refused cause=\"{error}\""),
-            );
+    /// Names the file that the settings were read from, which [`reload`](Self::reload) reads from now on.
+    pub fn set_settings_file(&self, file: settings::File) {
+        *self.core.settings_file.borrow_mut() = Some(file);
+    }
+
+    /// Puts the settings in force that the file has now, if its contents have changed. Settings that cannot be read or are
+    /// invalid are logged, and leave those in force unchanged.
+    pub fn reload(&self) {
+        let mut file = self.core.settings_file.borrow_mut();
+        match file.as_mut().and_then(settings::File::read_changed) {
+            None => {}
+            Some(Ok(settings)) => self.core.reload(settings),
+            Some(Err(error)) => {
+                self.log("reload", format_args!("outcome=refused cause=\"{error}\""));
+            }
         }
-        self.core.reload(read?);
-        Ok(())
     }
 
     /// Returns the metrics in the text format, or nothing if they cannot be encoded, which is logged.
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -140,6 +140,7 @@
             retry_budget: RefCell::new(RetryBudget::new(Core::allowance(&settings))),
             refusal_history: RefCell::default(),
             settings: RefCell::new(settings),
+            settings_file: RefCell::default(),
             stopping: Cell::new(None),
             exiting: Notify::new(),
             contact,
--- a/src/sidecar/node/core.rs
+++ b/src/sidecar/node/core.rs
@@ -25,7 +25,7 @@
             regions::RestrictedRoutes,
             retry_budget::{Allowance, RetryBudget},
             rollout::{Leader, Phase, RolloutState},
-            settings::Settings,
+            settings::{self, Settings},
             store_readers::{self, Candidate, StoreAccess},
         },
         types::{Host, Moment, Service},
@@ -107,6 +107,8 @@
     pub refusal_history: RefCell<RefusalHistory>,
     /// Settings in force.
     pub settings: RefCell<Settings>,
+    /// File that they were read from, if they may change.
+    pub settings_file: RefCell<Option<settings::File>>,
     /// Whether this node has withdrawn its upstream for its stop.
     pub offer_withdrawn: Cell<bool>,
     /// Time at which the stop of this node began, if it has.
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -4,7 +4,12 @@
     super::{answer_budget, body_budget, connections, renewal},
     crate::types::{Domain, Host, Region, Service},
     serde::{Deserialize, Deserializer},
-    std::{collections::BTreeSet, net::SocketAddr, path::Path, time::Duration},
+    std::{
+        collections::BTreeSet,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        time::Duration,
+    },
 };
 
 /// Error of reading settings.
@@ -163,6 +168,47 @@
     pub window: Duration,
 }
 
+/// Settings file of a running node, which may change with or without a signal.
+#[derive(Debug)]
+pub struct File {
+    path: PathBuf,
+    /// The contents that were last read; empty if the file could not be read.
+    contents: String,
+}
+
+impl File {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// Returns an error if the file can't be read or parsed, or one that names all values out of range.
+    pub fn open(path: PathBuf) -> Result<(Self, Settings), Error> {
+        let contents = std::fs::read_to_string(&path)?;
+        let settings = Settings::parse(&contents)?;
+        Ok((Self { path, contents }, settings))
+    }
+
+    /// Returns the path of the file.
+    #[must_use]
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
+    /// Reads and checks the file again if its contents have changed since they were last read, and returns `None` if not.
+    /// A change is reported once, also if it is invalid.
+    pub fn read_changed(&mut self) -> Option<Result<Settings, Error>> {
+        let read = std::fs::read_to_string(&self.path);
+        let contents = read.as_deref().unwrap_or_default();
+        if contents == self.contents {
+            return None;
+        }
+        self.contents = contents.into();
+        Some(
+            read.map_err(Error::from)
+                .and_then(|text| Settings::parse(&text)),
+        )
+    }
+}
+
 impl Settings {
     /// Returns the maximum size of all answers that are held, in bytes.
     #[must_use]
@@ -222,14 +268,6 @@
         }
     }
 
-    /// Reads and checks a settings file.
-    ///
-    /// # Errors
-    /// Returns an error if the file can't be read or parsed, or one that names all values out of range.
-    pub fn read(path: &Path) -> Result<Self, Error> {
-        Self::parse(&std::fs::read_to_string(path)?)
-    }
-
     /// Parses and checks settings.
     ///
     /// # Errors
