Do not take back the upstream of another service from a peer

A node that came back as that of another service was handed what a peer had kept of its earlier upstream, and used that at once: requests ran at an endpoint of a service that the settings do not name any more.

What a peer returns went past the listener, and its service was compared with nothing.

Change: it is checked like an announcement before it changes anything, and `upstream outcome=recall-refused` says so.

Measured: claims::endpoint_that_a_peer_has_kept_is_not_used_at_a_node_of_another_service failed without the check (200 for 503) and holds now.

--- a/src/sidecar/local_upstream/registration.rs
+++ b/src/sidecar/local_upstream/registration.rs
@@ -274,7 +274,7 @@
     }
 
     /// Registers the upstream by the announcement that a peer kept from before this node restarted, unless a newer one
-    /// is known. The upstream itself has usually gone on running, and one that was about to stop stays withdrawn. If the
+    /// is known, or the node has come back as that of another service. The upstream itself has usually gone on running, and one that was about to stop stays withdrawn. If the
     /// peer may have missed a departure, the upstream is not used before it announces itself. Returns whether the offer to
     /// new requests has changed.
     pub fn recall(
@@ -287,6 +287,16 @@
         announcement.offer.cold = Duration::ZERO;
         let (instance, draining) = (announcement.instance.clone(), announcement.draining);
         let now = core.now();
+        if let Err(refusal) = self.check_claim(core, &announcement) {
+            core.log.record(
+                now,
+                "upstream",
+                format_args!(
+                    "outcome=recall-refused instance={instance} peer={peer} cause=\"{refusal}\""
+                ),
+            );
+            return false;
+        }
         if self
             .renewal
             .may_be_outdated(now, &announcement, Arrival::Control)
