Withdraw an upstream that leaves, whatever sequence it announced before

After one report of another writer with the sequence an endpoint's own `draining` was acknowledged with 200 and passed over as an older report, each time it was repeated.

Cause: announcements of one start are ordered by their sequence, also the one that ends it. But a start that leaves never comes back, so its place in the order doesn't matter.

Change: the announcement that the same start leaves is taken in whatever order it arrives. One that is passed over is logged with what it was compared with (`outcome=passed-over`); it was in no log.

Measured: claims::endpoint_that_leaves_is_withdrawn_whatever_sequence_was_announced_before failed without the change (200 for 503) and holds now.

--- a/src/sidecar/local_upstream/registration.rs
+++ b/src/sidecar/local_upstream/registration.rs
@@ -66,6 +66,23 @@
     );
 }
 
+/// Logs that an announcement changes nothing, as a later one is known.
+fn log_passed_over(core: &Core, announcement: &Announcement, last: &Announcement) {
+    core.log.record(
+        core.now(),
+        "upstream",
+        format_args!(
+            "outcome=passed-over instance={} incarnation={} sequence={} last={} last_incarnation={} last_sequence={}",
+            announcement.instance,
+            announcement.incarnation,
+            announcement.sequence,
+            last.instance,
+            last.incarnation,
+            last.sequence
+        ),
+    );
+}
+
 impl LocalUpstream {
     /// Checks that an announcement is of the service of this host's upstream. The settings name it when a start of the
     /// upstream first announces itself; that start keeps it then, also when the settings change.
@@ -176,9 +193,18 @@
                 let same_incarnation =
                     current.last_announcement.incarnation == announcement.incarnation;
                 let stale = order(&announcement) <= order(&current.last_announcement);
-                if stale || (same_incarnation && current.is_draining() && !announcement.draining) {
+                // A start that leaves never comes back, whatever else it has announced and in which order that arrives.
+                let is_leaving =
+                    announcement.draining && announcement.is_same_start(&current.last_announcement);
+                let has_left = same_incarnation && current.is_draining();
+                if (stale && !is_leaving) || (has_left && !announcement.draining) {
+                    log_passed_over(core, &announcement, &current.last_announcement);
                     return false;
                 }
+                if is_leaving {
+                    let last_sequence = current.last_announcement.sequence;
+                    announcement.sequence = announcement.sequence.max(last_sequence);
+                }
                 if same_incarnation {
                     // The remaining warm-up time of a start shrinks by itself, which is no change of the offer.
                     announcement.offer.cold = current.last_announcement.offer.cold;
