Refuse announcements of a start in the future instead of acknowledging them

A report whose start lies over ten minutes ahead was passed over, but acknowledged with 200, also if it said that the endpoint leaves. Its sender could not tell that nothing had happened.

The check came only when the upstream was registered, after which every announcement is acknowledged, and the kept early announcement and what a peer returns came before it.

Change: it is made with that of the service, before anything else. The answer is 400, and the line `announce outcome=refused` with the start takes the place of `upstream outcome=announced-ahead`.

Measured: odd_input::announcement_from_the_far_future_does_not_hide_the_endpoint, which now looks at the answers as well, failed without the change (200 for 400) and holds now.

--- a/src/sidecar/handle.rs
+++ b/src/sidecar/handle.rs
@@ -55,6 +55,9 @@
         /// Service that it would have to name.
         expected: Service,
     },
+    /// It is of a start in the future, and would make those of the actual upstream count as older.
+    #[error("the start {0} lies in the future")]
+    Start(u64),
 }
 
 /// Handle of a running node.
--- a/src/sidecar/local_upstream/registration.rs
+++ b/src/sidecar/local_upstream/registration.rs
@@ -88,8 +88,12 @@
     /// upstream first announces itself; that start keeps it then, also when the settings change.
     ///
     /// # Errors
-    /// Returns the refusal of an announcement of another service, which comes from another writer.
+    /// Returns the refusal of an announcement of another service, or of a start in the future, which comes from another
+    /// writer.
     pub fn check_claim(&self, core: &Core, announcement: &Announcement) -> Result<(), Refusal> {
+        if is_in_future(core.now(), announcement.incarnation) {
+            return Err(Refusal::Start(announcement.incarnation));
+        }
         let claimed = &announcement.offer.service;
         let expected = self
             .service_of_start(announcement)
@@ -172,17 +176,6 @@
                 .record(now, "upstream", format_args!("outcome=announced-late"));
             return false;
         }
-        if is_in_future(now, announcement.incarnation) {
-            core.log.record(
-                now,
-                "upstream",
-                format_args!(
-                    "outcome=announced-ahead incarnation={}",
-                    announcement.incarnation
-                ),
-            );
-            return false;
-        }
         let offer_before = self.offer(now);
         let announced_cold = announcement.offer.cold;
         let mut cold_until = now + announced_cold;
