Renew the lease with any announcement of the same start

After a report with a large sequence an endpoint's own `ready` ones were acknowledged and passed over, so that its lease ran out after six heartbeats: it got no request any more, though it was well and said so.

Only an announcement that is later than all others renewed the lease.

Change: any announcement of the start that is registered renews it, unless that start leaves. One that arrives in order may be seconds late as well, which the six heartbeats allow for.

--- a/src/sidecar/local_upstream/registration.rs
+++ b/src/sidecar/local_upstream/registration.rs
@@ -181,18 +181,23 @@
         let mut cold_until = now + announced_cold;
         {
             let mut registration = self.registration.borrow_mut();
-            if let Some(current) = registration.as_ref() {
+            if let Some(current) = registration.as_mut() {
                 let order = |current: &Announcement| (current.incarnation, current.sequence);
                 let same_incarnation =
                     current.last_announcement.incarnation == announcement.incarnation;
+                let same_start = announcement.is_same_start(&current.last_announcement);
                 let stale = order(&announcement) <= order(&current.last_announcement);
                 // A start that leaves never comes back, whatever else it has announced and in which order that arrives.
-                let is_leaving =
-                    announcement.draining && announcement.is_same_start(&current.last_announcement);
+                let is_leaving = announcement.draining && same_start;
                 let has_left = same_incarnation && current.is_draining();
                 if (stale && !is_leaving) || (has_left && !announcement.draining) {
                     log_passed_over(core, &announcement, &current.last_announcement);
-                    return false;
+                    if same_start && !has_left {
+                        // It tells that the start runs, as any other one does that may be seconds late.
+                        current.announced_at = now;
+                    }
+                    drop(registration);
+                    return offer_before != self.offer(now);
                 }
                 if is_leaving {
                     let last_sequence = current.last_announcement.sequence;
