Ignore a recorded departure of a start in the future

A row of another writer in the table of departures, with a start in the future, kept out every start of the endpoint under that name at a restarted node, for good.

Cause: that of the announcements of such a start, on the way by the store: what was read there was believed.

Change: such a departure covers no announcement. No node has recorded it, as none takes an announcement of such a start.

--- a/src/sidecar/departure.rs
+++ b/src/sidecar/departure.rs
@@ -27,6 +27,10 @@
 /// sent without a record binds a restarted node all the same, see [`renewal`](super::renewal).
 pub(super) const RECORD_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Maximum time by which the start of an upstream may seem to lie in the future: the time of day of a host may jump by
+/// seconds.
+const CLOCK_JUMP_MAX: Duration = Duration::from_secs(600);
+
 /// Delay after a failed call to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -43,11 +47,16 @@
 
 impl Departure {
     /// Returns whether an announcement was made before the instance left, and arrives late.
+    ///
+    /// One of a start in the future covers none. No node has recorded it, as none takes an announcement of such a start, and
+    /// it would keep out every later start under this name.
     #[must_use]
     pub fn covers(&self, now: Moment, announcement: &Announcement) -> bool {
         self.instance == announcement.instance
             && match self.incarnation {
-                Some(incarnation) => announcement.incarnation <= incarnation,
+                Some(incarnation) => {
+                    announcement.incarnation <= incarnation && !is_in_future(now, incarnation)
+                }
                 None => {
                     announcement.incarnation <= unix_ms(self.at)
                         && now.since(self.at) < ANNOUNCEMENT_DELAY_MAX
@@ -62,6 +71,12 @@
     time.0 / 1000
 }
 
+/// Returns whether an upstream claims to have been started in the future. If it were accepted, the announcements of the
+/// actual upstream would all be older.
+pub(super) fn is_in_future(now: Moment, incarnation: u64) -> bool {
+    incarnation > unix_ms(now + CLOCK_JUMP_MAX)
+}
+
 /// Record of the departure in the store.
 #[derive(Default)]
 pub(super) struct Record {
--- a/src/sidecar/local_upstream/registration.rs
+++ b/src/sidecar/local_upstream/registration.rs
@@ -5,7 +5,7 @@
     super::LocalUpstream,
     crate::{
         sidecar::{
-            departure::{Departure, unix_ms},
+            departure::{Departure, is_in_future},
             frame::Coverage,
             handle::{Announcement, Refusal},
             node::Core,
@@ -16,10 +16,6 @@
     std::time::Duration,
 };
 
-/// Maximum time by which the start of an upstream may seem to lie in the future: the time of day of a host may jump by
-/// seconds.
-const CLOCK_JUMP_MAX: Duration = Duration::from_secs(600);
-
 /// Registration of the upstream on this host, from its last announcement.
 pub(super) struct Registration {
     pub last_announcement: Announcement,
@@ -44,12 +40,6 @@
     }
 }
 
-/// Returns whether an upstream claims to have been started in the future. If it were accepted, the announcements of the
-/// actual upstream would all be older.
-fn is_in_future(now: Moment, incarnation: u64) -> bool {
-    incarnation > unix_ms(now + CLOCK_JUMP_MAX)
-}
-
 /// Logs that a start of the upstream has announced itself for the first time.
 fn log_start(core: &Core, announcement: &Announcement) {
     core.log.record(
