Read the settings again for another service only

The settings say nothing of a start in the future, for which the file was read as well. Found by reading the change; measured by the tests of claims and odd_input, which hold as before.

--- a/src/sidecar/handle.rs
+++ b/src/sidecar/handle.rs
@@ -89,11 +89,13 @@
         arrival: Arrival,
     ) -> Result<Next, Refusal> {
         let upstream = &self.core.local_upstream;
-        if upstream.check_claim(&self.core, &announcement).is_err() {
+        let mut checked = upstream.check_claim(&self.core, &announcement);
+        if let Err(Refusal::Service { .. }) = checked {
             // A successor of another service may come before the node has noticed that the settings name it.
             self.reload();
-            upstream.check_claim(&self.core, &announcement)?;
+            checked = upstream.check_claim(&self.core, &announcement);
         }
+        checked?;
         let (leaves, instance) = (announcement.draining, announcement.instance.clone());
         if upstream.announce(&self.core, announcement, arrival) {
             self.core.broadcast_status();
