Send announcements of another writer in the soak

The soak's writers were all true. Now another one sends announcements under the names of endpoints, of a later start: with another service, also as one that leaves, without a field, and of a start in the future. As they may cost nothing, the plans of planned work have them too, which the test of these plans now allows for; the other steps of a seed stay as they are.

Measured: ledger::run_at_an_endpoint_of_another_service_is_reported finds its fault, and plan::plans_cover_all_faults looks for the new one.

--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -2,6 +2,7 @@
 //! nodes in it.
 
 use {
+    crate::fleet::DESK,
     mulberryshelf_standin::{Reply, Run},
     std::{
         collections::HashMap,
@@ -141,6 +142,7 @@
             let checks = [
                 check_run_count(call, runs),
                 check_body(call, runs),
+                check_service(runs),
                 call.reply
                     .as_ref()
                     .and_then(|reply| check_response(call, reply, runs)),
@@ -308,6 +310,12 @@
     (!same).then(|| "ran with another body".into())
 }
 
+/// Reports a request that ran at an endpoint of another service than that of all routes.
+fn check_service(runs: &[&Run]) -> Option<String> {
+    let run = runs.iter().find(|run| run.service != DESK)?;
+    Some(format!("ran at {} of {}", run.instance, run.service))
+}
+
 /// Reports a response that belongs to another request, makes a false statement about the run, or has an unexpected
 /// status.
 fn check_response(call: &Call, reply: &Reply, runs: &[&Run]) -> Option<String> {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -37,6 +37,8 @@
 const BACKUP_GAP_MS_MAX: u64 = 5000;
 /// Upper bound of the time between two crowds of callers that keep their bodies back.
 const HOARD_GAP_MS_MAX: u64 = 6000;
+/// Upper bound of the time between two announcements of another writer.
+const MISREPORT_GAP_MS_MAX: u64 = 2500;
 /// One in this many seeds gives a plan with planned work only, in which no request may be lost.
 const PLANNED_ONE_IN: u64 = 3;
 
@@ -53,6 +55,19 @@
     SilentIn,
 }
 
+/// What makes an announcement of another writer one that no node may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Oddity {
+    /// It is of a start in the future.
+    Future,
+    /// It lacks a field.
+    Incomplete,
+    /// It names another service.
+    OtherService,
+    /// It names another service, and says that the endpoint leaves.
+    OtherServiceLeaves,
+}
+
 /// Fault or planned work. The `usize` is the index of the machine, and the `Duration` is how long the fault lasts,
 /// unless a variant says otherwise.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -80,6 +95,8 @@
     Link(usize, Weather, Duration),
     /// The endpoint misbehaves.
     Misbehave(usize, Behaviour, Duration),
+    /// Another writer sends an announcement under the name of the endpoint. It may not cost any caller a response.
+    Misreport(usize, Oddity),
     /// The operator orders the rollout of a version.
     Move {
         /// Whether the version is good; a bad one fails all requests.
@@ -183,6 +200,7 @@
             add_hoards(&mut steps, seed, length, machines);
             add_losses(&mut steps, seed, length, machines);
         }
+        add_misreports(&mut steps, seed, length, machines);
         steps.sort_by_key(|step| step.at);
         Self { planned, steps }
     }
@@ -247,6 +265,28 @@
     }
 }
 
+/// Adds announcements of another writer.
+fn add_misreports(steps: &mut Vec<Step>, seed: u64, length: Duration, machines: usize) {
+    // Of its own, so that the other steps of a seed stay as they are.
+    let mut random = StdRng::seed_from_u64(seed.rotate_left(48));
+    let mut at = Duration::ZERO;
+    loop {
+        at += Duration::from_millis(random.random_range(0..MISREPORT_GAP_MS_MAX));
+        if at >= length {
+            return;
+        }
+        let machine = random.random_range(0..machines);
+        let oddity = [
+            Oddity::Future,
+            Oddity::Incomplete,
+            Oddity::OtherService,
+            Oddity::OtherServiceLeaves,
+        ][random.random_range(0..4)];
+        let fault = Fault::Misreport(machine, oddity);
+        steps.push(Step { at, fault });
+    }
+}
+
 /// Adds endpoints that crash together, and at times one that leaves right before all nodes are killed.
 fn add_losses(steps: &mut Vec<Step>, seed: u64, length: Duration, machines: usize) {
     // Of its own, so that the other steps of a seed stay as they are.
--- a/soak/tests/ledger.rs
+++ b/soak/tests/ledger.rs
@@ -49,6 +49,7 @@
         id: id.into(),
         instance: instance.into(),
         left_ms: 2000,
+        service: "desk".into(),
         target: "/status/7".into(),
     }
 }
@@ -90,6 +91,13 @@
     assert_eq!(violations_after(Kind::Safe, change), [text]);
 }
 
+#[test]
+fn run_at_an_endpoint_of_another_service_is_reported() {
+    let change = |ledger: &mut Ledger, _| ledger.runs[0].service = "hub".into();
+    let text = "a Safe status=200: ran at i-1 of hub";
+    assert_eq!(violations_after(Kind::Safe, change), [text]);
+}
+
 #[test]
 fn false_statement_that_a_request_has_not_run_is_reported() {
     let claim_not_run = |ledger: &mut Ledger, _| {
--- a/soak/tests/plan.rs
+++ b/soak/tests/plan.rs
@@ -21,6 +21,7 @@
                 step.fault,
                 Fault::Configure
                     | Fault::Drain(_)
+                    | Fault::Misreport(..)
                     | Fault::Move { good: true }
                     | Fault::Reload(_)
                     | Fault::Restart(_)
@@ -58,6 +59,7 @@
         "Leave",
         "Link",
         "Misbehave",
+        "Misreport",
         "Move",
         "Pause",
         "Reload",
