--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -3,10 +3,11 @@
 
 use {
     crate::{
-        fleet::{DESK, GRACE, HUB, MEMORY_MB, Machine},
+        fleet::{DESK, GRACE, MEMORY_MB, Machine},
         hoarders,
         ledger::{BadMove, Closed, Disturbance},
-        plan::{Fault, Oddity, Plan, Weather},
+        misreports,
+        plan::{Fault, Plan, Weather},
         run::Soak,
     },
     mulberryshelf_standin::{Behaviour, Mode, Presence},
@@ -55,12 +56,6 @@
 /// Number of announcements that arrive after the departure that they precede, and the time between them.
 const LATE_ANNOUNCEMENTS: u32 = 8;
 const LATE_GAP: Duration = Duration::from_millis(150);
-/// Time by which a start that another writer announces is later than that of the endpoint, in milliseconds: a plausible one,
-/// and one that lies in the future.
-const LATER_MS: u64 = 200;
-const FUTURE_MS: u64 = 3_600_000;
-/// Longest wait for the response to an announcement of another writer.
-const MISREPORT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Interval at which a wait checks its condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for which a machine counts as disturbed after a fault has ended, since the updates that it missed have to reach
@@ -164,7 +159,7 @@
             tokio::time::sleep(time).await;
             machines[index].endpoint.behave(Behaviour::Answers);
         }
-        Fault::Misreport(index, oddity) => misreport(soak, index, oddity).await,
+        Fault::Misreport(index, oddity) => misreports::send(soak, index, oddity).await,
         Fault::Move { good } => roll_out(soak, good).await,
         Fault::Pause(index, time) => pause(soak, index, time).await?,
         Fault::Reload(index) => machines[index].signal(Signal::HUP)?,
@@ -308,40 +303,6 @@
     Ok(())
 }
 
-/// Sends an announcement of another writer, of a start that is later than that of the endpoint. The node has to reject it.
-async fn misreport(soak: &Soak, index: usize, oddity: Oddity) {
-    let machine = &soak.fleet.machines[index];
-    let endpoint = &machine.endpoint;
-    let other = if endpoint.identity().service == DESK {
-        HUB
-    } else {
-        DESK
-    };
-    let presence = match oddity {
-        Oddity::OtherServiceLeaves => Presence::Draining,
-        _ => Presence::Ready,
-    };
-    let later_ms = match oddity {
-        Oddity::Future => FUTURE_MS,
-        _ => LATER_MS,
-    };
-    let mut body = endpoint.announcement(presence, endpoint.started_ms() + later_ms);
-    match oddity {
-        Oddity::Future => {}
-        Oddity::Incomplete => body["slots"] = serde_json::Value::Null,
-        Oddity::OtherService | Oddity::OtherServiceLeaves => body["service"] = other.into(),
-    }
-    // A node that is down, stopped or full does not respond.
-    let sending = endpoint.misreport(machine.control, &body);
-    let status = tokio::time::timeout(MISREPORT_TIMEOUT, sending).await;
-    if let Ok(Some(status)) = status
-        && status != 400
-    {
-        let name = &machine.name;
-        soak.broken(format!("{name} answered {oddity:?} with {status}"));
-    }
-}
-
 async fn pause(soak: &Soak, index: usize, time: Duration) -> io::Result<()> {
     let (machine, from) = (&soak.fleet.machines[index], Instant::now());
     machine.signal(Signal::STOP)?;
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod hoarders;
 pub mod ledger;
+pub mod misreports;
 pub mod plan;
 pub mod proxy;
 pub mod run;
